--- /dev/null
+++ b/Libraries/LibDecision/Placement.cpp
@@ -0,0 +1,251 @@
+#include "LibDecision/Placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace primrose {
+
+namespace {
+
+/// Of a group's memory this part stays free, since parts are cut at whole
+/// blocks and the engines' own counts differ a little from the estimate.
+constexpr double kGroupHeadroom = 0.95;
+/// Output tokens for which a slowed engine is charged; the true length of an
+/// answer is not known when it is placed.
+constexpr double kChargedOutputTokens = 64;
+
+void
+AddOnce(std::vector<std::size_t>& aChosen, std::size_t aIndex)
+{
+  if (std::find(aChosen.begin(), aChosen.end(), aIndex) == aChosen.end()) {
+    aChosen.push_back(aIndex);
+  }
+}
+
+/// The endpoint where requests with this beginning meet, so that the prefix is
+/// read once; nothing if the prompt is too short to have a mark.
+std::optional<std::size_t>
+HomeOfPrefix(const std::vector<std::string>& aNames, const work_shape& aShape)
+{
+  if (aShape.mMarks.empty()) {
+    return std::nullopt;
+  }
+  const std::string key = std::to_string(aShape.mMarks.front());
+  std::size_t best = 0;
+  std::uint64_t bestWeight = 0;
+  for (std::size_t i = 0; i < aNames.size(); ++i) {
+    const std::uint64_t weight = RendezvousWeight(key, aNames[i]);
+    if (weight >= bestWeight) {
+      best = i;
+      bestWeight = weight;
+    }
+  }
+  return best;
+}
+
+std::size_t
+WholeFront(const placement_memory& aMemory, std::size_t aEndpoints)
+{
+  const double front = std::ceil(std::max(0.0, aMemory.mLongFront));
+  return std::min(static_cast<std::size_t>(front), aEndpoints);
+}
+
+void
+AddRandom(std::vector<std::size_t>& aChosen,
+          std::size_t aFirst,
+          std::size_t aEnd,
+          std::size_t aWanted,
+          random_engine& aRandom)
+{
+  // Bounded: with nearly all of the range chosen already, random draws would
+  // repeat themselves; a few less probes do no harm.
+  constexpr std::size_t kDrawsPerProbe = 4;
+  const std::size_t draws = kDrawsPerProbe * aWanted;
+  for (std::size_t i = 0; i < draws && aChosen.size() < aWanted; ++i) {
+    AddOnce(aChosen, aFirst + Below(aRandom, aEnd - aFirst));
+  }
+}
+
+double
+OwnReadingSeconds(const work_shape& aShape, const engine_shape& aEngine)
+{
+  const double chunks = static_cast<double>(aShape.mPromptTokens) /
+                        static_cast<double>(aEngine.mChunk);
+  return chunks * StepSeconds(aEngine, 1, aEngine.mChunk, 0);
+}
+
+double
+Score(const candidate& aCandidate,
+      const work_shape& aShape,
+      const placement_rules& aRules,
+      const engine_shape& aEngine)
+{
+  const probe_answer& answer = aCandidate.mAnswer;
+  double score = answer.mFirstTokenSeconds;
+  const double idleStep = StepSeconds(aEngine, 1, 0, 0);
+  if (!aShape.mLong) {
+    // A short request pays for the engine's slowness with each token written.
+    const double output =
+      std::min(kChargedOutputTokens, static_cast<double>(aShape.mMaxTokens));
+    score +=
+      aRules.mShortProtection * output * idleStep * (answer.mSlowdown - 1);
+  } else {
+    // A long prompt slows all that is running there for as long as it reads.
+    const double chunkSeconds =
+      static_cast<double>(aEngine.mChunk) / aEngine.mPrefillTokensPerSecond;
+    const double part =
+      chunkSeconds / StepSeconds(aEngine, 1, aEngine.mChunk, 0);
+    score += aRules.mShortProtection * OwnReadingSeconds(aShape, aEngine) *
+             part * answer.mRunning / aEngine.mLargestBatch;
+  }
+  return score;
+}
+
+} // namespace
+
+std::vector<std::size_t>
+ChooseToProbe(const std::vector<std::string>& aNames,
+              const work_shape& aShape,
+              const placement_rules& aRules,
+              const placement_memory& aMemory,
+              random_engine& aRandom)
+{
+  const std::size_t count = aNames.size();
+  const std::size_t wanted = std::min<std::size_t>(aRules.mProbes, count);
+  std::vector<std::size_t> chosen;
+  if (count == 0) {
+    return chosen;
+  }
+  const std::size_t front = WholeFront(aMemory, count);
+  if (aRules.mUseCache) {
+    const std::optional<std::size_t> home = HomeOfPrefix(aNames, aShape);
+    const bool isShortAtFront =
+      home && !aShape.mLong && aRules.mPackLong && *home < front;
+    if (home && !isShortAtFront) {
+      AddOnce(chosen, *home);
+    }
+  }
+  if (!aRules.mPackLong) {
+    AddRandom(chosen, 0, count, wanted, aRandom);
+    return chosen;
+  }
+  if (aShape.mLong) {
+    const std::size_t window = std::min(count, std::max(front + 1, wanted));
+    AddRandom(chosen, 0, window, wanted, aRandom);
+    return chosen;
+  }
+  const std::size_t first = front < count ? front : 0;
+  AddRandom(chosen, first, count, wanted, aRandom);
+  AddRandom(chosen, 0, count, wanted, aRandom);
+  return chosen;
+}
+
+std::vector<scored_candidate>
+RankCandidates(const std::vector<candidate>& aCandidates,
+               const work_shape& aShape,
+               const placement_rules& aRules,
+               const engine_shape& aEngine)
+{
+  std::vector<scored_candidate> ranked;
+  for (const candidate& one : aCandidates) {
+    if (one.mAnswer.mRefusal == refusal::None) {
+      ranked.push_back({ one.mIndex, Score(one, aShape, aRules, aEngine) });
+    }
+  }
+  const double slack =
+    aShape.mLong && aRules.mPackLong
+      ? aRules.mFrontSlack * OwnReadingSeconds(aShape, aEngine)
+      : 0;
+  std::sort(ranked.begin(),
+            ranked.end(),
+            [](const scored_candidate& aLeft, const scored_candidate& aRight) {
+              return aLeft.mScore < aRight.mScore;
+            });
+  if (slack <= 0 || ranked.empty()) {
+    return ranked;
+  }
+  // Among those nearly as good as the best, the first of the order is taken.
+  const double bound = ranked.front().mScore + slack;
+  const auto end =
+    std::find_if(ranked.begin(), ranked.end(), [&](const auto& aOne) {
+      return aOne.mScore > bound;
+    });
+  std::sort(ranked.begin(),
+            end,
+            [](const scored_candidate& aLeft, const scored_candidate& aRight) {
+              return aLeft.mIndex < aRight.mIndex;
+            });
+  return ranked;
+}
+
+void
+LearnFront(placement_memory& aMemory,
+           const std::vector<candidate>& aCandidates,
+           const work_shape& aShape,
+           const placement_rules& aRules,
+           const engine_shape& aEngine,
+           std::size_t aEndpoints)
+{
+  if (!aShape.mLong || !aRules.mPackLong || aCandidates.empty()) {
+    return;
+  }
+  double best = INFINITY;
+  std::size_t idleInFront = 0;
+  for (const candidate& one : aCandidates) {
+    if (one.mAnswer.mRefusal != refusal::None) {
+      continue;
+    }
+    best = std::min(best, one.mAnswer.mFirstTokenSeconds);
+    const bool inFront = static_cast<double>(one.mIndex) < aMemory.mLongFront;
+    idleInFront += inFront && one.mAnswer.mLong == 0 ? 1 : 0;
+  }
+  const double own = OwnReadingSeconds(aShape, aEngine);
+  const double wait = best - own;
+  // Out by a whole engine when long prompts wait, back by small steps when
+  // engines of the front stand idle: the front does not swing with each one.
+  constexpr double kStepBack = 0.1;
+  if (wait > aRules.mFrontSlack * own) {
+    aMemory.mLongFront += 1;
+  } else if (idleInFront > 1) {
+    aMemory.mLongFront -= kStepBack * static_cast<double>(idleInFront);
+  }
+  aMemory.mLongFront =
+    std::clamp(aMemory.mLongFront,
+               1.0,
+               static_cast<double>(std::max<std::size_t>(1, aEndpoints)));
+}
+
+std::size_t
+GroupSize(const work_shape& aShape,
+          const placement_rules& aRules,
+          tokens aEngineCapacity)
+{
+  const double usable = kGroupHeadroom * static_cast<double>(aEngineCapacity);
+  if (aEngineCapacity == 0) {
+    return 1;
+  }
+  const bool fitsOne = aShape.Need() <= aEngineCapacity;
+  const std::size_t forMemory =
+    fitsOne ? 1
+            : static_cast<std::size_t>(
+                std::ceil(static_cast<double>(aShape.Need()) / usable));
+  const std::size_t forSpeed = aShape.mLong ? aRules.mLongSpread : 1;
+  return std::max(forMemory, forSpeed);
+}
+
+work_shape
+MemberShape(const work_shape& aShape, std::size_t aMembers, hold_role aRole)
+{
+  work_shape part = aShape;
+  part.mPromptTokens = (aShape.mPromptTokens + aMembers - 1) / aMembers;
+  if (aMembers > 1) {
+    // A part's beginning is not the prompt's beginning.
+    part.mMarks.clear();
+  }
+  if (aRole == hold_role::Member) {
+    part.mMaxTokens = 0;
+  }
+  return part;
+}
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibDecision/Placement.h
@@ -0,0 +1,96 @@
+#pragma once
+
+/// Where a request goes: whom to ask, and which of those that answered.
+///
+/// Long prompts are packed: they go to the first engines of an order that all
+/// entries share, and to further ones only when those would make them wait.
+/// Short prompts ask engines anywhere, rather past that front, and keep away
+/// from engines that have long prompts to read. So the number of engines that
+/// read long prompts follows the demand without any agreement.
+
+#include "LibDecision/Scheduler.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace primrose {
+
+/// What placing needs of the settings.
+struct placement_rules
+{
+  unsigned mProbes = 4;
+  double mShortProtection = 1;
+  unsigned mLongSpread = 1;
+  /// Long prompts move on to one more engine when they would wait longer than
+  /// this part of their own reading time.
+  double mFrontSlack = 0.25;
+  bool mPackLong = true;
+  bool mUseCache = true;
+
+  bool operator==(const placement_rules&) const = default;
+};
+
+/// What an entry remembers of a model's fleet from the answers it got.
+struct placement_memory
+{
+  /// Engines, from the start of the order, thought to read long prompts.
+  double mLongFront = 0;
+
+  bool operator==(const placement_memory&) const = default;
+};
+
+/// Indices into the usable endpoints of those to ask, best guesses first.
+/// `aNames` are in the shared order.
+std::vector<std::size_t>
+ChooseToProbe(const std::vector<std::string>& aNames,
+              const work_shape& aShape,
+              const placement_rules& aRules,
+              const placement_memory& aMemory,
+              random_engine& aRandom);
+
+/// An endpoint that answered.
+struct candidate
+{
+  std::size_t mIndex = 0; ///< Into the usable endpoints.
+  probe_answer mAnswer;
+
+  bool operator==(const candidate&) const = default;
+};
+
+struct scored_candidate
+{
+  std::size_t mIndex = 0;
+  double mScore = 0; ///< Seconds; lower is better.
+  bool operator==(const scored_candidate&) const = default;
+};
+
+/// The candidates that can take the work, best first.
+std::vector<scored_candidate>
+RankCandidates(const std::vector<candidate>& aCandidates,
+               const work_shape& aShape,
+               const placement_rules& aRules,
+               const engine_shape& aEngine);
+
+/// Learns from the answers to one request's probes.
+void
+LearnFront(placement_memory& aMemory,
+           const std::vector<candidate>& aCandidates,
+           const work_shape& aShape,
+           const placement_rules& aRules,
+           const engine_shape& aEngine,
+           std::size_t aEndpoints);
+
+/// How many engines a prompt is spread over: as many as its memory needs, and
+/// for a long one up to `mLongSpread`, so that it is read sooner.
+std::size_t
+GroupSize(const work_shape& aShape,
+          const placement_rules& aRules,
+          tokens aEngineCapacity);
+
+/// The part of a group's prompt that one member holds (rounded up); the lead
+/// also holds the answer's tokens.
+work_shape
+MemberShape(const work_shape& aShape, std::size_t aMembers, hold_role aRole);
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibHttp/ServerSentEvents.cpp
@@ -0,0 +1,74 @@
+#include "LibHttp/ServerSentEvents.h"
+
+#include <spdlog/fmt/fmt.h>
+
+namespace primrose {
+
+result<std::vector<std::string>>
+sse_parser::Feed(std::string_view aBytes)
+{
+  std::vector<std::string> events;
+  while (!aBytes.empty()) {
+    const std::size_t end = aBytes.find('\n');
+    mLine += aBytes.substr(0, end);
+    if (mLine.size() + mData.size() > mLimit) {
+      return Fail(error_kind::EndpointFailed,
+                  fmt::format("an event is over {} bytes", mLimit),
+                  ran_state::Unknown);
+    }
+    if (end == std::string_view::npos) {
+      break;
+    }
+    aBytes.remove_prefix(end + 1);
+    if (mLine.ends_with('\r')) {
+      mLine.pop_back();
+    }
+    TakeLine(mLine, events);
+    mLine.clear();
+  }
+  return events;
+}
+
+void
+sse_parser::TakeLine(std::string_view aLine, std::vector<std::string>& aEvents)
+{
+  if (aLine.empty()) {
+    if (mHasData) {
+      aEvents.push_back(std::move(mData));
+    }
+    mData.clear();
+    mHasData = false;
+    return;
+  }
+  constexpr std::string_view kField = "data:";
+  if (!aLine.starts_with(kField)) {
+    return;
+  }
+  aLine.remove_prefix(kField.size());
+  if (aLine.starts_with(' ')) {
+    aLine.remove_prefix(1);
+  }
+  if (mHasData) {
+    mData += '\n';
+  }
+  mData += aLine;
+  mHasData = true;
+}
+
+std::string
+FormatEvent(std::string_view aData)
+{
+  std::string event;
+  while (true) {
+    const std::size_t end = aData.find('\n');
+    event += fmt::format("data: {}\n", aData.substr(0, end));
+    if (end == std::string_view::npos) {
+      break;
+    }
+    aData.remove_prefix(end + 1);
+  }
+  event += '\n';
+  return event;
+}
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibSettings/Policy.h
@@ -0,0 +1,58 @@
+#pragma once
+
+/// The values that a node of the settings tree may override, each with its
+/// unit, range and default. One table describes them all; reading, checking,
+/// resolving and explaining walk that table.
+
+#include "LibSettings/ObjectReader.h"
+
+#include <span>
+#include <string>
+
+namespace primrose {
+
+/// Effective values at one place of the tree. Times in seconds, memory and
+/// lengths in tokens.
+struct policy
+{
+  double mTimeLimitSeconds = 120;
+  double mLongestTimeLimitSeconds = 3600;
+  double mPriority = 1;
+  double mShareWeight = 1;
+  double mTokensPerSecond = 1e9;
+  double mConcurrentTokens = 1e12;
+  double mLongestPromptTokens = 1000000;
+  double mLongPromptTokens = 32768;
+  double mProbes = 4;
+  double mProbeTimeoutSeconds = 0.25;
+  double mQueueWaitSeconds = 2;
+  double mLongHoldSeconds = 3;
+  double mLongTokensAtOnce = 400000;
+  double mLongSpread = 1;
+  double mShortProtection = 1;
+  double mAgeingSeconds = 20;
+  double mLeaseSeconds = 10;
+  double mAttempts = 4;
+  double mBackoffSeconds = 0.05;
+  double mRetryBudget = 0.2;
+
+  bool operator==(const policy&) const = default;
+};
+
+struct policy_value
+{
+  std::string_view mName;
+  double policy::*mMember;
+  number_range mRange;
+  std::string_view mMeaning;
+};
+
+/// The table of all values, in the order of their names' first mention.
+std::span<const policy_value>
+PolicyValues();
+
+/// The row with this name, or null.
+const policy_value*
+FindPolicyValue(std::string_view aName);
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibSettings/Tree.h
@@ -0,0 +1,114 @@
+#pragma once
+
+/// The tree of settings: fleet, organisation, service, workload. A node holds
+/// only what it overrides; everything else comes from its parent.
+
+#include "LibSettings/Policy.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace primrose {
+
+/// What is assumed of the engines of one model. Engines publish their memory
+/// and load; how fast they read is a prior that the agent corrects.
+struct model_settings
+{
+  std::string mName;
+  double mEngineTokens = 400000; ///< KV memory of one engine.
+  double mPrefillTokensPerSecond = 40000;
+  double mBaseStepSeconds = 0.012;      ///< A step with an empty batch.
+  double mSecondsPerSequence = 0.00015; ///< Added by each running sequence.
+  double mLargestBatch = 128;           ///< Sequences running at once.
+  double mChunkTokens = 1024;           ///< Prompt tokens read in one step.
+
+  bool operator==(const model_settings&) const = default;
+};
+
+/// A plain service that the system routes to.
+struct service_settings
+{
+  std::string mName;
+  /// Paths (by prefix) whose calls must not run twice.
+  std::vector<std::string> mGuardedPaths;
+
+  bool operator==(const service_settings&) const = default;
+};
+
+/// A place in the tree; empty names stop at the level above.
+struct tree_path
+{
+  std::string mOrganisation;
+  std::string mService;
+  std::string mWorkload;
+
+  bool operator==(const tree_path&) const = default;
+  auto operator<=>(const tree_path&) const = default;
+  /// `fleet`, `padani`, `padani/rapporti-llm`, `padani/rapporti-llm/review`.
+  std::string Text() const;
+};
+
+class settings_tree
+{
+public:
+  /// Checks the whole document; all problems are appended to `aProblems`.
+  static settings_tree Read(const json& aDocument,
+                            settings_problems& aProblems);
+
+  /// The effective values at a place. Unknown names inherit from the nearest
+  /// known ancestor.
+  policy Resolve(const tree_path& aPath) const;
+  /// Where the effective value of a setting comes from: the path of the node
+  /// that sets it, or `default`.
+  std::string OriginOf(const tree_path& aPath, std::string_view aName) const;
+
+  const model_settings* Model(const std::string& aName) const;
+  const service_settings* Service(const std::string& aName) const;
+  const std::map<std::string, model_settings>& Models() const
+  {
+    return mModels;
+  }
+  bool HasOrganisation(const std::string& aName) const;
+  std::vector<std::string> Organisations() const;
+  /// The organisation that has a key with this SHA-256 (hex), or empty.
+  std::string OrganisationOfKey(const std::string& aKeyHash) const;
+
+  std::uint64_t Revision() const { return mRevision; }
+  std::uint64_t DocumentHash() const { return mHash; }
+  bool operator==(const settings_tree&) const = default;
+
+private:
+  using overrides = std::map<std::string_view, double>;
+
+  std::vector<tree_path> Ancestry(const tree_path& aPath) const;
+  void ReadValues(object_reader& aReader, const tree_path& aPath);
+  void ReadOrganisation(const json& aNode,
+                        const std::string& aName,
+                        settings_problems& aProblems);
+  void ReadService(const json& aNode,
+                   const tree_path& aPath,
+                   const std::string& aWhere,
+                   settings_problems& aProblems);
+  void ReadModels(object_reader& aFleet, settings_problems& aProblems);
+  void ReadServices(object_reader& aFleet, settings_problems& aProblems);
+  void ReadKeys(object_reader& aReader, const std::string& aOrganisation);
+  void CheckServiceNames(settings_problems& aProblems) const;
+
+  std::map<tree_path, overrides> mNodes;
+  std::map<std::string, model_settings> mModels;
+  std::map<std::string, service_settings> mServices;
+  std::map<std::string, std::string> mKeys;
+  std::uint64_t mRevision = 0;
+  std::uint64_t mHash = 0;
+};
+
+/// Reads, parses and checks a tree file.
+result<settings_tree>
+LoadTree(const std::string& aFile);
+
+/// SHA-256 of a caller's key, in hex; settings hold only these.
+std::string
+KeyHash(const std::string& aKey);
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibWire/Timer.h
@@ -0,0 +1,26 @@
+#pragma once
+
+/// Timers as promises, on GLib's main loop.
+
+#include "LibCore/LibCore.h"
+
+#include <kj/async.h>
+#include <kj/debug.h>
+
+namespace primrose {
+
+/// Resolves after `aDelay`; dropping the promise removes the timer.
+kj::Promise<void>
+Delay(duration aDelay);
+
+/// The promise's own value, or a thrown KJ exception of type OVERLOADED when
+/// `aLimit` has passed first; the work is dropped then.
+template<typename T>
+kj::Promise<T>
+WithTimeout(kj::Promise<T> aWork, duration aLimit)
+{
+  return aWork.exclusiveJoin(Delay(aLimit).then(
+    []() -> kj::Promise<T> { return KJ_EXCEPTION(OVERLOADED, "timed out"); }));
+}
+
+} // namespace primrose
--- /dev/null
+++ b/Services/Agent/AgentServer.cpp
@@ -0,0 +1,244 @@
+#include "AgentServer.h"
+
+namespace primrose::agent {
+
+namespace {
+
+/// A granted reservation. It is released when the entry drops it, which also
+/// happens when the entry's connection goes.
+class ticket final : public wire::Ticket::Server
+{
+public:
+  ticket(agent_service& aService, const reservation& aReservation)
+    : mService(aService)
+    , mAttempt(aReservation.mAttempt)
+    , mRole(aReservation.mRole)
+  {
+  }
+  ~ticket() noexcept(false) { mService.ReleaseGranted(mAttempt); }
+  ticket(const ticket&) = delete;
+  ticket& operator=(const ticket&) = delete;
+
+  kj::Promise<void> start(StartContext aContext) override
+  {
+    aContext.allowCancellation();
+    if (mStarted) {
+      return KJ_EXCEPTION(FAILED, "a ticket starts once");
+    }
+    mStarted = true;
+    return Work(aContext).then([aContext](stream_end aEnd) mutable {
+      wire::Ending::Builder ending = aContext.getResults().initEnding();
+      ending.setComplete(aEnd.mComplete);
+      ending.setChunks(aEnd.mChunks);
+      ending.setFinish(aEnd.mComplete ? "length" : "");
+      ending.setRan(ToWire(aEnd.mRan));
+      if (!aEnd.mComplete) {
+        const error_kind kind = aEnd.mChunks > 0 ? error_kind::StreamBroken
+                                                 : error_kind::EndpointFailed;
+        ending.setErrorKind(std::string(AnswerFor(kind).mName));
+        ending.setErrorMessage(aEnd.mProblem);
+      }
+    });
+  }
+
+  kj::Promise<void> renew(RenewContext aContext) override
+  {
+    aContext.getResults().setHeld(mService.RenewGranted(mAttempt));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> cancel(CancelContext aContext) override
+  {
+    // What was never started cannot start any more: the ticket is used up.
+    const ran_state ran = mStarted ? ran_state::Unknown : ran_state::No;
+    mStarted = true;
+    mService.ReleaseGranted(mAttempt);
+    aContext.getResults().setRan(ToWire(ran));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> engine(EngineContext aContext) override
+  {
+    aContext.getResults().setAddress(mService.EngineAddress());
+    return kj::READY_NOW;
+  }
+
+private:
+  kj::Promise<stream_end> Work(StartContext& aContext)
+  {
+    if (mRole == hold_role::Member) {
+      return mService.HoldGranted(mAttempt);
+    }
+    const wire::Work::Reader work = aContext.getParams().getWork();
+    engine_request request;
+    request.mPrompt = BytesFrom(work.getPrompt());
+    for (const capnp::Text::Reader member : work.getMembers()) {
+      request.mMembers.push_back(TextFrom(member));
+    }
+    // Shared: KJ's clients cannot be copied from a const object.
+    const std::shared_ptr<wire::ChunkSink::Client> sink =
+      std::make_shared<wire::ChunkSink::Client>(aContext.getParams().getSink());
+    aContext.releaseParams();
+    return mService.RunGranted(
+      mAttempt,
+      std::move(request),
+      [sink, attempt = mAttempt](std::uint64_t aIndex, std::string aText) {
+        auto chunk = sink->chunkRequest();
+        chunk.setAttempt(attempt);
+        chunk.setSequence(aIndex);
+        chunk.setText(aText);
+        return chunk.send();
+      });
+  }
+
+  agent_service& mService;
+  std::string mAttempt;
+  hold_role mRole;
+  bool mStarted = false;
+};
+
+reservation
+ReservationFrom(wire::Reservation::Reader aWire, time_point aNow)
+{
+  constexpr double kSmallestWeight = 0.01;
+  reservation read;
+  read.mRequest = TextFrom(aWire.getRequest());
+  read.mAttempt = TextFrom(aWire.getAttempt());
+  read.mShape = FromWire(aWire.getQuery());
+  read.mRole = FromWire(aWire.getRole());
+  read.mDeadline = aNow + RemainingFromWire(aWire.getRemainingMs());
+  read.mWaitUntil = aNow + RemainingFromWire(aWire.getWaitMs());
+  read.mLease = RemainingFromWire(aWire.getLeaseMs());
+  const double weight = aWire.getWeight();
+  read.mWeight = weight >= kSmallestWeight ? weight : kSmallestWeight;
+  return read;
+}
+
+service_call
+CallFrom(wire::Call::Reader aWire, time_point aNow)
+{
+  service_call call;
+  call.mRequest = TextFrom(aWire.getRequest());
+  call.mAttempt = TextFrom(aWire.getAttempt());
+  call.mOrganisation = TextFrom(aWire.getOrganisation());
+  call.mService = TextFrom(aWire.getService());
+  call.mMethod = TextFrom(aWire.getMethod());
+  call.mPath = TextFrom(aWire.getPath());
+  call.mContentType = TextFrom(aWire.getContentType());
+  call.mBody = BytesFrom(aWire.getBody());
+  call.mGuarded = aWire.getGuarded();
+  call.mKey = TextFrom(aWire.getKey());
+  call.mDeadline = aNow + RemainingFromWire(aWire.getRemainingMs());
+  return call;
+}
+
+void
+FillAnswer(const service_answer& aAnswer, wire::CallAnswer::Builder aWire)
+{
+  aWire.setStatus(static_cast<std::uint16_t>(aAnswer.mStatus));
+  aWire.setContentType(aAnswer.mContentType);
+  aWire.setBody(DataOf(aAnswer.mBody));
+  aWire.setRan(ToWire(aAnswer.mRan));
+  aWire.setReplayed(aAnswer.mReplayed);
+  if (aAnswer.mError) {
+    aWire.setErrorKind(std::string(AnswerFor(*aAnswer.mError).mName));
+    aWire.setErrorMessage(aAnswer.mMessage);
+  }
+}
+
+class agent_server final : public wire::Agent::Server
+{
+public:
+  explicit agent_server(agent_service& aService)
+    : mService(aService)
+  {
+  }
+
+  kj::Promise<void> probe(ProbeContext aContext) override
+  {
+    const probe_answer answer =
+      mService.Probe(FromWire(aContext.getParams().getQuery()));
+    ToWire(answer, aContext.getResults().initAnswer());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> reserve(ReserveContext aContext) override
+  {
+    // Cancellable: an entry that gives up, or dies, frees its place at once.
+    aContext.allowCancellation();
+    const reservation asked =
+      ReservationFrom(aContext.getParams().getReservation(), mService.Now());
+    return mService.Reserve(asked).then(
+      [this, aContext, asked](refusal aRefusal) mutable {
+        aContext.getResults().setRefusal(ToWire(aRefusal));
+        if (aRefusal == refusal::None) {
+          aContext.getResults().setTicket(kj::heap<ticket>(mService, asked));
+        }
+      });
+  }
+
+  kj::Promise<void> call(CallContext aContext) override
+  {
+    aContext.allowCancellation();
+    if (mService.IsLeaving()) {
+      aContext.getResults().initAnswer().setRefusal(wire::Refusal::LEAVING);
+      return kj::READY_NOW;
+    }
+    service_call call =
+      CallFrom(aContext.getParams().getCall(), mService.Now());
+    return mService.Call(std::move(call))
+      .then([aContext](service_answer aAnswer) mutable {
+        FillAnswer(aAnswer, aContext.getResults().initAnswer());
+      });
+  }
+
+  kj::Promise<void> drain(DrainContext aContext) override
+  {
+    mService.Drain();
+    aContext.getResults().setInFlight(
+      static_cast<std::uint32_t>(mService.InFlight()));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> status(StatusContext aContext) override
+  {
+    aContext.getResults().setJson(mService.Status().dump());
+    return kj::READY_NOW;
+  }
+
+private:
+  agent_service& mService;
+};
+
+class gate final : public wire::Gate::Server
+{
+public:
+  explicit gate(agent_service& aService)
+    : mService(aService)
+  {
+  }
+
+  kj::Promise<void> open(OpenContext aContext) override
+  {
+    const std::string caller = TextFrom(aContext.getParams().getCaller());
+    if (!mService.KeyFits(TextFrom(aContext.getParams().getKey()))) {
+      Log(log_level::Warning, "rpc_key_refused", { { "caller", caller } });
+      return KJ_EXCEPTION(FAILED, "the RPC key is wrong");
+    }
+    aContext.getResults().setAgent(kj::heap<agent_server>(mService));
+    return kj::READY_NOW;
+  }
+
+private:
+  agent_service& mService;
+};
+
+} // namespace
+
+wire::Gate::Client
+MakeGate(agent_service& aService)
+{
+  return kj::heap<gate>(aService);
+}
+
+} // namespace primrose::agent
--- /dev/null
+++ b/Services/Agent/GuardedCalls.cpp
@@ -0,0 +1,306 @@
+#include "GuardedCalls.h"
+
+#include <spdlog/fmt/fmt.h>
+
+namespace primrose::agent {
+
+namespace {
+
+/// Room to tell the entry before its own time limit ends the request.
+constexpr duration kAnswerMargin = std::chrono::milliseconds(20);
+constexpr duration kRepeatPause = std::chrono::milliseconds(50);
+/// How far the clocks of two VMs may be apart.
+constexpr std::int64_t kClockSkewMs = 5000;
+/// Answers over this are not kept for repeats, only that the call was done.
+constexpr std::size_t kLargestKeptBody = std::size_t{ 64 } * 1024;
+constexpr std::size_t kLargestBody = std::size_t{ 8 } * 1024 * 1024;
+
+service_answer
+FailedAnswer(error_kind aKind, std::string aMessage, ran_state aRan)
+{
+  service_answer answer;
+  answer.mError = aKind;
+  answer.mMessage = std::move(aMessage);
+  answer.mRan = aRan;
+  return answer;
+}
+
+service_answer
+Replay(const claim_row& aRow)
+{
+  service_answer answer;
+  answer.mStatus = aRow.mStatus;
+  answer.mContentType = aRow.mContentType;
+  answer.mBody = aRow.mBody;
+  answer.mRan = ran_state::Yes;
+  answer.mReplayed = true;
+  return answer;
+}
+
+std::string
+ClaimKey(const service_call& aCall)
+{
+  // Lengths first, so that no choice of names can make two keys one.
+  return fmt::format("{}:{}/{}:{}/{}",
+                     aCall.mOrganisation.size(),
+                     aCall.mOrganisation,
+                     aCall.mService.size(),
+                     aCall.mService,
+                     aCall.mKey);
+}
+
+} // namespace
+
+std::uint64_t
+RequestHash(const service_call& aCall)
+{
+  return Hash(aCall.mBody, Hash(aCall.mMethod + " " + aCall.mPath));
+}
+
+guarded_calls::guarded_calls(const clock_source& aClock,
+                             http_client& aHttp,
+                             table_client& aStore,
+                             metrics& aMetrics,
+                             std::string aAgent,
+                             std::string aEndpoint)
+  : mClock(aClock)
+  , mHttp(aHttp)
+  , mStore(aStore)
+  , mMetrics(aMetrics)
+  , mEndpoint(std::move(aEndpoint))
+  , mRandom(FreshSeed())
+{
+  mBoard.mAgent = std::move(aAgent);
+}
+
+kj::Promise<service_answer>
+guarded_calls::Run(service_call aCall)
+{
+  ++mInFlight;
+  kj::Promise<service_answer> answer =
+    aCall.mGuarded ? RunGuarded(std::move(aCall)) : Send(aCall);
+  return answer.attach(kj::defer([this]() { --mInFlight; }));
+}
+
+kj::Promise<service_answer>
+guarded_calls::RunGuarded(service_call aCall)
+{
+  WantClaim(mBoard,
+            ClaimKey(aCall),
+            aCall.mAttempt,
+            RequestHash(aCall),
+            aCall.mDeadline - kAnswerMargin,
+            mClock.Now(),
+            mClock.Wall());
+  kj::Promise<void> settled =
+    WaitForClaim(aCall.mAttempt, aCall.mDeadline - kAnswerMargin);
+  PumpStore();
+  return settled.then([this, call = std::move(aCall)]() mutable {
+    return Settled(std::move(call));
+  });
+}
+
+kj::Promise<void>
+guarded_calls::WaitForClaim(const std::string& aAttempt, time_point aDeadline)
+{
+  kj::PromiseFulfillerPair<void> pair = kj::newPromiseAndFulfiller<void>();
+  mWaiters.insert_or_assign(aAttempt, kj::mv(pair.fulfiller));
+  return pair.promise.exclusiveJoin(Delay(aDeadline - mClock.Now()))
+    .attach(kj::defer([this, aAttempt]() {
+      mWaiters.erase(aAttempt);
+      // Dropped while the claim is not settled: nobody waits for the answer.
+      const claim* const left = FindClaim(mBoard, aAttempt);
+      if (left != nullptr && left->mStage != claim_stage::Held &&
+          left->mStage != claim_stage::Taken &&
+          left->mStage != claim_stage::Running) {
+        GiveUp(mBoard, aAttempt, mClock.Now());
+      }
+    }));
+}
+
+kj::Promise<service_answer>
+guarded_calls::Settled(service_call aCall)
+{
+  const claim* const settled = FindClaim(mBoard, aCall.mAttempt);
+  if (settled == nullptr) {
+    return NotRun(aCall);
+  }
+  if (settled->mStage == claim_stage::Taken) {
+    return Taken(std::move(aCall));
+  }
+  // The clock is looked at again here, after the last wait: a process that was
+  // paused while it held the claim must not run what its caller gave up.
+  if (!BeginRun(mBoard, aCall.mAttempt, mClock.Now())) {
+    GiveUp(mBoard, aCall.mAttempt, mClock.Now());
+    return NotRun(aCall);
+  }
+  const std::string attempt = aCall.mAttempt;
+  return Send(aCall)
+    .then([this, attempt](service_answer aAnswer) {
+      if (aAnswer.mRan == ran_state::Yes) {
+        claim_row row;
+        row.mStatus = aAnswer.mStatus;
+        row.mContentType = aAnswer.mContentType;
+        row.mBody = aAnswer.mBody.size() <= kLargestKeptBody ? aAnswer.mBody
+                                                             : std::string();
+        NoteRun(mBoard, attempt, std::move(row));
+        PumpStore();
+      }
+      return aAnswer;
+    })
+    .attach(kj::defer([this, attempt]() {
+      // The row stays: a repeat learns that the outcome is not known.
+      ForgetClaim(mBoard, attempt);
+    }));
+}
+
+service_answer
+guarded_calls::NotRun(const service_call& aCall)
+{
+  const bool late = mClock.Now() >= aCall.mDeadline - kAnswerMargin * 2;
+  mMetrics.Count("primrose_guarded_not_run_total");
+  return FailedAnswer(late ? error_kind::DeadlineExceeded
+                           : error_kind::StoreUnavailable,
+                      "the key could not be claimed in time; it was not run",
+                      ran_state::No);
+}
+
+kj::Promise<service_answer>
+guarded_calls::Taken(service_call aCall)
+{
+  const claim_row row =
+    FindClaim(mBoard, aCall.mAttempt)->mRow.value_or(claim_row{});
+  ForgetClaim(mBoard, aCall.mAttempt);
+  if (row.mRequestHash != RequestHash(aCall)) {
+    return FailedAnswer(error_kind::KeyReused,
+                        "this Idempotency-Key came with another request",
+                        ran_state::No);
+  }
+  if (row.mDone) {
+    mMetrics.Count("primrose_guarded_replayed_total");
+    return Replay(row);
+  }
+  if (FindClaim(mBoard, row.mAttempt) != nullptr) {
+    // The first call runs here; its answer is awaited within our time.
+    if (mClock.Now() + kRepeatPause >= aCall.mDeadline - kAnswerMargin) {
+      return FailedAnswer(error_kind::InProgress,
+                          "the first call with this key is running",
+                          ran_state::Unknown);
+    }
+    return Delay(kRepeatPause).then([this, call = std::move(aCall)]() mutable {
+      return RunGuarded(std::move(call));
+    });
+  }
+  const bool over =
+    mClock.Wall().time_since_epoch().count() > row.mEndsMs + kClockSkewMs;
+  return FailedAnswer(
+    over ? error_kind::OutcomeUnknown : error_kind::InProgress,
+    over ? "the first call with this key may have run"
+         : "the first call with this key may still be running",
+    ran_state::Unknown);
+}
+
+kj::Promise<service_answer>
+guarded_calls::Send(const service_call& aCall)
+{
+  const time_point now = mClock.Now();
+  if (now >= aCall.mDeadline) {
+    return FailedAnswer(error_kind::DeadlineExceeded,
+                        "the time limit was reached before it was run",
+                        ran_state::No);
+  }
+  http_request request{ aCall.mMethod, "http://" + mEndpoint + aCall.mPath };
+  request.mBody = aCall.mBody;
+  if (!aCall.mContentType.empty()) {
+    request.mContentType = aCall.mContentType;
+  }
+  if (!aCall.mKey.empty()) {
+    request.mHeaders.emplace("Idempotency-Key", aCall.mKey);
+  }
+  request.mHeaders.emplace("X-Request-Id", aCall.mRequest);
+  mMetrics.Count("primrose_service_calls_total");
+  return WithTimeout(mHttp.Send(std::move(request), kLargestBody),
+                     aCall.mDeadline - kAnswerMargin - now)
+    .then([](http_response aResponse) {
+      service_answer answer;
+      answer.mStatus = aResponse.mStatus;
+      answer.mContentType = aResponse.mContentType;
+      answer.mBody = std::move(aResponse.mBody);
+      answer.mRan = ran_state::Yes;
+      return answer;
+    })
+    .catch_([](kj::Exception&& aException) {
+      const bool late = aException.getType() == kj::Exception::Type::OVERLOADED;
+      return FailedAnswer(late ? error_kind::DeadlineExceeded
+                               : error_kind::EndpointFailed,
+                          aException.getDescription().cStr(),
+                          ran_state::Unknown);
+    });
+}
+
+void
+guarded_calls::WakeWaiters()
+{
+  for (auto& [attempt, waiter] : mWaiters) {
+    const claim* const known = FindClaim(mBoard, attempt);
+    const bool settled = known == nullptr ||
+                         known->mStage == claim_stage::Held ||
+                         known->mStage == claim_stage::Taken;
+    if (settled && waiter->isWaiting()) {
+      waiter->fulfill();
+    }
+  }
+}
+
+void
+guarded_calls::PumpStore()
+{
+  WakeWaiters();
+  WriteNow();
+  ReadNow();
+  const std::optional<time_point> next = NextStoreWork(mBoard);
+  if (!next) {
+    mTimer = nullptr;
+    return;
+  }
+  mTimer = Delay(*next - mClock.Now())
+             .then([this]() {
+               // A task of its own: this timer is replaced by the next pump.
+               mTasks.add(kj::evalLater([this]() { PumpStore(); }));
+             })
+             .eagerlyEvaluate(nullptr);
+}
+
+void
+guarded_calls::WriteNow()
+{
+  const std::vector<claim_write> writes = TakeWrites(mBoard, mClock.Now());
+  if (writes.empty()) {
+    return;
+  }
+  mMetrics.Count("primrose_store_writes_total");
+  mMetrics.Count("primrose_store_rows_total",
+                 static_cast<double>(writes.size()));
+  mTasks.add(mStore.WriteClaims(writes).then([this](transaction_result aDone) {
+    NoteWritten(
+      mBoard, aDone.mOutcome, aDone.mConflicts, mClock.Now(), mRandom);
+    PumpStore();
+  }));
+}
+
+void
+guarded_calls::ReadNow()
+{
+  const std::vector<std::string> keys = TakeReads(mBoard, mClock.Now());
+  if (keys.empty()) {
+    return;
+  }
+  mMetrics.Count("primrose_store_reads_total");
+  mTasks.add(mStore.ReadClaims(keys).then(
+    [this](std::optional<std::map<std::string, claim_row>> aRows) {
+      NoteRead(mBoard, aRows, mClock.Now(), mRandom);
+      PumpStore();
+    }));
+}
+
+} // namespace primrose::agent
--- /dev/null
+++ b/Services/Entry/AgentPool.h
@@ -0,0 +1,37 @@
+#pragma once
+
+/// The entry's connections to agents, and its watch on the platform's list.
+
+#include "EntryBoard.h"
+
+#include "LibDaemon/LibDaemon.h"
+#include "LibStore/LibStore.h"
+
+namespace primrose::entry {
+
+class agent_pool
+{
+public:
+  agent_pool(const clock_source& aClock,
+             entry_board& aBoard,
+             table_client& aStore);
+
+  void Start();
+  /// The connection to an endpoint's agent. Shared: a request may outlive the
+  /// endpoint's row in the list.
+  std::shared_ptr<agent_link> Link(const std::string& aEndpoint);
+
+private:
+  kj::Promise<void> Watch();
+  void TakeList(const std::vector<listed_endpoint>& aList);
+  duration NextLook();
+
+  const clock_source& mClock;
+  entry_board& mBoard;
+  table_client& mStore;
+  std::map<std::string, std::shared_ptr<agent_link>> mLinks;
+  task_failures mFailures;
+  kj::TaskSet mTasks{ mFailures };
+};
+
+} // namespace primrose::entry
--- /dev/null
+++ b/Services/Entry/CallRun.h
@@ -0,0 +1,50 @@
+#pragma once
+
+/// The life of one call to a plain service.
+
+#include "AgentPool.h"
+#include "RequestParser.h"
+
+#include <memory>
+
+namespace primrose::entry {
+
+class call_run : public std::enable_shared_from_this<call_run>
+{
+public:
+  call_run(const clock_source& aClock,
+           entry_board& aBoard,
+           agent_pool& aPool,
+           id_maker& aIds,
+           std::shared_ptr<http_exchange> aExchange,
+           call_request aRequest);
+  ~call_run();
+  call_run(const call_run&) = delete;
+  call_run& operator=(const call_run&) = delete;
+
+  kj::Promise<void> Run();
+
+private:
+  kj::Promise<void> Attempt();
+  kj::Promise<void> Send(const std::string& aEndpoint,
+                         wire::Agent::Client aAgent);
+  kj::Promise<void> RetryOr(failure aWhy);
+  void TakeAnswer(wire::CallAnswer::Reader aAnswer);
+  void FinishWith(failure aWhy);
+  std::string Choose() const;
+  duration Remaining() const;
+
+  const clock_source& mClock;
+  entry_board& mBoard;
+  agent_pool& mPool;
+  id_maker& mIds;
+  std::shared_ptr<http_exchange> mExchange;
+  call_request mRequest;
+  time_point mStarted;
+  std::vector<std::string> mTried;
+  ran_state mRan = ran_state::No;
+  unsigned mAttempts = 0;
+  bool mOver = false;
+};
+
+} // namespace primrose::entry
--- /dev/null
+++ b/Services/Entry/CompletionRun.cpp
@@ -0,0 +1,436 @@
+#include "CompletionRun.h"
+
+#include <spdlog/fmt/fmt.h>
+
+namespace primrose::entry {
+
+namespace {
+
+/// Bytes that may wait for a slow caller before its engine is held back.
+constexpr std::size_t kLargestBacklog = std::size_t{ 64 } * 1024;
+constexpr duration kBacklogPause = std::chrono::milliseconds(10);
+constexpr int kRenewalsPerLease = 3;
+constexpr const char* kEventStream = "text/event-stream";
+
+class chunk_sink final : public wire::ChunkSink::Server
+{
+public:
+  explicit chunk_sink(std::weak_ptr<completion_run> aRun)
+    : mRun(std::move(aRun))
+  {
+  }
+
+  kj::Promise<void> chunk(ChunkContext aContext) override
+  {
+    const std::shared_ptr<completion_run> run = mRun.lock();
+    if (run == nullptr) {
+      return KJ_EXCEPTION(DISCONNECTED, "the request is over");
+    }
+    const auto parameters = aContext.getParams();
+    return run->TakeChunk(TextFrom(parameters.getAttempt()),
+                          parameters.getSequence(),
+                          TextFrom(parameters.getText()));
+  }
+
+private:
+  std::weak_ptr<completion_run> mRun;
+};
+
+json
+ChoiceOf(const std::string& aText, const json& aFinish)
+{
+  return { { "index", 0 }, { "text", aText }, { "finish_reason", aFinish } };
+}
+
+std::string
+LengthClass(tokens aTokens)
+{
+  constexpr tokens kThousand = 1000;
+  if (aTokens < 4 * kThousand) {
+    return "under_4k";
+  }
+  if (aTokens < 32 * kThousand) {
+    return "4k_to_32k";
+  }
+  return aTokens <= 100 * kThousand ? "32k_to_100k" : "over_100k";
+}
+
+} // namespace
+
+completion_run::completion_run(const clock_source& aClock,
+                               entry_board& aBoard,
+                               placer& aPlacer,
+                               std::shared_ptr<http_exchange> aExchange,
+                               completion_request aRequest)
+  : mClock(aClock)
+  , mBoard(aBoard)
+  , mPlacer(aPlacer)
+  , mExchange(std::move(aExchange))
+  , mRequest(std::move(aRequest))
+  , mStarted(aClock.Now())
+{
+  ++mBoard.mInFlight;
+}
+
+completion_run::~completion_run()
+{
+  --mBoard.mInFlight;
+  EndAdmission(mBoard.mOrganisations[mRequest.mShape.mOrganisation],
+               mRequest.mShape.Need());
+}
+
+duration
+completion_run::Remaining() const
+{
+  return std::max(duration(0), mRequest.mHead.mDeadline - mClock.Now());
+}
+
+kj::Promise<void>
+completion_run::Run()
+{
+  const std::shared_ptr<completion_run> self = shared_from_this();
+  kj::PromiseFulfillerPair<void> hangup = kj::newPromiseAndFulfiller<void>();
+  const std::shared_ptr<kj::Own<kj::PromiseFulfiller<void>>> fulfiller =
+    std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
+      kj::mv(hangup.fulfiller));
+  mExchange->OnHangup([fulfiller]() { (*fulfiller)->fulfill(); });
+  kj::Promise<void> gone = hangup.promise.then([this]() {
+    mOver = true;
+    mBoard.mMetrics.Count("primrose_hangups_total");
+    Log(
+      log_level::Info, "caller_hung_up", { { "request", mRequest.mHead.mId } });
+  });
+  kj::Promise<void> late = Delay(Remaining()).then([this]() {
+    FinishWith({ error_kind::DeadlineExceeded,
+                 "the time limit was reached",
+                 mRan,
+                 std::nullopt });
+  });
+  return Attempt()
+    .exclusiveJoin(kj::mv(late))
+    .exclusiveJoin(kj::mv(gone))
+    .attach(kj::defer([self]() {
+      // The tickets go with the request, whatever became of it.
+      self->mLeases = nullptr;
+      self->mPlaces.clear();
+    }));
+}
+
+kj::Promise<void>
+completion_run::Attempt()
+{
+  ++mAttempts;
+  return mPlacer.Place(mRequest).then(
+    [this](placement aPlacement) { return TakePlacement(kj::mv(aPlacement)); });
+}
+
+kj::Promise<void>
+completion_run::TakePlacement(placement aPlacement)
+{
+  if (aPlacement.mPlaces.empty()) {
+    return RetryOr(aPlacement.mWhy, aPlacement.mMayRetry);
+  }
+  mPlaces = kj::mv(aPlacement.mPlaces);
+  mMembers.clear();
+  mText.clear();
+  mCursor = { mPlaces.front().mAttempt, 0 };
+  std::string names;
+  for (const place& one : mPlaces) {
+    names += (names.empty() ? "" : ",") + one.mEndpoint;
+  }
+  Log(log_level::Info,
+      "placed",
+      { { "request", mRequest.mHead.mId },
+        { "attempt", mCursor.mAttempt },
+        { "endpoint", names } });
+  mLeases = KeepLeases().eagerlyEvaluate(nullptr);
+  return StartMembers()
+    .then([this]() { return StartLead(); })
+    .catch_([this](kj::Exception&& aException) {
+      return TakeEnding(failure{ error_kind::EndpointFailed,
+                                 aException.getDescription().cStr(),
+                                 mRan,
+                                 std::nullopt },
+                        0);
+    });
+}
+
+kj::Promise<void>
+completion_run::RetryOr(failure aWhy, bool aMayRetry)
+{
+  mLeases = nullptr;
+  mPlaces.clear();
+  const policy& rules = mRequest.mHead.mPolicy;
+  const bool canRetry = aMayRetry && mDelivered == 0 &&
+                        mAttempts < static_cast<unsigned>(rules.mAttempts) &&
+                        SpendRetry(mBoard.mRetries);
+  aWhy.mRan = mRan;
+  if (!canRetry) {
+    FinishWith(std::move(aWhy));
+    return kj::READY_NOW;
+  }
+  const duration pause =
+    RetryPause(mAttempts, FromSeconds(rules.mBackoffSeconds), mBoard.mRandom);
+  mBoard.mMetrics.Count("primrose_retries_total");
+  Record(mBoard,
+         mClock,
+         mRequest.mHead.mId,
+         decision_kind::Retry,
+         fmt::format("attempt {} ended with {}: {}; another in {:.3f} s",
+                     mAttempts,
+                     AnswerFor(aWhy.mKind).mName,
+                     aWhy.mMessage,
+                     Seconds(pause)),
+         mRequest.mHead.mPath,
+         { "attempts", "backoff_s", "retry_budget" });
+  return Delay(pause).then([this]() { return Attempt(); });
+}
+
+kj::Promise<void>
+completion_run::StartMembers()
+{
+  kj::Vector<kj::Promise<std::string>> holds;
+  for (std::size_t i = 1; i < mPlaces.size(); ++i) {
+    auto start = mPlaces[i].mTicket.startRequest();
+    start.initWork().setRemainingMs(RemainingToWire(Remaining()));
+    holds.add(start.send().then(
+      [ticket = mPlaces[i].mTicket](
+        capnp::Response<wire::Ticket::StartResults> aResponse) mutable
+      -> kj::Promise<std::string> {
+        if (!aResponse.getEnding().getComplete()) {
+          return KJ_EXCEPTION(FAILED, "a member did not hold its part");
+        }
+        return ticket.engineRequest().send().then(
+          [](capnp::Response<wire::Ticket::EngineResults> aAnswer) {
+            return TextFrom(aAnswer.getAddress());
+          });
+      }));
+  }
+  return kj::joinPromises(holds.releaseAsArray())
+    .then([this](kj::Array<std::string> aAddresses) {
+      mMembers.assign(aAddresses.begin(), aAddresses.end());
+    });
+}
+
+kj::Promise<void>
+completion_run::StartLead()
+{
+  auto start = mPlaces.front().mTicket.startRequest();
+  wire::Work::Builder work = start.initWork();
+  work.setPrompt(DataOf(mRequest.mPrompt));
+  work.setRemainingMs(RemainingToWire(Remaining()));
+  auto members = work.initMembers(static_cast<unsigned>(mMembers.size()));
+  for (unsigned i = 0; i < members.size(); ++i) {
+    members.set(i, mMembers[i]);
+  }
+  start.setSink(kj::heap<chunk_sink>(weak_from_this()));
+  // Once it is sent, only the agent's word that it did not run counts.
+  const ran_state before = mRan;
+  mRan = mRan == ran_state::Yes ? ran_state::Yes : ran_state::Unknown;
+  return start.send().then(
+    [this, before](capnp::Response<wire::Ticket::StartResults> aResponse) {
+      const wire::Ending::Reader ending = aResponse.getEnding();
+      const ran_state ran = FromWire(ending.getRan());
+      if (ran == ran_state::No && mCursor.mNext == 0) {
+        mRan = before;
+      } else if (ran == ran_state::Yes) {
+        mRan = ran_state::Yes;
+      }
+      if (ending.getComplete()) {
+        return TakeEnding(std::nullopt, ending.getChunks());
+      }
+      const std::string named = TextFrom(ending.getErrorKind());
+      return TakeEnding(
+        failure{ KindNamed(named).value_or(error_kind::EndpointFailed),
+                 TextFrom(ending.getErrorMessage()),
+                 mRan,
+                 std::nullopt },
+        ending.getChunks());
+    });
+}
+
+kj::Promise<void>
+completion_run::TakeEnding(std::optional<failure> aProblem,
+                           std::uint64_t aChunks)
+{
+  if (!aProblem) {
+    return WhenAllChunks(aChunks).then([this]() { Finish(); });
+  }
+  NoteFailure(
+    mBoard.mDirectory, mPlaces.front().mEndpoint, mClock.Now(), mBoard.mRandom);
+  Log(log_level::Warning,
+      "attempt_failed",
+      { { "request", mRequest.mHead.mId },
+        { "attempt", mCursor.mAttempt },
+        { "endpoint", mPlaces.front().mEndpoint },
+        { "why", aProblem->mMessage } });
+  if (mDelivered > 0) {
+    aProblem->mKind = error_kind::StreamBroken;
+  }
+  return RetryOr(std::move(*aProblem), true);
+}
+
+/// The agent's word that the answer is complete can overtake its last chunks,
+/// which wait for a slow caller.
+kj::Promise<void>
+completion_run::WhenAllChunks(std::uint64_t aChunks)
+{
+  if (mCursor.mNext >= aChunks) {
+    return kj::READY_NOW;
+  }
+  mExpected = aChunks;
+  kj::PromiseFulfillerPair<void> pair = kj::newPromiseAndFulfiller<void>();
+  mAllChunks = kj::mv(pair.fulfiller);
+  return kj::mv(pair.promise);
+}
+
+kj::Promise<void>
+completion_run::TakeChunk(const std::string& aAttempt,
+                          std::uint64_t aSequence,
+                          std::string aText)
+{
+  const chunk_verdict verdict = AcceptChunk(mCursor, aAttempt, aSequence);
+  if (mOver || verdict == chunk_verdict::Stale) {
+    mBoard.mMetrics.Count("primrose_stale_chunks_total");
+    return kj::READY_NOW;
+  }
+  if (verdict == chunk_verdict::Gap) {
+    return KJ_EXCEPTION(FAILED, "a chunk is missing");
+  }
+  mRan = ran_state::Yes;
+  if (aSequence == 0) {
+    NoteFirstChunk();
+  }
+  if (mRequest.mStream) {
+    const json event = { { "id", mRequest.mHead.mId },
+                         { "object", "text_completion" },
+                         { "model", mRequest.mShape.mModel },
+                         { "choices", { ChoiceOf(aText, nullptr) } } };
+    mExchange->Send(FormatEvent(event.dump()));
+    ++mDelivered;
+  } else {
+    mText += aText;
+  }
+  KJ_IF_MAYBE (fulfiller, mAllChunks) {
+    if (mCursor.mNext >= mExpected) {
+      (*fulfiller)->fulfill();
+    }
+  }
+  if (mExchange->Backlog() <= kLargestBacklog) {
+    return kj::READY_NOW;
+  }
+  return Delay(kBacklogPause);
+}
+
+void
+completion_run::NoteFirstChunk()
+{
+  NoteSuccess(mBoard.mDirectory, mPlaces.front().mEndpoint);
+  mBoard.mMetrics.Observe("primrose_first_token_seconds_" +
+                            LengthClass(mRequest.mShape.mPromptTokens),
+                          Seconds(mClock.Now() - mStarted));
+  if (mRequest.mStream && !mExchange->IsStreaming()) {
+    mExchange->StartStream(200, kEventStream);
+  }
+}
+
+kj::Promise<void>
+completion_run::KeepLeases()
+{
+  const double lease = mRequest.mHead.mPolicy.mLeaseSeconds;
+  return Delay(FromSeconds(lease / kRenewalsPerLease))
+    .then([this]() {
+      kj::Vector<kj::Promise<void>> renewals;
+      for (std::size_t i = 0; i < mPlaces.size(); ++i) {
+        renewals.add(RenewOne(i));
+      }
+      return kj::joinPromises(renewals.releaseAsArray());
+    })
+    .then([this]() { return KeepLeases(); });
+}
+
+kj::Promise<void>
+completion_run::RenewOne(std::size_t aIndex)
+{
+  auto renew = mPlaces[aIndex].mTicket.renewRequest();
+  renew.setRemainingMs(RemainingToWire(Remaining()));
+  // A renewal that fails changes nothing here: the agent ends what it no
+  // longer holds, and that end comes with the answer of `start`.
+  return renew.send().ignoreResult().catch_([](kj::Exception&&) {});
+}
+
+void
+completion_run::Finish()
+{
+  if (mOver) {
+    return;
+  }
+  mOver = true;
+  const double took = Seconds(mClock.Now() - mStarted);
+  mBoard.mMetrics.Count(
+    Labelled("primrose_requests_total", "outcome", "complete"));
+  Record(mBoard,
+         mClock,
+         mRequest.mHead.mId,
+         decision_kind::Finish,
+         fmt::format("whole answer of {} chunks in {:.3f} s, {} attempts",
+                     mCursor.mNext,
+                     took,
+                     mAttempts));
+  Log(log_level::Info,
+      "request_finished",
+      { { "request", mRequest.mHead.mId },
+        { "organisation", mRequest.mShape.mOrganisation },
+        { "prompt_tokens", mRequest.mShape.mPromptTokens },
+        { "chunks", mCursor.mNext },
+        { "seconds", took } });
+  const json usage = { { "prompt_tokens", mRequest.mShape.mPromptTokens },
+                       { "completion_tokens", mCursor.mNext } };
+  const json body = { { "id", mRequest.mHead.mId },
+                      { "object", "text_completion" },
+                      { "model", mRequest.mShape.mModel },
+                      { "choices", { ChoiceOf(mText, "length") } },
+                      { "usage", usage } };
+  if (!mRequest.mStream) {
+    mExchange->Answer(200, "application/json", body.dump());
+    return;
+  }
+  mExchange->Send(FormatEvent(body.dump()));
+  mExchange->Send(FormatEvent("[DONE]"));
+  mExchange->EndStream();
+}
+
+void
+completion_run::FinishWith(failure aWhy)
+{
+  if (mOver) {
+    return;
+  }
+  mOver = true;
+  const std::string_view kind = AnswerFor(aWhy.mKind).mName;
+  mBoard.mMetrics.Count(Labelled("primrose_requests_total", "outcome", kind));
+  Record(
+    mBoard,
+    mClock,
+    mRequest.mHead.mId,
+    decision_kind::Finish,
+    fmt::format("{}: {} (ran: {})", kind, aWhy.mMessage, RanName(aWhy.mRan)),
+    mRequest.mHead.mPath,
+    { "time_limit_s", "attempts" });
+  Log(log_level::Warning,
+      "request_failed",
+      { { "request", mRequest.mHead.mId },
+        { "organisation", mRequest.mShape.mOrganisation },
+        { "kind", kind },
+        { "ran", RanName(aWhy.mRan) },
+        { "why", aWhy.mMessage } });
+  if (!mExchange->IsStreaming()) {
+    mExchange->AnswerFailure(aWhy);
+    return;
+  }
+  // Said in the stream, and no [DONE] follows: it never looks complete.
+  mExchange->Send(FormatEvent(ErrorBody(aWhy).dump()));
+  mExchange->EndStream();
+}
+
+} // namespace primrose::entry
--- /dev/null
+++ b/Services/Entry/EntryService.h
@@ -0,0 +1,54 @@
+#pragma once
+
+/// The entry's HTTP face: callers' requests, operators' questions.
+
+#include "CallRun.h"
+#include "CompletionRun.h"
+
+namespace primrose::entry {
+
+class entry_service
+{
+public:
+  entry_service(const clock_source& aClock,
+                node_settings aSettings,
+                settings_tree aTree,
+                std::function<void()> aDrained);
+
+  void Start();
+  void Handle(std::shared_ptr<http_exchange> aExchange);
+  /// Refuses new requests; `aDrained` is called when nothing is in flight.
+  void Drain();
+
+private:
+  using exchange = std::shared_ptr<http_exchange>;
+
+  void HandleCaller(const exchange& aExchange);
+  result<void> BeginCompletion(const exchange& aExchange,
+                               const std::string& aId);
+  result<void> BeginCall(const exchange& aExchange, const std::string& aId);
+  result<void> AdmitWork(const completion_request& aRequest);
+  void HandleOperator(const exchange& aExchange);
+  void Explain(const exchange& aExchange, const std::string& aRequest);
+  json Status() const;
+  void CheckDrained();
+  bool IsOperator(const http_exchange& aExchange) const;
+
+  const clock_source& mClock;
+  http_client mHttp;
+  entry_board mBoard;
+  table_client mStore;
+  agent_pool mPool;
+  id_maker mRequestIds;
+  id_maker mAttemptIds;
+  placer mPlacer;
+  std::function<void()> mDrained;
+  task_failures mFailures;
+  kj::TaskSet mTasks{ mFailures };
+};
+
+/// A request's decision records as JSON, for `explain`.
+json
+RecordsToJson(const std::vector<decision_record>& aRecords);
+
+} // namespace primrose::entry
--- /dev/null
+++ b/Services/Entry/Main.cpp
@@ -0,0 +1,81 @@
+/// primrose-entry: speaks HTTP with callers and places their requests.
+
+#include "EntryService.h"
+
+#include "LibDaemon/LibDaemon.h"
+
+#include <iostream>
+
+using namespace primrose;
+using namespace primrose::entry;
+
+namespace {
+
+/// A prompt of a million tokens is about 4 MB of text, and JSON may need two
+/// bytes for one.
+constexpr std::size_t kLargestBody = std::size_t{ 12 } * 1024 * 1024;
+
+void
+QuitSoon(main_loop& aLoop)
+{
+  // The last answers are on their way to their callers; they get a moment.
+  constexpr guint kLingerMs = 500;
+  g_timeout_add(
+    kLingerMs,
+    [](gpointer aData) -> gboolean {
+      static_cast<main_loop*>(aData)->Quit(kExitGood);
+      return G_SOURCE_REMOVE;
+    },
+    &aLoop);
+}
+
+result<int>
+Start(const common_options& aOptions)
+{
+  BOOST_LEAF_ASSIGN(node_settings const settings,
+                    LoadNodeSettings(aOptions.mSettingsFile, node_role::Entry));
+  BOOST_LEAF_ASSIGN(settings_tree const tree, LoadTree(settings.mTree));
+  BOOST_LEAF_ASSIGN(ip_address const http, ParseAddress(settings.mHttp));
+  BOOST_LEAF_CHECK(ParseAddress(settings.mPlatform));
+  if (aOptions.mCheck) {
+    std::cout << aOptions.mSettingsFile << ": good\n";
+    return kExitGood;
+  }
+  StartLog(settings.mName, aOptions.mLogLevel);
+  const system_clock_source clock;
+  main_loop loop;
+  entry_service service(clock, settings, tree, [&]() { QuitSoon(loop); });
+  BOOST_LEAF_ASSIGN(
+    std::unique_ptr<http_server> const server,
+    http_server::Open(http.mHost,
+                      http.mPort,
+                      kLargestBody,
+                      [&](std::shared_ptr<http_exchange> aExchange) {
+                        service.Handle(std::move(aExchange));
+                      }));
+  const std::string bound = ip_address{ http.mHost, server->Port() }.Text();
+  BOOST_LEAF_CHECK(WriteAddressFile(
+    settings.mAddressFile,
+    { { "role", "entry" }, { "name", settings.mName }, { "http", bound } }));
+  Log(log_level::Info, "listening", { { "http", bound } });
+  loop.OnTerminate([&service]() { service.Drain(); });
+  service.Start();
+  return loop.Run();
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  const program_description program{ "primrose-entry",
+                                     PRIMROSE_VERSION,
+                                     "takes callers' requests" };
+  common_options options;
+  const std::optional<int> end = ReadCommandLine(argc, argv, program, options);
+  if (end) {
+    return *end;
+  }
+  const outcome<int> ran = Capture<int>([&]() { return Start(options); });
+  return ran ? *ran.mValue : ReportFailure(program.mName, ran.mFailure);
+}
--- /dev/null
+++ b/Services/Entry/Placer.cpp
@@ -0,0 +1,335 @@
+#include "Placer.h"
+
+#include "LibWire/LibWire.h"
+
+#include <algorithm>
+#include <spdlog/fmt/fmt.h>
+
+namespace primrose::entry {
+
+namespace {
+
+/// A group asks more agents than it needs, since some will be full.
+constexpr std::size_t kProbesPerMember = 3;
+/// A long prompt waits in the queue of its engine for up to this part of its
+/// remaining time: moving it would only put it behind others again.
+constexpr int kLongWaitDivisor = 2;
+constexpr double kRetryAfterSeconds = 1;
+
+} // namespace
+
+struct placer::search
+{
+  completion_request mRequest;
+  placement_rules mRules;
+  engine_shape mEngine;
+  std::vector<std::string> mNames; ///< Usable endpoints, shared order.
+  std::vector<candidate> mCandidates;
+  std::vector<scored_candidate> mRanked;
+  std::size_t mGroup = 1;
+  std::size_t mNext = 0; ///< Into `mRanked`.
+  placement mPlacement;
+  std::map<std::string, refusal> mRefusals;
+  std::size_t mSilent = 0;
+};
+
+placement_rules
+RulesOf(const policy& aPolicy)
+{
+  placement_rules rules;
+  rules.mProbes = static_cast<unsigned>(aPolicy.mProbes);
+  rules.mShortProtection = aPolicy.mShortProtection;
+  rules.mLongSpread = static_cast<unsigned>(aPolicy.mLongSpread);
+  return rules;
+}
+
+placer::placer(const clock_source& aClock,
+               entry_board& aBoard,
+               agent_pool& aPool,
+               id_maker& aIds)
+  : mClock(aClock)
+  , mBoard(aBoard)
+  , mPool(aPool)
+  , mIds(aIds)
+{
+}
+
+kj::Promise<placement>
+placer::Place(const completion_request& aRequest)
+{
+  std::shared_ptr<search> state = std::make_shared<search>();
+  const work_shape& shape = aRequest.mShape;
+  // The prompt itself is not needed here, and may be megabytes.
+  state->mRequest.mHead = aRequest.mHead;
+  state->mRequest.mShape = shape;
+  state->mRules = RulesOf(aRequest.mHead.mPolicy);
+  const model_settings* const model = mBoard.mTree.Model(shape.mModel);
+  if (model != nullptr) {
+    state->mEngine.mCapacity = static_cast<tokens>(model->mEngineTokens);
+    state->mEngine.mChunk = static_cast<tokens>(model->mChunkTokens);
+    state->mEngine.mPrefillTokensPerSecond = model->mPrefillTokensPerSecond;
+    state->mEngine.mBaseStepSeconds = model->mBaseStepSeconds;
+  }
+  for (const endpoint_view* const view :
+       Usable(mBoard.mDirectory, shape.mModel, mClock.Now())) {
+    state->mNames.push_back(view->mListed.mName);
+  }
+  state->mGroup =
+    std::min(GroupSize(shape, state->mRules, state->mEngine.mCapacity),
+             std::max<std::size_t>(1, state->mNames.size()));
+  if (state->mGroup > 1) {
+    state->mRules.mProbes = static_cast<unsigned>(std::max<std::size_t>(
+      state->mRules.mProbes, kProbesPerMember * state->mGroup));
+  }
+  kj::Vector<kj::Promise<std::optional<candidate>>> probes;
+  for (const std::size_t index : ChooseToProbe(state->mNames,
+                                               shape,
+                                               state->mRules,
+                                               mBoard.mFronts[shape.mModel],
+                                               mBoard.mRandom)) {
+    probes.add(ProbeOne(state, index));
+  }
+  return kj::joinPromises(probes.releaseAsArray())
+    .then([this, state](kj::Array<std::optional<candidate>> aAnswers) {
+      return TakeAnswers(state, { aAnswers.begin(), aAnswers.end() });
+    });
+}
+
+kj::Promise<std::optional<candidate>>
+placer::ProbeOne(std::shared_ptr<search> aSearch, std::size_t aIndex)
+{
+  const std::string name = aSearch->mNames[aIndex];
+  const std::shared_ptr<agent_link> link = mPool.Link(name);
+  if (link == nullptr) {
+    return std::optional<candidate>();
+  }
+  const work_shape shape =
+    MemberShape(aSearch->mRequest.mShape, aSearch->mGroup, hold_role::Lead);
+  mBoard.mMetrics.Count("primrose_probes_sent_total");
+  kj::Promise<std::optional<candidate>> answer =
+    link->Get().then([shape, aIndex](wire::Agent::Client aAgent) {
+      auto request = aAgent.probeRequest();
+      ToWire(shape, request.initQuery());
+      return request.send().then(
+        [aIndex](capnp::Response<wire::Agent::ProbeResults> aResponse) {
+          return std::optional<candidate>(
+            candidate{ aIndex, FromWire(aResponse.getAnswer()) });
+        });
+    });
+  const duration limit =
+    FromSeconds(aSearch->mRequest.mHead.mPolicy.mProbeTimeoutSeconds);
+  return WithTimeout(kj::mv(answer), limit)
+    .then([this, name](std::optional<candidate> aAnswer) {
+      NoteSuccess(mBoard.mDirectory, name);
+      if (aAnswer->mAnswer.mRefusal == refusal::Leaving) {
+        NoteLeaving(mBoard.mDirectory, name);
+      }
+      return aAnswer;
+    })
+    .catch_([this, name](kj::Exception&& aException) {
+      Log(log_level::Debug,
+          "probe_failed",
+          { { "endpoint", name },
+            { "why", aException.getDescription().cStr() } });
+      NoteFailure(mBoard.mDirectory, name, mClock.Now(), mBoard.mRandom);
+      mBoard.mMetrics.Count("primrose_probes_lost_total");
+      return std::optional<candidate>();
+    })
+    .attach(link);
+}
+
+kj::Promise<placement>
+placer::TakeAnswers(std::shared_ptr<search> aSearch,
+                    std::vector<std::optional<candidate>> aAnswers)
+{
+  search& state = *aSearch;
+  for (const std::optional<candidate>& answer : aAnswers) {
+    if (!answer) {
+      ++state.mSilent;
+      continue;
+    }
+    state.mCandidates.push_back(*answer);
+    if (answer->mAnswer.mRefusal != refusal::None) {
+      state.mRefusals[state.mNames[answer->mIndex]] = answer->mAnswer.mRefusal;
+    }
+  }
+  const work_shape shape =
+    MemberShape(state.mRequest.mShape, state.mGroup, hold_role::Lead);
+  LearnFront(mBoard.mFronts[shape.mModel],
+             state.mCandidates,
+             shape,
+             state.mRules,
+             state.mEngine,
+             state.mNames.size());
+  state.mRanked =
+    RankCandidates(state.mCandidates, shape, state.mRules, state.mEngine);
+  RecordSearch(state);
+  if (state.mRanked.size() < state.mGroup) {
+    return GiveReason(state);
+  }
+  if (state.mGroup > 1) {
+    // Members are reserved in one order that all entries share. Two groups
+    // that want the same engines then meet at the first of them, and neither
+    // can hold what the other waits for.
+    state.mRanked.resize(state.mGroup);
+    std::sort(
+      state.mRanked.begin(),
+      state.mRanked.end(),
+      [](const scored_candidate& aLeft, const scored_candidate& aRight) {
+        return aLeft.mIndex < aRight.mIndex;
+      });
+  }
+  return ReserveNext(aSearch);
+}
+
+void
+placer::RecordSearch(const search& aSearch)
+{
+  std::vector<decision_alternative> alternatives;
+  for (const candidate& one : aSearch.mCandidates) {
+    const auto scored = std::find_if(
+      aSearch.mRanked.begin(),
+      aSearch.mRanked.end(),
+      [&](const scored_candidate& aOne) { return aOne.mIndex == one.mIndex; });
+    const bool usable = scored != aSearch.mRanked.end();
+    alternatives.push_back(
+      { aSearch.mNames[one.mIndex],
+        usable ? scored->mScore : 0,
+        usable ? fmt::format("first token {:.3f} s, {} running, {} cached",
+                             one.mAnswer.mFirstTokenSeconds,
+                             one.mAnswer.mRunning,
+                             one.mAnswer.mCached)
+               : std::string(RefusalName(one.mAnswer.mRefusal)) });
+  }
+  Record(mBoard,
+         mClock,
+         aSearch.mRequest.mHead.mId,
+         decision_kind::Place,
+         fmt::format("asked {} of {} endpoints, {} did not answer; {} wanted",
+                     aSearch.mCandidates.size() + aSearch.mSilent,
+                     aSearch.mNames.size(),
+                     aSearch.mSilent,
+                     aSearch.mGroup),
+         aSearch.mRequest.mHead.mPath,
+         { "probes", "long_prompt_tokens", "short_protection", "long_spread" },
+         std::move(alternatives));
+}
+
+kj::Promise<placement>
+placer::ReserveNext(std::shared_ptr<search> aSearch)
+{
+  search& state = *aSearch;
+  if (state.mPlacement.mPlaces.size() == state.mGroup) {
+    return kj::mv(state.mPlacement);
+  }
+  const std::size_t left = state.mRanked.size() - state.mNext;
+  const std::size_t missing = state.mGroup - state.mPlacement.mPlaces.size();
+  if (left < missing) {
+    // All or nothing: dropping the tickets frees what was reserved.
+    state.mPlacement.mPlaces.clear();
+    return GiveReason(state);
+  }
+  const std::size_t index = state.mRanked[state.mNext++].mIndex;
+  hold_role role = hold_role::Whole;
+  if (state.mGroup > 1) {
+    role =
+      state.mPlacement.mPlaces.empty() ? hold_role::Lead : hold_role::Member;
+  }
+  return ReserveOne(aSearch, index, role).then([this, aSearch]() {
+    return ReserveNext(aSearch);
+  });
+}
+
+kj::Promise<void>
+placer::ReserveOne(std::shared_ptr<search> aSearch,
+                   std::size_t aIndex,
+                   hold_role aRole)
+{
+  const std::string name = aSearch->mNames[aIndex];
+  const std::shared_ptr<agent_link> link = mPool.Link(name);
+  if (link == nullptr) {
+    return kj::READY_NOW;
+  }
+  const request_head head = aSearch->mRequest.mHead;
+  const work_shape shape =
+    MemberShape(aSearch->mRequest.mShape, aSearch->mGroup, aRole);
+  const std::string attempt = mIds.Next();
+  return link->Get()
+    .then([this, head, shape, attempt, aRole](wire::Agent::Client aAgent) {
+      const duration remaining = head.mDeadline - mClock.Now();
+      const duration wait =
+        shape.mLong
+          ? remaining / kLongWaitDivisor
+          : std::min(remaining, FromSeconds(head.mPolicy.mQueueWaitSeconds));
+      auto request = aAgent.reserveRequest();
+      wire::Reservation::Builder asked = request.initReservation();
+      asked.setRequest(head.mId);
+      asked.setAttempt(attempt);
+      ToWire(shape, asked.initQuery());
+      asked.setRemainingMs(RemainingToWire(remaining));
+      asked.setLeaseMs(
+        RemainingToWire(FromSeconds(head.mPolicy.mLeaseSeconds)));
+      asked.setRole(ToWire(aRole));
+      asked.setWaitMs(RemainingToWire(wait));
+      asked.setWeight(head.mPolicy.mShareWeight);
+      return request.send();
+    })
+    .then([this, aSearch, name, attempt, link](
+            capnp::Response<wire::Agent::ReserveResults> aResponse) {
+      const refusal answer = FromWire(aResponse.getRefusal());
+      if (answer == refusal::None) {
+        aSearch->mPlacement.mPlaces.push_back(
+          { name, attempt, aResponse.getTicket(), link });
+        return;
+      }
+      aSearch->mRefusals[name] = answer;
+      if (answer == refusal::Leaving) {
+        NoteLeaving(mBoard.mDirectory, name);
+      }
+    })
+    .catch_([this, aSearch, name](kj::Exception&&) {
+      NoteFailure(mBoard.mDirectory, name, mClock.Now(), mBoard.mRandom);
+      ++aSearch->mSilent;
+    });
+}
+
+placement
+placer::GiveReason(const search& aSearch) const
+{
+  placement none;
+  none.mMayRetry = true;
+  none.mWhy.mRetryAfterSeconds = kRetryAfterSeconds;
+  if (aSearch.mNames.empty()) {
+    none.mWhy.mKind = error_kind::NoEndpoint;
+    none.mWhy.mMessage =
+      fmt::format("no endpoint serves \"{}\"", aSearch.mRequest.mShape.mModel);
+    return none;
+  }
+  const bool allLate = !aSearch.mRefusals.empty() && aSearch.mSilent == 0 &&
+                       std::all_of(aSearch.mRefusals.begin(),
+                                   aSearch.mRefusals.end(),
+                                   [](const auto& aItem) {
+                                     return aItem.second == refusal::TooLate;
+                                   });
+  if (allLate) {
+    double first = INFINITY;
+    for (const candidate& one : aSearch.mCandidates) {
+      first = std::min(first, one.mAnswer.mFirstTokenSeconds);
+    }
+    none.mWhy.mKind = error_kind::CannotMeetDeadline;
+    none.mWhy.mMessage = fmt::format(
+      "the first token would come in {:.1f} s, after the time limit", first);
+    none.mWhy.mRetryAfterSeconds = first;
+    none.mMayRetry = false;
+    return none;
+  }
+  const bool silentOnly = aSearch.mRefusals.empty();
+  none.mWhy.mKind =
+    silentOnly ? error_kind::EndpointFailed : error_kind::Overloaded;
+  none.mWhy.mMessage = fmt::format("{} endpoints refused, {} did not answer",
+                                   aSearch.mRefusals.size(),
+                                   aSearch.mSilent);
+  return none;
+}
+
+} // namespace primrose::entry
--- /dev/null
+++ b/Services/Entry/Placer.h
@@ -0,0 +1,69 @@
+#pragma once
+
+/// Finds places for a request: probes agents, ranks them, reserves.
+
+#include "AgentPool.h"
+#include "RequestParser.h"
+
+#include <optional>
+#include <vector>
+
+namespace primrose::entry {
+
+/// A granted reservation at one agent.
+struct place
+{
+  std::string mEndpoint;
+  std::string mAttempt;
+  wire::Ticket::Client mTicket;
+  /// Keeps the connection for as long as the reservation is used.
+  std::shared_ptr<agent_link> mLink;
+};
+
+/// Places for one request: one, or the members of a group with the lead first.
+struct placement
+{
+  std::vector<place> mPlaces;
+  /// Why there is none; only read when `mPlaces` is empty.
+  failure mWhy;
+  /// True if trying again elsewhere or later may help.
+  bool mMayRetry = false;
+};
+
+class placer
+{
+public:
+  placer(const clock_source& aClock,
+         entry_board& aBoard,
+         agent_pool& aPool,
+         id_maker& aIds);
+
+  /// One try at placing. Never fails; the answer says why there is no place.
+  kj::Promise<placement> Place(const completion_request& aRequest);
+
+private:
+  struct search;
+
+  kj::Promise<std::optional<candidate>> ProbeOne(
+    std::shared_ptr<search> aSearch,
+    std::size_t aIndex);
+  kj::Promise<placement> TakeAnswers(
+    std::shared_ptr<search> aSearch,
+    std::vector<std::optional<candidate>> aAnswers);
+  kj::Promise<placement> ReserveNext(std::shared_ptr<search> aSearch);
+  kj::Promise<void> ReserveOne(std::shared_ptr<search> aSearch,
+                               std::size_t aIndex,
+                               hold_role aRole);
+  placement GiveReason(const search& aSearch) const;
+  void RecordSearch(const search& aSearch);
+
+  const clock_source& mClock;
+  entry_board& mBoard;
+  agent_pool& mPool;
+  id_maker& mIds;
+};
+
+placement_rules
+RulesOf(const policy& aPolicy);
+
+} // namespace primrose::entry
--- /dev/null
+++ b/Utilities/StandIn/ServiceFace.cpp
@@ -0,0 +1,47 @@
+/// A plain service beside the model engines. It counts what it executes, for
+/// each idempotency key, so that a test can tell whether something ran twice.
+
+#include "Face.h"
+
+#include <map>
+
+namespace primrose::standin {
+
+namespace {
+
+class service_face final : public face
+{
+public:
+  void Handle(const exchange& aExchange) override
+  {
+    if (aExchange->Path() == "/executions") {
+      AnswerJson(aExchange, json(mExecutions));
+      return;
+    }
+    const std::string key = aExchange->Header("Idempotency-Key");
+    const std::uint64_t count = ++mExecutions[key.empty() ? "-" : key];
+    if (LoseAnswer()) {
+      mUnanswered.push_back(aExchange);
+      return;
+    }
+    AnswerJson(aExchange,
+               { { "method", aExchange->Method() },
+                 { "path", aExchange->Path() },
+                 { "key", key },
+                 { "execution", count } });
+  }
+
+private:
+  std::map<std::string, std::uint64_t> mExecutions;
+  std::vector<exchange> mUnanswered;
+};
+
+} // namespace
+
+std::unique_ptr<face>
+MakeServiceFace()
+{
+  return std::make_unique<service_face>();
+}
+
+} // namespace primrose::standin
