--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -7,13 +7,12 @@
 
 #include <kj/async.h>
 #include <kj/common.h>
+#include <libsoup/soup-types.h>
 
 #include <map>
 #include <memory>
 #include <string>
 
-using SoupSession = struct _SoupSession;
-
 namespace primrose {
 
 struct http_request
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -6,12 +6,10 @@
 #include "LibCore/LibCore.h"
 
 #include <functional>
+#include <libsoup/soup-types.h>
 #include <memory>
 #include <string>
 
-using SoupServer = struct _SoupServer;
-using SoupServerMessage = struct _SoupServerMessage;
-
 namespace primrose {
 
 /// One request and its answer. It is kept alive by whoever is working on it;
--- a/Libraries/LibModel/EngineModel.cpp
+++ b/Libraries/LibModel/EngineModel.cpp
@@ -134,7 +134,7 @@
   }
   job_state& job = found->second;
   const bool last = job.mWritten + 1 >= job.mJob.mOutputTokens;
-  aOutputs.push_back({ aId, job.mWritten, last });
+  aOutputs.push_back({ aId, job.mWritten, last, false });
   ++job.mWritten;
   ++aEngine.mTokensWritten;
   if (last) {
@@ -159,6 +159,11 @@
   if (job.mUnread > kRounding) {
     return;
   }
+  if (job.mJob.mGroupPart) {
+    job.mStage = job_stage::Holding;
+    aOutputs.push_back({ aId, 0, false, true });
+    return;
+  }
   job.mStage = job_stage::Writing;
   WriteToken(aEngine, aId, aOutputs);
 }
@@ -206,6 +211,22 @@
   return true;
 }
 
+bool
+BeginWriting(engine_model& aEngine, const std::string& aId, time_point aNow)
+{
+  const auto found = aEngine.mJobs.find(aId);
+  if (found == aEngine.mJobs.end() ||
+      found->second.mStage != job_stage::Holding ||
+      !found->second.mJob.mGroupPart) {
+    return false;
+  }
+  found->second.mStage = job_stage::Writing;
+  if (!aEngine.mStepEnds) {
+    BeginStep(aEngine, aNow);
+  }
+  return true;
+}
+
 std::vector<engine_output>
 Advance(engine_model& aEngine, time_point aNow)
 {
--- a/Libraries/LibModel/EngineModel.h
+++ b/Libraries/LibModel/EngineModel.h
@@ -37,6 +37,9 @@
   double mReadingPart = 1;
   /// Memory held for another engine's prompt; ends only by being cancelled.
   bool mHoldOnly = false;
+  /// A part of a prompt that several engines read: when it is read the job
+  /// holds its memory until `BeginWriting`, or for a member until cancelled.
+  bool mGroupPart = false;
 
   bool operator==(const engine_job&) const = default;
 };
@@ -66,6 +69,8 @@
   std::string mId;
   tokens mIndex = 0;
   bool mLast = false;
+  /// Not a token: a group's part has been read.
+  bool mPartRead = false;
 
   bool operator==(const engine_output&) const = default;
 };
@@ -98,6 +103,11 @@
 /// Ends a job at once and frees its memory; false if there is none.
 bool
 Cancel(engine_model& aEngine, const std::string& aId);
+/// All parts of the group have been read: its lead writes. False if the job
+/// is not there or not ready.
+bool BeginWriting(engine_model& aEngine,
+                  const std::string& aId,
+                  time_point aNow);
 /// If the time of the step under way has come, ends it, gives what it wrote
 /// and begins the next.
 std::vector<engine_output>
--- /dev/null
+++ b/Libraries/LibRules/Rules.cpp
@@ -0,0 +1,38 @@
+#include "LibRules/LibRules.h"
+
+namespace primrose {
+
+engine_shape
+ShapeOf(const model_settings& aModel)
+{
+  engine_shape shape;
+  shape.mCapacity = static_cast<tokens>(aModel.mEngineTokens);
+  shape.mLargestBatch = static_cast<unsigned>(aModel.mLargestBatch);
+  shape.mChunk = static_cast<tokens>(aModel.mChunkTokens);
+  shape.mPrefillTokensPerSecond = aModel.mPrefillTokensPerSecond;
+  shape.mBaseStepSeconds = aModel.mBaseStepSeconds;
+  shape.mSecondsPerSequence = aModel.mSecondsPerSequence;
+  return shape;
+}
+
+agent_limits
+LimitsOf(const policy& aPolicy)
+{
+  agent_limits limits;
+  limits.mLongTokensAtOnce = static_cast<tokens>(aPolicy.mLongTokensAtOnce);
+  limits.mLongHold = FromSeconds(aPolicy.mLongHoldSeconds);
+  limits.mAgeing = FromSeconds(aPolicy.mAgeingSeconds);
+  return limits;
+}
+
+placement_rules
+RulesOf(const policy& aPolicy)
+{
+  placement_rules rules;
+  rules.mProbes = static_cast<unsigned>(aPolicy.mProbes);
+  rules.mShortProtection = aPolicy.mShortProtection;
+  rules.mLongSpread = static_cast<unsigned>(aPolicy.mLongSpread);
+  return rules;
+}
+
+} // namespace primrose
--- a/Libraries/LibSettings/ObjectReader.h
+++ b/Libraries/LibSettings/ObjectReader.h
@@ -52,6 +52,9 @@
   const json* Object(const std::string& aKey);
   std::string RequiredText(const std::string& aKey);
 
+  /// Takes note of a key that its caller reads by itself.
+  void Expect(const std::string& aKey) { mKnown.push_back(aKey); }
+
   /// Reports the keys that nobody asked for, with the nearest known one.
   void Finish();
   void Report(const std::string& aKey, std::string aText);
--- a/Libraries/LibSettings/Tree.cpp
+++ b/Libraries/LibSettings/Tree.cpp
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <spdlog/fmt/fmt.h>
+#include <tuple>
 
 namespace primrose {
 
@@ -41,6 +42,13 @@
 
 } // namespace
 
+bool
+tree_path::operator<(const tree_path& aOther) const
+{
+  return std::tie(mOrganisation, mService, mWorkload) <
+         std::tie(aOther.mOrganisation, aOther.mService, aOther.mWorkload);
+}
+
 std::string
 tree_path::Text() const
 {
@@ -185,8 +193,10 @@
     return;
   }
   for (const auto& [service, node] : services->items()) {
-    ReadService(
-      node, { aName, service, "" }, path + "/services/" + service, aProblems);
+    ReadService(node,
+                { aName, service, "" },
+                fmt::format("{}/services/{}", path, service),
+                aProblems);
   }
 }
 
@@ -209,7 +219,7 @@
     return;
   }
   for (const auto& [name, node] : workloads->items()) {
-    const std::string where = aWhere + "/workloads/" + name;
+    const std::string where = fmt::format("{}/workloads/{}", aWhere, name);
     if (!node.is_object()) {
       aProblems.push_back(
         { where, "expected an object, found " + Shown(node) });
--- a/Libraries/LibSettings/Tree.h
+++ b/Libraries/LibSettings/Tree.h
@@ -44,7 +44,7 @@
   std::string mWorkload;
 
   bool operator==(const tree_path&) const = default;
-  auto operator<=>(const tree_path&) const = default;
+  bool operator<(const tree_path& aOther) const;
   /// `fleet`, `padani`, `padani/rapporti-llm`, `padani/rapporti-llm/review`.
   std::string Text() const;
 };
--- a/Services/Agent/AgentService.cpp
+++ b/Services/Agent/AgentService.cpp
@@ -18,29 +18,6 @@
 
 } // namespace
 
-engine_shape
-ShapeOf(const model_settings& aModel)
-{
-  engine_shape shape;
-  shape.mCapacity = static_cast<tokens>(aModel.mEngineTokens);
-  shape.mLargestBatch = static_cast<unsigned>(aModel.mLargestBatch);
-  shape.mChunk = static_cast<tokens>(aModel.mChunkTokens);
-  shape.mPrefillTokensPerSecond = aModel.mPrefillTokensPerSecond;
-  shape.mBaseStepSeconds = aModel.mBaseStepSeconds;
-  shape.mSecondsPerSequence = aModel.mSecondsPerSequence;
-  return shape;
-}
-
-agent_limits
-LimitsOf(const policy& aPolicy)
-{
-  agent_limits limits;
-  limits.mLongTokensAtOnce = static_cast<tokens>(aPolicy.mLongTokensAtOnce);
-  limits.mLongHold = FromSeconds(aPolicy.mLongHoldSeconds);
-  limits.mAgeing = FromSeconds(aPolicy.mAgeingSeconds);
-  return limits;
-}
-
 agent_service::agent_service(const clock_source& aClock,
                              const node_settings& aSettings,
                              const settings_tree& aTree,
--- a/Services/Agent/AgentService.h
+++ b/Services/Agent/AgentService.h
@@ -6,7 +6,7 @@
 #include "EngineLink.h"
 #include "GuardedCalls.h"
 
-#include "LibSettings/LibSettings.h"
+#include "LibRules/LibRules.h"
 
 namespace primrose::agent {
 
@@ -78,9 +78,4 @@
   kj::TaskSet mTasks{ mFailures };
 };
 
-engine_shape
-ShapeOf(const model_settings& aModel);
-agent_limits
-LimitsOf(const policy& aPolicy);
-
 } // namespace primrose::agent
--- a/Services/Entry/Placer.cpp
+++ b/Services/Entry/Placer.cpp
@@ -33,16 +33,6 @@
   std::size_t mSilent = 0;
 };
 
-placement_rules
-RulesOf(const policy& aPolicy)
-{
-  placement_rules rules;
-  rules.mProbes = static_cast<unsigned>(aPolicy.mProbes);
-  rules.mShortProtection = aPolicy.mShortProtection;
-  rules.mLongSpread = static_cast<unsigned>(aPolicy.mLongSpread);
-  return rules;
-}
-
 placer::placer(const clock_source& aClock,
                entry_board& aBoard,
                agent_pool& aPool,
@@ -65,10 +55,7 @@
   state->mRules = RulesOf(aRequest.mHead.mPolicy);
   const model_settings* const model = mBoard.mTree.Model(shape.mModel);
   if (model != nullptr) {
-    state->mEngine.mCapacity = static_cast<tokens>(model->mEngineTokens);
-    state->mEngine.mChunk = static_cast<tokens>(model->mChunkTokens);
-    state->mEngine.mPrefillTokensPerSecond = model->mPrefillTokensPerSecond;
-    state->mEngine.mBaseStepSeconds = model->mBaseStepSeconds;
+    state->mEngine = ShapeOf(*model);
   }
   for (const endpoint_view* const view :
        Usable(mBoard.mDirectory, shape.mModel, mClock.Now())) {
--- a/Services/Entry/Placer.h
+++ b/Services/Entry/Placer.h
@@ -3,6 +3,7 @@
 /// Finds places for a request: probes agents, ranks them, reserves.
 
 #include "AgentPool.h"
+#include "LibRules/LibRules.h"
 #include "RequestParser.h"
 
 #include <optional>
@@ -63,7 +64,4 @@
   id_maker& mIds;
 };
 
-placement_rules
-RulesOf(const policy& aPolicy);
-
 } // namespace primrose::entry
--- a/Services/Entry/RequestParser.cpp
+++ b/Services/Entry/RequestParser.cpp
@@ -23,7 +23,7 @@
 result<std::string>
 ReadIdempotencyKey(const http_exchange& aExchange)
 {
-  const std::string key = aExchange.Header("Idempotency-Key");
+  std::string key = aExchange.Header("Idempotency-Key");
   if (key.size() > kLongestKey || !IsPrintable(key)) {
     return Fail(error_kind::BadValue,
                 fmt::format("Idempotency-Key: expected up to {} printable "
@@ -76,7 +76,7 @@
     return Fail(error_kind::Unauthenticated,
                 "Authorization: expected \"Bearer KEY\"");
   }
-  const std::string organisation =
+  std::string organisation =
     aTree.OrganisationOfKey(KeyHash(header.substr(kScheme.size())));
   if (organisation.empty()) {
     return Fail(error_kind::Unauthenticated, "no organisation has this key");
--- a/Utilities/Control/FleetCommands.cpp
+++ b/Utilities/Control/FleetCommands.cpp
@@ -15,7 +15,7 @@
 AskJson(control_context& aContext, const std::string& aUrl)
 {
   BOOST_LEAF_ASSIGN(http_response const response, Ask(aContext, "GET", aUrl));
-  BOOST_LEAF_ASSIGN(json const body, ParseObject(response.mBody));
+  BOOST_LEAF_ASSIGN(json body, ParseObject(response.mBody));
   if (response.mStatus != kGood) {
     return Fail(error_kind::EndpointFailed,
                 body.contains("error")
@@ -132,7 +132,7 @@
     // The request's id names the entry that knows it; others are asked only
     // as long as that one has not been found.
     const outcome<json> answer = Capture<json>([&]() {
-      return AskJson(aContext, "http://" + entry + "/explain/" + request);
+      return AskJson(aContext, fmt::format("http://{}/explain/{}", entry, request));
     });
     if (!answer) {
       why = answer.mFailure;
--- a/Utilities/Control/Main.cpp
+++ b/Utilities/Control/Main.cpp
@@ -140,6 +140,7 @@
     });
   if (found == kCommands.end()) {
     std::vector<std::string> known;
+    known.reserve(kCommands.size());
     for (const command& one : kCommands) {
       known.emplace_back(one.mName);
     }
--- a/Utilities/Load/Main.cpp
+++ b/Utilities/Load/Main.cpp
@@ -4,6 +4,7 @@
 #include "LoadRun.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iostream>
 #include <map>
 #include <spdlog/fmt/fmt.h>
@@ -22,7 +23,7 @@
   }
   std::sort(aValues.begin(), aValues.end());
   const std::size_t rank = static_cast<std::size_t>(
-    aPart * static_cast<double>(aValues.size() - 1) + 0.5);
+    std::lround(aPart * static_cast<double>(aValues.size() - 1)));
   return aValues[rank];
 }
 
@@ -57,9 +58,10 @@
                            "all p95");
   for (const auto& [key, row] : rows) {
     const bool streamed = key.first == request_kind::Streamed;
-    const auto first = [&](double aPart) {
+    const std::vector<double>& firstTokens = row.mFirstTokens;
+    const auto first = [&firstTokens, streamed](double aPart) {
       return streamed
-               ? fmt::format("{:.3f} s", Percentile(row.mFirstTokens, aPart))
+               ? fmt::format("{:.3f} s", Percentile(firstTokens, aPart))
                : std::string("-");
     };
     std::cout << fmt::format("{:<13}{:>10}{:>6}{:>7}{:>14}{:>14}{:>8.3f} s\n",
--- a/Utilities/StandIn/EngineFace.cpp
+++ b/Utilities/StandIn/EngineFace.cpp
@@ -15,6 +15,7 @@
 #include "Face.h"
 
 #include "LibModel/LibModel.h"
+#include "LibRules/LibRules.h"
 
 #include <deque>
 #include <glib.h>
@@ -103,18 +104,6 @@
     mEngine.mSlowFactor = static_cast<double>(mFaults.mStepPercent) / kPercent;
   }
 
-  static engine_shape ShapeOf(const model_settings& aModel)
-  {
-    engine_shape shape;
-    shape.mCapacity = static_cast<tokens>(aModel.mEngineTokens);
-    shape.mLargestBatch = static_cast<unsigned>(aModel.mLargestBatch);
-    shape.mChunk = static_cast<tokens>(aModel.mChunkTokens);
-    shape.mPrefillTokensPerSecond = aModel.mPrefillTokensPerSecond;
-    shape.mBaseStepSeconds = aModel.mBaseStepSeconds;
-    shape.mSecondsPerSequence = aModel.mSecondsPerSequence;
-    return shape;
-  }
-
 private:
   static constexpr std::int64_t kMostTokens = 100000000;
 
