--- a/Libraries/LibDecision/AgentBoard.h
+++ b/Libraries/LibDecision/AgentBoard.h
@@ -79,7 +79,8 @@
 {
   std::size_t mLongestQueue = 512;
   tokens mLongTokensAtOnce = 400000;
-  duration mLongHold = std::chrono::seconds(3);
+  /// Part of the memory that long prompts may hold.
+  double mLongMemoryPart = 0.75;
   duration mAgeing = std::chrono::seconds(20);
   /// Prompt tokens given to the engine ahead of its reading, in seconds of
   /// reading. What waits here can still be ordered, in the engine it cannot.
@@ -108,10 +109,6 @@
   /// start tag of the last one served.
   std::map<std::string, double> mServed;
   double mVirtualTime = 0;
-  /// The large prompt for which short work is held back, and since when.
-  std::string mHoldFor;
-  time_point mHoldSince;
-  time_point mNoHoldBefore;
   /// How much slower the engine reads than its shape says (measured).
   double mSlowness = 1;
   double mResidenceSeconds = 5; ///< How long memory is held, on average.
--- a/Libraries/LibDecision/Placement.cpp
+++ b/Libraries/LibDecision/Placement.cpp
@@ -66,6 +66,17 @@
   }
 }
 
+/// Engines over which a long prompt is spread to be read sooner. Parts that
+/// are too small would gain less than the group's reservations cost.
+std::size_t
+SpreadFor(const work_shape& aShape, const placement_rules& aRules)
+{
+  constexpr tokens kSmallestPart = 16384;
+  const tokens wanted =
+    std::max<tokens>(1, aShape.mPromptTokens / kSmallestPart);
+  return static_cast<std::size_t>(std::min<tokens>(wanted, aRules.mLongSpread));
+}
+
 double
 OwnReadingSeconds(const work_shape& aShape, const engine_shape& aEngine)
 {
@@ -229,8 +240,12 @@
     fitsOne ? 1
             : static_cast<std::size_t>(
                 std::ceil(static_cast<double>(aShape.Need()) / usable));
-  const std::size_t forSpeed = aShape.mLong ? aRules.mLongSpread : 1;
-  return std::max(forMemory, forSpeed);
+  if (!aShape.mLong) {
+    return forMemory;
+  }
+  const std::size_t parts = static_cast<std::size_t>(
+    (aShape.mPromptTokens + aRules.mLongPart - 1) / aRules.mLongPart);
+  return std::max({ forMemory, parts, SpreadFor(aShape, aRules) });
 }
 
 work_shape
--- a/Libraries/LibDecision/Placement.h
+++ b/Libraries/LibDecision/Placement.h
@@ -22,6 +22,11 @@
   unsigned mProbes = 4;
   double mShortProtection = 1;
   unsigned mLongSpread = 1;
+  /// Long prompts are cut into parts of at most this size. An engine with a
+  /// whole large prompt has no memory left to read the next while it writes.
+  tokens mLongPart = 128000;
+  /// Part of an engine's memory that long prompts may hold.
+  double mLongMemoryPart = 0.75;
   /// Long prompts move on to one more engine when they would wait longer than
   /// this part of their own reading time.
   double mFrontSlack = 0.25;
--- a/Libraries/LibDecision/Scheduler.cpp
+++ b/Libraries/LibDecision/Scheduler.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// Work this small (as a part of the memory) may pass a large prompt that
-/// waits for memory: holding it back would gain the large one nothing.
-constexpr tokens kTinyDivisor = 64;
 /// How fast measured values follow (weight of the newest).
 constexpr double kFollow = 0.1;
 constexpr double kLowestSlowness = 0.25;
@@ -123,51 +120,52 @@
   return isLong || ahead <= window;
 }
 
-bool
-FitsMemory(const agent_board& aBoard, const held_work& aWork)
+/// Memory held by long prompts, or by the others.
+tokens
+MemoryOf(const agent_board& aBoard, bool aLong)
 {
-  return aWork.mReservation.mShape.Need() <= FreeTokens(aBoard);
+  tokens used = 0;
+  for (const auto& [attempt, work] : aBoard.mWork) {
+    const work_shape& shape = work.mReservation.mShape;
+    used += work.HoldsMemory() && shape.mLong == aLong ? shape.Need() : 0;
+  }
+  return used;
 }
 
-/// Decides whether short work is held back for this large one. The hold ends
-/// after `mLongHold` whatever happens, and then short work is served for as
-/// long before the next hold: neither can starve the other.
-void
-ConsiderHold(agent_board& aBoard, const held_work& aWork, time_point aNow)
+/// Memory that long prompts may hold, all together: a part of the engine's, or
+/// what a single one needs if that is more.
+tokens
+LongRegion(const agent_board& aBoard, tokens aNeed)
 {
-  if (!aBoard.mHoldFor.empty() || aNow < aBoard.mNoHoldBefore) {
-    return;
-  }
-  aBoard.mHoldFor = aWork.mReservation.mAttempt;
-  aBoard.mHoldSince = aNow;
+  const double part = aBoard.mLimits.mLongMemoryPart *
+                      static_cast<double>(aBoard.mShape.mCapacity);
+  return std::max(static_cast<tokens>(part), aNeed);
 }
 
-void
-EndHoldWhenOver(agent_board& aBoard, time_point aNow)
+/// Long prompts hold their memory for long. Without a bound they would fill
+/// the engine, and short ones would wait for seconds for one of them to end;
+/// one would see it in the first token of short prompts. So a region is kept
+/// from them. Short work may use all that is free, except that while a long
+/// prompt waits for memory it stays within its own region: else a stream of
+/// short ones would take each token that is freed, and the long one would
+/// starve.
+bool
+FitsMemory(const agent_board& aBoard, const held_work& aWork, tokens aWaits)
 {
-  if (aBoard.mHoldFor.empty()) {
-    return;
+  const work_shape& shape = aWork.mReservation.mShape;
+  const tokens need = shape.Need();
+  if (need > FreeTokens(aBoard)) {
+    return false;
   }
-  const auto work = aBoard.mWork.find(aBoard.mHoldFor);
-  const bool stillWaits =
-    work != aBoard.mWork.end() && work->second.mStage == stage::Waiting;
-  const bool over = aNow - aBoard.mHoldSince >= aBoard.mLimits.mLongHold;
-  if (stillWaits && !over) {
-    return;
+  if (shape.mLong) {
+    return MemoryOf(aBoard, true) + need <= LongRegion(aBoard, need);
   }
-  aBoard.mHoldFor.clear();
-  if (stillWaits) {
-    aBoard.mNoHoldBefore = aNow + aBoard.mLimits.mLongHold;
+  if (aWaits == 0) {
+    return true;
   }
-}
-
-bool
-IsHeldBack(const agent_board& aBoard, const held_work& aWork)
-{
-  return !aBoard.mHoldFor.empty() &&
-         aBoard.mHoldFor != aWork.mReservation.mAttempt &&
-         aWork.mReservation.mShape.Need() >
-           aBoard.mShape.mCapacity / kTinyDivisor;
+  const tokens forShort = aBoard.mShape.mCapacity - LongRegion(aBoard, aWaits);
+  const tokens used = MemoryOf(aBoard, false);
+  return used == 0 || used + need <= forShort;
 }
 
 void
@@ -357,28 +355,29 @@
 Dispatch(agent_board& aBoard, time_point aNow)
 {
   AdvanceReading(aBoard, aNow);
-  EndHoldWhenOver(aBoard, aNow);
   std::vector<std::string> granted;
   // The ranks change with each grant, so they are worked out anew; a grant is
   // followed by another round until nothing more fits.
   for (bool again = true; again;) {
     again = false;
+    tokens longWaits = 0; // Need of the first long one that waits for memory.
     for (const ranked_work& next : WaitingInOrder(aBoard, aNow)) {
       held_work& work = *next.mWork;
       if (!FitsBatch(aBoard, aNow)) {
         break;
       }
-      if (IsHeldBack(aBoard, work) || !FitsLongBound(aBoard, work) ||
+      const bool isLong = work.mReservation.mShape.mLong;
+      const bool passesLong = isLong && longWaits > 0;
+      if (passesLong || !FitsLongBound(aBoard, work) ||
           !FitsReadAhead(aBoard, work)) {
         continue;
       }
-      if (!FitsMemory(aBoard, work)) {
-        ConsiderHold(aBoard, work, aNow);
+      if (!FitsMemory(aBoard, work, longWaits)) {
+        longWaits = isLong ? work.mReservation.mShape.Need() : longWaits;
         continue;
       }
       Grant(aBoard, work, aNow);
       granted.push_back(work.mReservation.mAttempt);
-      EndHoldWhenOver(aBoard, aNow);
       again = true;
       break;
     }
--- a/Libraries/LibModel/EngineModel.h
+++ b/Libraries/LibModel/EngineModel.h
@@ -105,9 +105,8 @@
 Cancel(engine_model& aEngine, const std::string& aId);
 /// All parts of the group have been read: its lead writes. False if the job
 /// is not there or not ready.
-bool BeginWriting(engine_model& aEngine,
-                  const std::string& aId,
-                  time_point aNow);
+bool
+BeginWriting(engine_model& aEngine, const std::string& aId, time_point aNow);
 /// If the time of the step under way has come, ends it, gives what it wrote
 /// and begins the next.
 std::vector<engine_output>
--- a/Libraries/LibRules/LibRules.h
+++ b/Libraries/LibRules/LibRules.h
@@ -9,8 +9,11 @@
 
 namespace primrose {
 
-engine_shape ShapeOf(const model_settings& aModel);
-agent_limits LimitsOf(const policy& aPolicy);
-placement_rules RulesOf(const policy& aPolicy);
+engine_shape
+ShapeOf(const model_settings& aModel);
+agent_limits
+LimitsOf(const policy& aPolicy);
+placement_rules
+RulesOf(const policy& aPolicy);
 
 } // namespace primrose
--- a/Libraries/LibRules/Rules.cpp
+++ b/Libraries/LibRules/Rules.cpp
@@ -20,7 +20,7 @@
 {
   agent_limits limits;
   limits.mLongTokensAtOnce = static_cast<tokens>(aPolicy.mLongTokensAtOnce);
-  limits.mLongHold = FromSeconds(aPolicy.mLongHoldSeconds);
+  limits.mLongMemoryPart = aPolicy.mLongMemoryPart;
   limits.mAgeing = FromSeconds(aPolicy.mAgeingSeconds);
   return limits;
 }
@@ -32,6 +32,8 @@
   rules.mProbes = static_cast<unsigned>(aPolicy.mProbes);
   rules.mShortProtection = aPolicy.mShortProtection;
   rules.mLongSpread = static_cast<unsigned>(aPolicy.mLongSpread);
+  rules.mLongMemoryPart = aPolicy.mLongMemoryPart;
+  rules.mLongPart = static_cast<tokens>(aPolicy.mLongPartTokens);
   return rules;
 }
 
--- a/Libraries/LibSettings/Policy.cpp
+++ b/Libraries/LibSettings/Policy.cpp
@@ -58,11 +58,11 @@
     &policy::mQueueWaitSeconds,
     { 0.01, kDay, "seconds" },
     "The longest wait in one agent's queue before another is tried." },
-  policy_value{ "long_hold_s",
-                &policy::mLongHoldSeconds,
-                { 0, 600, "seconds" },
-                "The longest that short work is held back so that a large "
-                "prompt gets its memory." },
+  policy_value{
+    "long_memory_part",
+    &policy::mLongMemoryPart,
+    { 0.05, 1, "part" },
+    "Part of an engine's memory that long prompts may hold together." },
   policy_value{
     "long_tokens_at_once",
     &policy::mLongTokensAtOnce,
@@ -73,6 +73,11 @@
     &policy::mLongSpread,
     { 1, 16, "engines" },
     "Engines over which a long prompt may be spread to read it sooner." },
+  policy_value{ "long_part_tokens",
+                &policy::mLongPartTokens,
+                { 1000, 1e9, "tokens" },
+                "A long prompt is cut into parts of at most this many tokens, "
+                "each on an engine of its own." },
   policy_value{
     "short_protection",
     &policy::mShortProtection,
--- a/Libraries/LibSettings/Policy.h
+++ b/Libraries/LibSettings/Policy.h
@@ -26,9 +26,10 @@
   double mProbes = 4;
   double mProbeTimeoutSeconds = 0.25;
   double mQueueWaitSeconds = 2;
-  double mLongHoldSeconds = 3;
+  double mLongMemoryPart = 0.75;
   double mLongTokensAtOnce = 400000;
   double mLongSpread = 1;
+  double mLongPartTokens = 128000;
   double mShortProtection = 1;
   double mAgeingSeconds = 20;
   double mLeaseSeconds = 10;
--- a/Services/Agent/AgentService.cpp
+++ b/Services/Agent/AgentService.cpp
@@ -204,11 +204,7 @@
 void
 agent_service::SetExpiryTimer()
 {
-  std::optional<time_point> next = NextExpiry(mBoard);
-  if (!mBoard.mHoldFor.empty()) {
-    const time_point holdEnds = mBoard.mHoldSince + mBoard.mLimits.mLongHold;
-    next = next ? std::min(*next, holdEnds) : holdEnds;
-  }
+  const std::optional<time_point> next = NextExpiry(mBoard);
   if (!next) {
     mTimer = nullptr;
     return;
--- a/Utilities/Bench/Experiment.cpp
+++ b/Utilities/Bench/Experiment.cpp
@@ -22,9 +22,11 @@
   baseline.mName = aName;
   baseline.mPlacement = aKind;
   baseline.mEnginePriorities = false;
+  baseline.mRules.mLongPart = kUnbounded;
   baseline.mLimits.mLongTokensAtOnce = kUnbounded;
   baseline.mLimits.mLongestQueue = 1000000;
   baseline.mLimits.mReadAheadSeconds = 1e9;
+  baseline.mLimits.mLongMemoryPart = 1;
   baseline.mLimits.mFairShares = false;
   baseline.mLimits.mPriorities = false;
   return baseline;
@@ -66,8 +68,9 @@
     own.mRules.mUseCache = false;
     return own;
   }
-  if (aName == "primrose-no-spread") {
+  if (aName == "primrose-no-parts") {
     own.mRules.mLongSpread = 1;
+    own.mRules.mLongPart = kUnbounded;
     return own;
   }
   return Fail(error_kind::SettingsInvalid,
@@ -109,9 +112,8 @@
                  settings_problems& aProblems,
                  traffic_mix& aMix)
 {
-  object_reader reader(aNode.is_object() ? &aNode : nullptr,
-                       "/organisations/" + aName,
-                       aProblems);
+  object_reader reader(
+    aNode.is_object() ? &aNode : nullptr, "/organisations/" + aName, aProblems);
   organisation_share one;
   one.mName = aName;
   one.mWeight = reader.Number("weight", { 0, 1e6, "weight" }).value_or(1);
@@ -143,8 +145,8 @@
   }
   for (const json& load : aDocument["loads"]) {
     constexpr double kMost = 5;
-    const bool good = load.is_number() && load.get<double>() > 0 &&
-                      load.get<double>() <= kMost;
+    const bool good =
+      load.is_number() && load.get<double>() > 0 && load.get<double>() <= kMost;
     if (!good) {
       return Fail(error_kind::SettingsInvalid,
                   "/loads: expected numbers over 0 and up to 5, found " +
@@ -161,10 +163,10 @@
   const double prompt = static_cast<double>(aArrival.mShape.mPromptTokens);
   const double chunk = static_cast<double>(aEngine.mChunk);
   const double steps = std::ceil(prompt / chunk);
-  const double reading = steps * aEngine.mBaseStepSeconds +
-                         prompt / aEngine.mPrefillTokensPerSecond;
-  const double writing = static_cast<double>(aArrival.mOutput - 1) *
-                         StepSeconds(aEngine, 1, 0, 0);
+  const double reading =
+    steps * aEngine.mBaseStepSeconds + prompt / aEngine.mPrefillTokensPerSecond;
+  const double writing =
+    static_cast<double>(aArrival.mOutput - 1) * StepSeconds(aEngine, 1, 0, 0);
   return reading + writing;
 }
 
@@ -178,8 +180,7 @@
     const arrival& own = aArrivals[record.mArrival];
     if (own.mShape.mPromptTokens <= kShortLimit &&
         record.mEnd == request_end::Complete) {
-      slowdowns.mValues.push_back(record.mTotal /
-                                  AloneSeconds(own, aEngine));
+      slowdowns.mValues.push_back(record.mTotal / AloneSeconds(own, aEngine));
     }
   }
   std::sort(slowdowns.mValues.begin(), slowdowns.mValues.end());
@@ -229,25 +230,20 @@
 }
 
 run_summary
-RunOne(const experiment& aExperiment,
-       const bench_policy& aPolicy,
-       double aLoad)
+RunOne(const experiment& aExperiment, const bench_policy& aPolicy, double aLoad)
 {
   const engine_shape& engine = aExperiment.mWorld.mEngine;
   const double rate =
-    aLoad * NominalCapacity(
-              aExperiment.mMix, engine, aExperiment.mWorld.mEngines);
+    aLoad *
+    NominalCapacity(aExperiment.mMix, engine, aExperiment.mWorld.mEngines);
   const std::vector<arrival> arrivals =
     DrawArrivals(aExperiment.mMix,
                  rate,
                  FromSeconds(aExperiment.mSeconds),
                  aExperiment.mLongPrompt,
                  aExperiment.mSeed);
-  const world_result result = RunWorld(aExperiment.mWorld,
-                                       aPolicy,
-                                       aExperiment.mMix,
-                                       arrivals,
-                                       aExperiment.mSeed);
+  const world_result result = RunWorld(
+    aExperiment.mWorld, aPolicy, aExperiment.mMix, arrivals, aExperiment.mSeed);
   run_summary summary;
   summary.mPolicy = aPolicy.mName;
   summary.mLoad = aLoad;
@@ -320,8 +316,8 @@
   read.mName = reader.RequiredText("name");
   const std::string treeFile = reader.RequiredText("tree");
   ReadWorld(reader, read.mWorld);
-  read.mSeconds = reader.Number("seconds", { 1, 86400, "seconds" })
-                    .value_or(read.mSeconds);
+  read.mSeconds =
+    reader.Number("seconds", { 1, 86400, "seconds" }).value_or(read.mSeconds);
   read.mSeed = static_cast<std::uint64_t>(
     reader.Number("seed", { 0, 1e9, "seed" }).value_or(1));
   read.mMix.mSharedPrefixPart =
--- a/Utilities/Bench/Experiment.h
+++ b/Utilities/Bench/Experiment.h
@@ -27,7 +27,8 @@
 };
 
 /// Reads and checks an experiment file; the tree it names is relative to it.
-result<experiment> LoadExperiment(const std::string& aFile);
+result<experiment>
+LoadExperiment(const std::string& aFile);
 
 /// Sample values and their count; percentiles are of the sample itself.
 struct sample
@@ -45,7 +46,8 @@
   std::size_t mComplete = 0;
   std::size_t mRefused = 0;
   std::size_t mLate = 0;
-  double mGoodput = 0; ///< Nominal engine-seconds completed a second, over the fleet's.
+  double mGoodput =
+    0; ///< Nominal engine-seconds completed a second, over the fleet's.
   double mBusy = 0;
   sample mShortSlowdown;
   sample mShortSlowdownAlone; ///< The same short requests, no long ones there.
@@ -62,9 +64,9 @@
 
 /// Runs every policy at every load, a few at a time; `aProgress` is called
 /// from the calling thread after each run.
-std::vector<run_summary> RunExperiment(
-  const experiment& aExperiment,
-  std::size_t aThreads,
-  const std::function<void(std::size_t, std::size_t)>& aProgress);
+std::vector<run_summary>
+RunExperiment(const experiment& aExperiment,
+              std::size_t aThreads,
+              const std::function<void(std::size_t, std::size_t)>& aProgress);
 
 } // namespace primrose::bench
--- a/Utilities/Bench/Mix.cpp
+++ b/Utilities/Bench/Mix.cpp
@@ -77,6 +77,18 @@
          static_cast<double>(aOutput) * aEngine.mSecondsPerSequence;
 }
 
+double
+NominalMemory(const work_shape& aShape,
+              tokens aOutput,
+              const engine_shape& aEngine)
+{
+  const double chunk = static_cast<double>(aEngine.mChunk);
+  const double fullStep = StepSeconds(aEngine, 1, aEngine.mChunk, 0);
+  const double steps = static_cast<double>(aShape.mPromptTokens) / chunk +
+                       static_cast<double>(aOutput);
+  return static_cast<double>(aShape.Need()) * steps * fullStep;
+}
+
 double
 NominalCapacity(const traffic_mix& aMix,
                 const engine_shape& aEngine,
@@ -84,14 +96,20 @@
 {
   double weights = 0;
   double cost = 0;
+  double memory = 0;
   for (const length_class& one : aMix.mClasses) {
     work_shape mean;
     mean.mPromptTokens = static_cast<tokens>(MeanPrompt(one));
+    mean.mMaxTokens = static_cast<tokens>(kMostOutputFactor * one.mMeanOutput);
+    const tokens output = static_cast<tokens>(one.mMeanOutput);
     weights += one.mWeight;
-    cost += one.mWeight *
-            NominalCost(mean, static_cast<tokens>(one.mMeanOutput), aEngine);
+    cost += one.mWeight * NominalCost(mean, output, aEngine);
+    memory += one.mWeight * NominalMemory(mean, output, aEngine);
   }
-  return static_cast<double>(aEngines) * weights / cost;
+  const double byTime = weights / cost;
+  const double byMemory =
+    static_cast<double>(aEngine.mCapacity) * weights / memory;
+  return static_cast<double>(aEngines) * std::min(byTime, byMemory);
 }
 
 std::vector<arrival>
@@ -121,11 +139,10 @@
     shape.mPromptTokens =
       static_cast<tokens>(LogUniform(random, one.mLeast, one.mMost));
     const double output = Exponential(random, one.mMeanOutput);
-    next.mOutput = static_cast<tokens>(std::clamp(
-      output, kLeastOutput, kMostOutputFactor * one.mMeanOutput));
+    next.mOutput = static_cast<tokens>(
+      std::clamp(output, kLeastOutput, kMostOutputFactor * one.mMeanOutput));
     // What a caller allows is more than what comes.
-    shape.mMaxTokens =
-      static_cast<tokens>(kMostOutputFactor * one.mMeanOutput);
+    shape.mMaxTokens = static_cast<tokens>(kMostOutputFactor * one.mMeanOutput);
     shape.mPriority = one.mPriority;
     shape.mLong = shape.mPromptTokens >= aLongPrompt;
     shape.mMarks =
--- a/Utilities/Bench/Mix.h
+++ b/Utilities/Bench/Mix.h
@@ -56,19 +56,29 @@
 
 /// Engine-seconds that a request costs when its engine always reads whole
 /// chunks; the unit in which load is stated.
-double NominalCost(const work_shape& aShape,
-                   tokens aOutput,
-                   const engine_shape& aEngine);
-
-/// Arrivals a second at which the engines are wholly used.
-double NominalCapacity(const traffic_mix& aMix,
-                       const engine_shape& aEngine,
-                       std::size_t aEngines);
-
-std::vector<arrival> DrawArrivals(const traffic_mix& aMix,
-                                  double aPerSecond,
-                                  duration aLength,
-                                  tokens aLongPrompt,
-                                  std::uint64_t aSeed);
+double
+NominalCost(const work_shape& aShape,
+            tokens aOutput,
+            const engine_shape& aEngine);
+
+/// Token-seconds of memory that a request holds on a busy engine.
+double
+NominalMemory(const work_shape& aShape,
+              tokens aOutput,
+              const engine_shape& aEngine);
+
+/// Arrivals a second at which the engines' time or their memory, whichever is
+/// the scarcer, is wholly used.
+double
+NominalCapacity(const traffic_mix& aMix,
+                const engine_shape& aEngine,
+                std::size_t aEngines);
+
+std::vector<arrival>
+DrawArrivals(const traffic_mix& aMix,
+             double aPerSecond,
+             duration aLength,
+             tokens aLongPrompt,
+             std::uint64_t aSeed);
 
 } // namespace primrose::bench
--- a/Utilities/Bench/Report.h
+++ b/Utilities/Bench/Report.h
@@ -9,13 +9,16 @@
 
 namespace primrose::bench {
 
-std::string TableOf(const std::vector<run_summary>& aRuns);
-std::string JsonLinesOf(const std::vector<run_summary>& aRuns);
+std::string
+TableOf(const std::vector<run_summary>& aRuns);
+std::string
+JsonLinesOf(const std::vector<run_summary>& aRuns);
 
 /// Writes NAME.txt, NAME.jsonl, NAME.dat and NAME.gp into the folder. The
 /// script draws NAME.png when gnuplot is run on it there.
-result<void> WriteReport(const experiment& aExperiment,
-                         const std::vector<run_summary>& aRuns,
-                         const std::string& aFolder);
+result<void>
+WriteReport(const experiment& aExperiment,
+            const std::vector<run_summary>& aRuns,
+            const std::string& aFolder);
 
 } // namespace primrose::bench
--- a/Utilities/Bench/World.cpp
+++ b/Utilities/Bench/World.cpp
@@ -292,9 +292,8 @@
   placement_rules rules = mPolicy.mRules;
   if (aFlight.mGroup > 1) {
     constexpr unsigned kProbesPerMember = 3;
-    rules.mProbes =
-      std::max(rules.mProbes,
-               static_cast<unsigned>(aFlight.mGroup) * kProbesPerMember);
+    rules.mProbes = std::max(
+      rules.mProbes, static_cast<unsigned>(aFlight.mGroup) * kProbesPerMember);
   }
   const std::vector<std::size_t> asked =
     ChooseToProbe(mNames,
@@ -318,8 +317,8 @@
     MemberShape(aFlight.mArrival->mShape, aFlight.mGroup, hold_role::Lead);
   std::vector<candidate> candidates;
   for (const std::size_t one : aAsked) {
-    const bool lost = mSites[one].mDown ||
-                      Uniform(mRandom) < mSettings.mLostProbes;
+    const bool lost =
+      mSites[one].mDown || Uniform(mRandom) < mSettings.mLostProbes;
     if (!lost) {
       candidates.push_back({ one, Probe(mSites[one].mBoard, shape, mNow) });
     }
@@ -338,12 +337,12 @@
   }
   if (aFlight.mGroup > 1) {
     aFlight.mRanked.resize(aFlight.mGroup);
-    std::sort(aFlight.mRanked.begin(),
-              aFlight.mRanked.end(),
-              [](const scored_candidate& aLeft,
-                 const scored_candidate& aRight) {
-                return aLeft.mIndex < aRight.mIndex;
-              });
+    std::sort(
+      aFlight.mRanked.begin(),
+      aFlight.mRanked.end(),
+      [](const scored_candidate& aLeft, const scored_candidate& aRight) {
+        return aLeft.mIndex < aRight.mIndex;
+      });
   }
   // The answers' way back and the reservation's way there.
   At(mNow + 2 * mSettings.mOneWay,
@@ -418,8 +417,8 @@
     End(aFlight, request_end::Refused);
     return;
   }
-  const duration pause = RetryPause(
-    aFlight.mAttempts, std::chrono::milliseconds(50), mRandom);
+  const duration pause =
+    RetryPause(aFlight.mAttempts, std::chrono::milliseconds(50), mRandom);
   At(mNow + pause,
      [this, index = aFlight.mIndex]() { Place(mFlights[index]); });
 }
@@ -466,15 +465,15 @@
     job.mOutputTokens = own.mOutput;
     job.mReserveTokens =
       one.mBoard.mWork.at(aFlight.mAttempt).mReservation.mShape.Need();
-    job.mMarks = aFlight.mGroup > 1 ? std::vector<std::uint64_t>()
-                                    : own.mShape.mMarks;
+    job.mMarks =
+      aFlight.mGroup > 1 ? std::vector<std::uint64_t>() : own.mShape.mMarks;
     job.mReadingPart = 1 / (1 + kGroupEfficiency * (parts - 1));
     job.mGroupPart = aFlight.mGroup > 1;
     constexpr unsigned kLongStep = 4;
-    job.mPriority = !mPolicy.mEnginePriorities
-                      ? 0
-                      : own.mShape.mPriority +
-                          (own.mShape.mLong ? kLongStep : 0);
+    job.mPriority =
+      !mPolicy.mEnginePriorities
+        ? 0
+        : own.mShape.mPriority + (own.mShape.mLong ? kLongStep : 0);
     Submit(one.mEngine, job, mNow);
     Wake(aFlight.mSites[i]);
   }
@@ -521,8 +520,7 @@
   request_record& record = mResult.mRequests[own.mIndex];
   if (aOutput.mIndex == 0) {
     NoteFirstToken(mSites[aSite].mBoard, own.mAttempt, mNow);
-    record.mFirstToken =
-      Seconds(mNow + mSettings.mOneWay - own.mArrival->mAt);
+    record.mFirstToken = Seconds(mNow + mSettings.mOneWay - own.mArrival->mAt);
   }
   if (aOutput.mLast) {
     End(own, request_end::Complete);
--- a/Utilities/Bench/World.h
+++ b/Utilities/Bench/World.h
@@ -76,17 +76,18 @@
   std::vector<request_record> mRequests;
   std::uint64_t mProbes = 0;
   std::uint64_t mReservations = 0;
-  double mBusySeconds = 0;     ///< Over all engines.
-  tokens mMemoryLeft = 0;      ///< Held by boards and engines at the end: 0.
+  double mBusySeconds = 0; ///< Over all engines.
+  tokens mMemoryLeft = 0;  ///< Held by boards and engines at the end: 0.
 
   bool operator==(const world_result&) const = default;
 };
 
 /// Runs all arrivals to their ends.
-world_result RunWorld(const world_settings& aSettings,
-                      const bench_policy& aPolicy,
-                      const traffic_mix& aMix,
-                      const std::vector<arrival>& aArrivals,
-                      std::uint64_t aSeed);
+world_result
+RunWorld(const world_settings& aSettings,
+         const bench_policy& aPolicy,
+         const traffic_mix& aMix,
+         const std::vector<arrival>& aArrivals,
+         std::uint64_t aSeed);
 
 } // namespace primrose::bench
--- a/Utilities/Control/FleetCommands.cpp
+++ b/Utilities/Control/FleetCommands.cpp
@@ -132,7 +132,8 @@
     // The request's id names the entry that knows it; others are asked only
     // as long as that one has not been found.
     const outcome<json> answer = Capture<json>([&]() {
-      return AskJson(aContext, fmt::format("http://{}/explain/{}", entry, request));
+      return AskJson(aContext,
+                     fmt::format("http://{}/explain/{}", entry, request));
     });
     if (!answer) {
       why = answer.mFailure;
--- a/Utilities/Load/Main.cpp
+++ b/Utilities/Load/Main.cpp
@@ -60,9 +60,8 @@
     const bool streamed = key.first == request_kind::Streamed;
     const std::vector<double>& firstTokens = row.mFirstTokens;
     const auto first = [&firstTokens, streamed](double aPart) {
-      return streamed
-               ? fmt::format("{:.3f} s", Percentile(firstTokens, aPart))
-               : std::string("-");
+      return streamed ? fmt::format("{:.3f} s", Percentile(firstTokens, aPart))
+                      : std::string("-");
     };
     std::cout << fmt::format("{:<13}{:>10}{:>6}{:>7}{:>14}{:>14}{:>8.3f} s\n",
                              KindName(key.first),
