Packing bounded, waits of long prompts bounded, dispatch no longer quadratic

Change: packing only while the front is at most half of the engines; a long prompt waits long_queue_wait_s in one queue and is then placed anew; sums are made once per dispatch.

--- a/Libraries/LibDecision/Placement.cpp
+++ b/Libraries/LibDecision/Placement.cpp
@@ -114,11 +114,21 @@
 
 } // namespace
 
+bool
+PacksLong(const placement_rules& aRules,
+          const placement_memory& aMemory,
+          std::size_t aEndpoints)
+{
+  return aRules.mFrontSlack > 0 &&
+         2 * WholeFront(aMemory, aEndpoints) <= aEndpoints;
+}
+
 std::vector<std::size_t>
 ChooseToProbe(const std::vector<std::string>& aNames,
               const work_shape& aShape,
               const placement_rules& aRules,
               const placement_memory& aMemory,
+              std::size_t aGroup,
               random_engine& aRandom)
 {
   const std::size_t count = aNames.size();
@@ -128,20 +138,20 @@
     return chosen;
   }
   const std::size_t front = WholeFront(aMemory, count);
+  const bool packs = PacksLong(aRules, aMemory, count);
   if (aRules.mUseCache) {
     const std::optional<std::size_t> home = HomeOfPrefix(aNames, aShape);
-    const bool isShortAtFront =
-      home && !aShape.mLong && aRules.mPackLong && *home < front;
+    const bool isShortAtFront = home && !aShape.mLong && packs && *home < front;
     if (home && !isShortAtFront) {
       AddOnce(chosen, *home);
     }
   }
-  if (!aRules.mPackLong) {
+  if (!packs) {
     AddRandom(chosen, 0, count, wanted, aRandom);
     return chosen;
   }
   if (aShape.mLong) {
-    const std::size_t window = std::min(count, std::max(front + 1, wanted));
+    const std::size_t window = std::min(count, std::max(front + 1, aGroup + 1));
     AddRandom(chosen, 0, window, wanted, aRandom);
     return chosen;
   }
@@ -155,7 +165,8 @@
 RankCandidates(const std::vector<candidate>& aCandidates,
                const work_shape& aShape,
                const placement_rules& aRules,
-               const engine_shape& aEngine)
+               const engine_shape& aEngine,
+               bool aPacks)
 {
   std::vector<scored_candidate> ranked;
   for (const candidate& one : aCandidates) {
@@ -164,7 +175,7 @@
     }
   }
   const double slack =
-    aShape.mLong && aRules.mPackLong
+    aShape.mLong && aPacks
       ? aRules.mFrontSlack * OwnReadingSeconds(aShape, aEngine)
       : 0;
   std::sort(ranked.begin(),
@@ -195,30 +206,34 @@
            const work_shape& aShape,
            const placement_rules& aRules,
            const engine_shape& aEngine,
+           std::size_t aGroup,
            std::size_t aEndpoints)
 {
-  if (!aShape.mLong || !aRules.mPackLong || aCandidates.empty()) {
+  if (!aShape.mLong || aRules.mFrontSlack <= 0 || aCandidates.empty()) {
     return;
   }
-  double best = INFINITY;
+  std::vector<double> waits;
   std::size_t idleInFront = 0;
+  const double own = OwnReadingSeconds(aShape, aEngine);
   for (const candidate& one : aCandidates) {
     if (one.mAnswer.mRefusal != refusal::None) {
       continue;
     }
-    best = std::min(best, one.mAnswer.mFirstTokenSeconds);
+    waits.push_back(one.mAnswer.mFirstTokenSeconds - own);
     const bool inFront = static_cast<double>(one.mIndex) < aMemory.mLongFront;
     idleInFront += inFront && one.mAnswer.mLong == 0 ? 1 : 0;
   }
-  const double own = OwnReadingSeconds(aShape, aEngine);
-  const double wait = best - own;
-  // Out by a whole engine when long prompts wait, back by small steps when
-  // engines of the front stand idle: the front does not swing with each one.
-  constexpr double kStepBack = 0.1;
+  std::sort(waits.begin(), waits.end());
+  const double wait = waits.size() < aGroup ? INFINITY : waits[aGroup - 1];
+  // Out by a tenth when long prompts wait, back by less when more engines of
+  // the front stand idle than one request needs: the front does not swing
+  // with each request.
+  constexpr double kStepOut = 0.1;
+  constexpr double kStepBack = 0.02;
   if (wait > aRules.mFrontSlack * own) {
-    aMemory.mLongFront += 1;
-  } else if (idleInFront > 1) {
-    aMemory.mLongFront -= kStepBack * static_cast<double>(idleInFront);
+    aMemory.mLongFront += std::max(1.0, kStepOut * aMemory.mLongFront);
+  } else if (idleInFront > aGroup) {
+    aMemory.mLongFront -= std::max(0.1, kStepBack * aMemory.mLongFront);
   }
   aMemory.mLongFront =
     std::clamp(aMemory.mLongFront,
@@ -245,7 +260,9 @@
   }
   const std::size_t parts = static_cast<std::size_t>(
     (aShape.mPromptTokens + aRules.mLongPart - 1) / aRules.mLongPart);
-  return std::max({ forMemory, parts, SpreadFor(aShape, aRules) });
+  return std::max({ forMemory,
+                    std::min(parts, aRules.mMostParts),
+                    SpreadFor(aShape, aRules) });
 }
 
 work_shape
--- a/Libraries/LibDecision/Placement.h
+++ b/Libraries/LibDecision/Placement.h
@@ -25,12 +25,11 @@
   /// Long prompts are cut into parts of at most this size. An engine with a
   /// whole large prompt has no memory left to read the next while it writes.
   tokens mLongPart = 128000;
-  /// Part of an engine's memory that long prompts may hold.
-  double mLongMemoryPart = 0.75;
+  /// Most parts that a long prompt is cut into, unless memory needs more.
+  std::size_t mMostParts = 8;
   /// Long prompts move on to one more engine when they would wait longer than
-  /// this part of their own reading time.
+  /// this part of their own reading time; 0: they are not packed at all.
   double mFrontSlack = 0.25;
-  bool mPackLong = true;
   bool mUseCache = true;
 
   bool operator==(const placement_rules&) const = default;
@@ -46,12 +45,13 @@
 };
 
 /// Indices into the usable endpoints of those to ask, best guesses first.
-/// `aNames` are in the shared order.
+/// `aNames` are in the shared order; `aGroup` engines are needed.
 std::vector<std::size_t>
 ChooseToProbe(const std::vector<std::string>& aNames,
               const work_shape& aShape,
               const placement_rules& aRules,
               const placement_memory& aMemory,
+              std::size_t aGroup,
               random_engine& aRandom);
 
 /// An endpoint that answered.
@@ -70,20 +70,31 @@
   bool operator==(const scored_candidate&) const = default;
 };
 
+/// Whether long prompts are packed now. Packing pays while they need the
+/// smaller part of the engines. Past that, short prompts would crowd on the few
+/// that are left and long ones wait for each other (measured, see
+/// docs/MEASUREMENTS.md), so all share all.
+bool
+PacksLong(const placement_rules& aRules,
+          const placement_memory& aMemory,
+          std::size_t aEndpoints);
+
 /// The candidates that can take the work, best first.
 std::vector<scored_candidate>
 RankCandidates(const std::vector<candidate>& aCandidates,
                const work_shape& aShape,
                const placement_rules& aRules,
-               const engine_shape& aEngine);
+               const engine_shape& aEngine,
+               bool aPacks);
 
-/// Learns from the answers to one request's probes.
+/// Learns from the answers to the probes of one request for `aGroup` engines.
 void
 LearnFront(placement_memory& aMemory,
            const std::vector<candidate>& aCandidates,
            const work_shape& aShape,
            const placement_rules& aRules,
            const engine_shape& aEngine,
+           std::size_t aGroup,
            std::size_t aEndpoints);
 
 /// How many engines a prompt is spread over: as many as its memory needs, and
--- a/Libraries/LibDecision/Scheduler.cpp
+++ b/Libraries/LibDecision/Scheduler.cpp
@@ -87,23 +87,61 @@
   return std::clamp(part, kFirstPart, 1.0);
 }
 
+/// Sums over all work, made once for a dispatch and kept up to date by each
+/// grant: worked out anew for each waiting request they would make a dispatch
+/// quadratic in the length of the queue.
+struct board_sums
+{
+  std::size_t mRunning = 0;
+  double mUnread = 0;
+  double mUnreadLong = 0;
+  tokens mLongMemory = 0;
+  tokens mShortMemory = 0;
+};
+
+void
+AddHeld(board_sums& aSums, const held_work& aWork)
+{
+  const work_shape& shape = aWork.mReservation.mShape;
+  const bool reads =
+    aWork.mStage == stage::Granted || aWork.mStage == stage::Reading;
+  aSums.mRunning += aWork.mReservation.mRole != hold_role::Member ? 1 : 0;
+  aSums.mUnread += reads ? aWork.mUnread : 0;
+  aSums.mUnreadLong += reads && shape.mLong ? aWork.mUnread : 0;
+  (shape.mLong ? aSums.mLongMemory : aSums.mShortMemory) += shape.Need();
+}
+
+board_sums
+SumsOf(const agent_board& aBoard)
+{
+  board_sums sums;
+  for (const auto& [attempt, work] : aBoard.mWork) {
+    if (work.HoldsMemory()) {
+      AddHeld(sums, work);
+    }
+  }
+  return sums;
+}
+
 bool
-FitsBatch(const agent_board& aBoard, time_point aNow)
+FitsBatch(const agent_board& aBoard, const board_sums& aSums, time_point aNow)
 {
   const double places =
     aBoard.mShape.mLargestBatch * SlowStartFactor(aBoard, aNow);
-  return static_cast<double>(RunningCount(aBoard)) + 1 <= std::max(1.0, places);
+  return static_cast<double>(aSums.mRunning) + 1 <= std::max(1.0, places);
 }
 
 /// Long prompts in one engine lengthen every step of the short ones there, so
 /// only so much of them is read at once; a single one always may.
 bool
-FitsLongBound(const agent_board& aBoard, const held_work& aWork)
+FitsLongBound(const agent_board& aBoard,
+              const board_sums& aSums,
+              const held_work& aWork)
 {
   if (!aWork.mReservation.mShape.mLong) {
     return true;
   }
-  const double present = UnreadTokens(aBoard, true);
+  const double present = aSums.mUnreadLong;
   return present <= 0 ||
          present + aWork.mUnread <=
            static_cast<double>(aBoard.mLimits.mLongTokensAtOnce);
@@ -112,24 +150,10 @@
 /// What is given to the engine cannot be put in another order any more, so
 /// only a little is given ahead of its reading.
 bool
-FitsReadAhead(const agent_board& aBoard, const held_work& aWork)
+FitsReadAhead(const board_sums& aSums, double aWindow, const held_work& aWork)
 {
   const bool isLong = aWork.mReservation.mShape.mLong;
-  const double ahead = UnreadTokens(aBoard, false) - UnreadTokens(aBoard, true);
-  const double window = aBoard.mLimits.mReadAheadSeconds * ReadingRate(aBoard);
-  return isLong || ahead <= window;
-}
-
-/// Memory held by long prompts, or by the others.
-tokens
-MemoryOf(const agent_board& aBoard, bool aLong)
-{
-  tokens used = 0;
-  for (const auto& [attempt, work] : aBoard.mWork) {
-    const work_shape& shape = work.mReservation.mShape;
-    used += work.HoldsMemory() && shape.mLong == aLong ? shape.Need() : 0;
-  }
-  return used;
+  return isLong || aSums.mUnread - aSums.mUnreadLong <= aWindow;
 }
 
 /// Memory that long prompts may hold, all together: a part of the engine's, or
@@ -150,7 +174,10 @@
 /// short ones would take each token that is freed, and the long one would
 /// starve.
 bool
-FitsMemory(const agent_board& aBoard, const held_work& aWork, tokens aWaits)
+FitsMemory(const agent_board& aBoard,
+           const board_sums& aSums,
+           const held_work& aWork,
+           tokens aWaits)
 {
   const work_shape& shape = aWork.mReservation.mShape;
   const tokens need = shape.Need();
@@ -158,13 +185,13 @@
     return false;
   }
   if (shape.mLong) {
-    return MemoryOf(aBoard, true) + need <= LongRegion(aBoard, need);
+    return aSums.mLongMemory + need <= LongRegion(aBoard, need);
   }
   if (aWaits == 0) {
     return true;
   }
   const tokens forShort = aBoard.mShape.mCapacity - LongRegion(aBoard, aWaits);
-  const tokens used = MemoryOf(aBoard, false);
+  const tokens used = aSums.mShortMemory;
   return used == 0 || used + need <= forShort;
 }
 
@@ -351,36 +378,51 @@
   return refusal::None;
 }
 
+namespace {
+
+/// The first waiting work, in order, that fits now; null if none does.
+held_work*
+PickNext(agent_board& aBoard,
+         const board_sums& aSums,
+         double aWindow,
+         time_point aNow)
+{
+  tokens longWaits = 0; // Need of the first long one that waits for memory.
+  for (const ranked_work& next : WaitingInOrder(aBoard, aNow)) {
+    held_work& work = *next.mWork;
+    const bool isLong = work.mReservation.mShape.mLong;
+    const bool passesLong = isLong && longWaits > 0;
+    if (passesLong || !FitsLongBound(aBoard, aSums, work) ||
+        !FitsReadAhead(aSums, aWindow, work)) {
+      continue;
+    }
+    if (FitsMemory(aBoard, aSums, work, longWaits)) {
+      return &work;
+    }
+    longWaits = isLong ? work.mReservation.mShape.Need() : longWaits;
+  }
+  return nullptr;
+}
+
+} // namespace
+
 std::vector<std::string>
 Dispatch(agent_board& aBoard, time_point aNow)
 {
   AdvanceReading(aBoard, aNow);
   std::vector<std::string> granted;
-  // The ranks change with each grant, so they are worked out anew; a grant is
-  // followed by another round until nothing more fits.
-  for (bool again = true; again;) {
-    again = false;
-    tokens longWaits = 0; // Need of the first long one that waits for memory.
-    for (const ranked_work& next : WaitingInOrder(aBoard, aNow)) {
-      held_work& work = *next.mWork;
-      if (!FitsBatch(aBoard, aNow)) {
-        break;
-      }
-      const bool isLong = work.mReservation.mShape.mLong;
-      const bool passesLong = isLong && longWaits > 0;
-      if (passesLong || !FitsLongBound(aBoard, work) ||
-          !FitsReadAhead(aBoard, work)) {
-        continue;
-      }
-      if (!FitsMemory(aBoard, work, longWaits)) {
-        longWaits = isLong ? work.mReservation.mShape.Need() : longWaits;
-        continue;
-      }
-      Grant(aBoard, work, aNow);
-      granted.push_back(work.mReservation.mAttempt);
-      again = true;
+  board_sums sums = SumsOf(aBoard);
+  const double window = aBoard.mLimits.mReadAheadSeconds * ReadingRate(aBoard);
+  // Each grant changes the shares and so the order of the rest; the next is
+  // picked in a new order until nothing more fits.
+  while (FitsBatch(aBoard, sums, aNow)) {
+    held_work* const next = PickNext(aBoard, sums, window, aNow);
+    if (next == nullptr) {
       break;
     }
+    Grant(aBoard, *next, aNow);
+    AddHeld(sums, *next);
+    granted.push_back(next->mReservation.mAttempt);
   }
   ForgetOldShares(aBoard);
   return granted;
--- a/Libraries/LibRules/Rules.cpp
+++ b/Libraries/LibRules/Rules.cpp
@@ -32,7 +32,8 @@
   rules.mProbes = static_cast<unsigned>(aPolicy.mProbes);
   rules.mShortProtection = aPolicy.mShortProtection;
   rules.mLongSpread = static_cast<unsigned>(aPolicy.mLongSpread);
-  rules.mLongMemoryPart = aPolicy.mLongMemoryPart;
+  rules.mFrontSlack = aPolicy.mLongPatience;
+  rules.mMostParts = static_cast<std::size_t>(aPolicy.mMostParts);
   rules.mLongPart = static_cast<tokens>(aPolicy.mLongPartTokens);
   return rules;
 }
--- a/Libraries/LibSettings/Policy.cpp
+++ b/Libraries/LibSettings/Policy.cpp
@@ -78,6 +78,26 @@
                 { 1000, 1e9, "tokens" },
                 "A long prompt is cut into parts of at most this many tokens, "
                 "each on an engine of its own." },
+  policy_value{ "most_parts",
+                &policy::mMostParts,
+                { 1, 64, "engines" },
+                "Most engines that one long prompt is cut over, unless its "
+                "memory needs more." },
+  policy_value{ "long_patience",
+                &policy::mLongPatience,
+                { 0, 100, "part of reading time" },
+                "Long prompts are packed on few engines and move on to one "
+                "more when they would wait longer than this part of their own "
+                "reading time; 0: not packed." },
+  policy_value{ "long_queue_wait_s",
+                &policy::mLongQueueWaitSeconds,
+                { 0.01, 86400, "seconds" },
+                "The longest wait of a long prompt in one agent's queue before "
+                "others are tried." },
+  policy_value{ "long_attempts",
+                &policy::mLongAttempts,
+                { 1, 1000, "attempts" },
+                "Placements tried for a long prompt at the most." },
   policy_value{
     "short_protection",
     &policy::mShortProtection,
--- a/Libraries/LibSettings/Policy.h
+++ b/Libraries/LibSettings/Policy.h
@@ -26,10 +26,14 @@
   double mProbes = 4;
   double mProbeTimeoutSeconds = 0.25;
   double mQueueWaitSeconds = 2;
-  double mLongMemoryPart = 0.75;
+  double mLongMemoryPart = 0.9;
   double mLongTokensAtOnce = 400000;
   double mLongSpread = 1;
-  double mLongPartTokens = 128000;
+  double mLongPartTokens = 64000;
+  double mMostParts = 8;
+  double mLongPatience = 0;
+  double mLongQueueWaitSeconds = 5;
+  double mLongAttempts = 20;
   double mShortProtection = 1;
   double mAgeingSeconds = 20;
   double mLeaseSeconds = 10;
--- a/Services/Entry/CompletionRun.cpp
+++ b/Services/Entry/CompletionRun.cpp
@@ -128,7 +128,8 @@
 completion_run::TakePlacement(placement aPlacement)
 {
   if (aPlacement.mPlaces.empty()) {
-    return RetryOr(aPlacement.mWhy, aPlacement.mMayRetry);
+    return RetryOr(
+      aPlacement.mWhy, aPlacement.mMayRetry, aPlacement.mIsFailure);
   }
   mPlaces = kj::mv(aPlacement.mPlaces);
   mMembers.clear();
@@ -155,15 +156,25 @@
     });
 }
 
+unsigned
+completion_run::MostAttempts() const
+{
+  const policy& rules = mRequest.mHead.mPolicy;
+  return static_cast<unsigned>(mRequest.mShape.mLong ? rules.mLongAttempts
+                                                     : rules.mAttempts);
+}
+
 kj::Promise<void>
-completion_run::RetryOr(failure aWhy, bool aMayRetry)
+completion_run::RetryOr(failure aWhy, bool aMayRetry, bool aIsFailure)
 {
   mLeases = nullptr;
   mPlaces.clear();
   const policy& rules = mRequest.mHead.mPolicy;
+  // Having found no room has its own pace, the waits in the agents' queues;
+  // the budget is for failures, which could come back at once and in masses.
   const bool canRetry = aMayRetry && mDelivered == 0 &&
-                        mAttempts < static_cast<unsigned>(rules.mAttempts) &&
-                        SpendRetry(mBoard.mRetries);
+                        mAttempts < MostAttempts() &&
+                        (!aIsFailure || SpendRetry(mBoard.mRetries));
   aWhy.mRan = mRan;
   if (!canRetry) {
     FinishWith(std::move(aWhy));
@@ -267,7 +278,7 @@
   if (mDelivered > 0) {
     aProblem->mKind = error_kind::StreamBroken;
   }
-  return RetryOr(std::move(*aProblem), true);
+  return RetryOr(std::move(*aProblem), true, true);
 }
 
 /// The agent's word that the answer is complete can overtake its last chunks,
--- a/Services/Entry/CompletionRun.h
+++ b/Services/Entry/CompletionRun.h
@@ -32,7 +32,8 @@
 private:
   kj::Promise<void> Attempt();
   kj::Promise<void> TakePlacement(placement aPlacement);
-  kj::Promise<void> RetryOr(failure aWhy, bool aMayRetry);
+  kj::Promise<void> RetryOr(failure aWhy, bool aMayRetry, bool aIsFailure);
+  unsigned MostAttempts() const;
   kj::Promise<void> StartMembers();
   kj::Promise<void> StartLead();
   kj::Promise<void> TakeEnding(std::optional<failure> aProblem,
--- a/Services/Entry/Placer.cpp
+++ b/Services/Entry/Placer.cpp
@@ -11,9 +11,6 @@
 
 /// A group asks more agents than it needs, since some will be full.
 constexpr std::size_t kProbesPerMember = 3;
-/// A long prompt waits in the queue of its engine for up to this part of its
-/// remaining time: moving it would only put it behind others again.
-constexpr int kLongWaitDivisor = 2;
 constexpr double kRetryAfterSeconds = 1;
 
 } // namespace
@@ -73,6 +70,7 @@
                                                shape,
                                                state->mRules,
                                                mBoard.mFronts[shape.mModel],
+                                               state->mGroup,
                                                mBoard.mRandom)) {
     probes.add(ProbeOne(state, index));
   }
@@ -147,9 +145,14 @@
              shape,
              state.mRules,
              state.mEngine,
+             state.mGroup,
              state.mNames.size());
-  state.mRanked =
-    RankCandidates(state.mCandidates, shape, state.mRules, state.mEngine);
+  state.mRanked = RankCandidates(
+    state.mCandidates,
+    shape,
+    state.mRules,
+    state.mEngine,
+    PacksLong(state.mRules, mBoard.mFronts[shape.mModel], state.mNames.size()));
   RecordSearch(state);
   if (state.mRanked.size() < state.mGroup) {
     return GiveReason(state);
@@ -244,10 +247,11 @@
   return link->Get()
     .then([this, head, shape, attempt, aRole](wire::Agent::Client aAgent) {
       const duration remaining = head.mDeadline - mClock.Now();
+      const policy& rules = head.mPolicy;
       const duration wait =
-        shape.mLong
-          ? remaining / kLongWaitDivisor
-          : std::min(remaining, FromSeconds(head.mPolicy.mQueueWaitSeconds));
+        std::min(remaining,
+                 FromSeconds(shape.mLong ? rules.mLongQueueWaitSeconds
+                                         : rules.mQueueWaitSeconds));
       auto request = aAgent.reserveRequest();
       wire::Reservation::Builder asked = request.initReservation();
       asked.setRequest(head.mId);
@@ -311,6 +315,7 @@
     return none;
   }
   const bool silentOnly = aSearch.mRefusals.empty();
+  none.mIsFailure = silentOnly;
   none.mWhy.mKind =
     silentOnly ? error_kind::EndpointFailed : error_kind::Overloaded;
   none.mWhy.mMessage = fmt::format("{} endpoints refused, {} did not answer",
--- a/Services/Entry/Placer.h
+++ b/Services/Entry/Placer.h
@@ -29,6 +29,8 @@
   failure mWhy;
   /// True if trying again elsewhere or later may help.
   bool mMayRetry = false;
+  /// Agents failed, rather than had no room: trying again costs of the budget.
+  bool mIsFailure = true;
 };
 
 class placer
--- a/Utilities/Bench/Experiment.cpp
+++ b/Utilities/Bench/Experiment.cpp
@@ -52,12 +52,13 @@
   own.mRules = RulesOf(aValues);
   own.mLimits = LimitsOf(aValues);
   own.mAttempts = static_cast<unsigned>(aValues.mAttempts);
+  own.mLongAttempts = static_cast<unsigned>(aValues.mLongAttempts);
   // Our policy with one part taken out, to see what the part is worth.
   if (aName == "primrose") {
     return own;
   }
   if (aName == "primrose-no-packing") {
-    own.mRules.mPackLong = false;
+    own.mRules.mFrontSlack = 0;
     return own;
   }
   if (aName == "primrose-no-priorities") {
@@ -355,6 +356,7 @@
   const policy values = tree.Resolve({});
   read.mLongPrompt = static_cast<tokens>(values.mLongPromptTokens);
   read.mWorld.mQueueWaitSeconds = values.mQueueWaitSeconds;
+  read.mWorld.mLongQueueWaitSeconds = values.mLongQueueWaitSeconds;
   for (const std::string& name : policies) {
     BOOST_LEAF_ASSIGN(bench_policy one, PolicyNamed(name, values));
     read.mPolicies.push_back(std::move(one));
--- a/Utilities/Bench/World.cpp
+++ b/Utilities/Bench/World.cpp
@@ -300,6 +300,7 @@
                   aFlight.mArrival->mShape,
                   rules,
                   mMemories[aFlight.mEntry],
+                  aFlight.mGroup,
                   mRandom);
   mResult.mProbes += asked.size();
   At(mNow + mSettings.mOneWay, [this, index = aFlight.mIndex, asked]() {
@@ -328,9 +329,14 @@
              shape,
              mPolicy.mRules,
              mSettings.mEngine,
+             aFlight.mGroup,
              mNames.size());
-  aFlight.mRanked =
-    RankCandidates(candidates, shape, mPolicy.mRules, mSettings.mEngine);
+  aFlight.mRanked = RankCandidates(
+    candidates,
+    shape,
+    mPolicy.mRules,
+    mSettings.mEngine,
+    PacksLong(mPolicy.mRules, mMemories[aFlight.mEntry], mNames.size()));
   if (aFlight.mRanked.size() < aFlight.mGroup) {
     Refused(aFlight, refusal::NoRoom);
     return;
@@ -378,10 +384,9 @@
   asked.mRole = role;
   asked.mDeadline = own.mDeadline;
   const duration remaining = own.mDeadline - mNow;
-  asked.mWaitUntil =
-    mNow + (asked.mShape.mLong
-              ? remaining / 2
-              : std::min(remaining, FromSeconds(mSettings.mQueueWaitSeconds)));
+  const double wait = asked.mShape.mLong ? mSettings.mLongQueueWaitSeconds
+                                         : mSettings.mQueueWaitSeconds;
+  asked.mWaitUntil = mNow + std::min(remaining, FromSeconds(wait));
   asked.mLease = std::chrono::hours(1);
   asked.mWeight = mMix.mOrganisations[own.mOrganisation].mShareWeight;
   if (mPolicy.mPlacement != placement_kind::Probing) {
@@ -411,8 +416,9 @@
 world::Refused(flight& aFlight, refusal aWhy)
 {
   ReleaseAll(aFlight);
-  const bool again =
-    aWhy != refusal::TooLate && aFlight.mAttempts < mPolicy.mAttempts;
+  const unsigned attempts =
+    aFlight.mArrival->mShape.mLong ? mPolicy.mLongAttempts : mPolicy.mAttempts;
+  const bool again = aWhy != refusal::TooLate && aFlight.mAttempts < attempts;
   if (!again) {
     End(aFlight, request_end::Refused);
     return;
--- a/Utilities/Bench/World.h
+++ b/Utilities/Bench/World.h
@@ -33,6 +33,7 @@
   placement_rules mRules;
   agent_limits mLimits;
   unsigned mAttempts = 4;
+  unsigned mLongAttempts = 20;
   bool mEnginePriorities = true;
 
   bool operator==(const bench_policy&) const = default;
@@ -45,8 +46,9 @@
   std::size_t mEntries = 4;
   duration mOneWay = std::chrono::microseconds(1500);
   duration mReportLag = std::chrono::milliseconds(500);
-  double mLostProbes = 0;       ///< Part of the probes that get no answer.
-  double mQueueWaitSeconds = 2; ///< Of a short request at one agent.
+  double mLostProbes = 0;           ///< Part of the probes that get no answer.
+  double mQueueWaitSeconds = 2;     ///< Of a short request at one agent.
+  double mLongQueueWaitSeconds = 5; ///< Of a long one.
   /// Engines that die at half the time, to come back empty after 60 s.
   std::size_t mDeaths = 0;
   bool operator==(const world_settings&) const = default;
