--- a/Libraries/LibCore/Text.cpp
+++ b/Libraries/LibCore/Text.cpp
@@ -32,7 +32,8 @@
 NearestWord(std::string_view aWord, const std::vector<std::string>& aKnown)
 {
   constexpr std::size_t kLengthPerEdit = 3;
-  std::size_t best = aWord.size() / kLengthPerEdit + 1;
+  // Two letters that changed places are two edits.
+  std::size_t best = aWord.size() / kLengthPerEdit + 2;
   std::optional<std::string> nearest;
   for (const std::string& known : aKnown) {
     const std::size_t distance = EditDistance(aWord, known);
--- a/Libraries/LibSettings/NodeSettings.cpp
+++ b/Libraries/LibSettings/NodeSettings.cpp
@@ -18,8 +18,8 @@
 void
 ReadAgentPart(object_reader& aReader, node_settings& aSettings)
 {
-  aSettings.mRpc = aReader.RequiredText("rpc");
-  aSettings.mEndpoint = aReader.RequiredText("endpoint");
+  aSettings.mRpc = aReader.RequiredAddress("rpc");
+  aSettings.mEndpoint = aReader.RequiredAddress("endpoint");
   aSettings.mServes = aReader.RequiredText("serves");
   const std::string kind = aReader.RequiredText("endpoint_kind");
   aSettings.mIsEngine = kind == "engine";
@@ -41,14 +41,14 @@
   object_reader reader(&document, "", problems);
   node_settings settings;
   settings.mName = reader.RequiredText("name");
-  settings.mHttp = reader.RequiredText("http");
+  settings.mHttp = reader.RequiredAddress("http");
   settings.mTree = RelativeTo(aFile, reader.RequiredText("tree"));
   settings.mAddressFile =
     RelativeTo(aFile, reader.Text("address_file").value_or(""));
   if (aRole != node_role::StandIn) {
     settings.mRegion = reader.RequiredText("region");
     settings.mDataCentre = reader.RequiredText("data_centre");
-    settings.mPlatform = reader.RequiredText("platform");
+    settings.mPlatform = reader.RequiredAddress("platform");
     settings.mRpcKey = reader.RequiredText("rpc_key");
     settings.mOperatorKeyHash = reader.RequiredText("operator_key_sha256");
   }
--- a/Libraries/LibSettings/ObjectReader.cpp
+++ b/Libraries/LibSettings/ObjectReader.cpp
@@ -171,6 +171,22 @@
   return text.value_or("");
 }
 
+std::string
+object_reader::RequiredAddress(const std::string& aKey)
+{
+  const std::size_t problems = mProblems.size();
+  std::string text = RequiredText(aKey);
+  if (mProblems.size() > problems) {
+    return text;
+  }
+  const outcome<ip_address> parsed =
+    Capture<ip_address>([&text]() { return ParseAddress(text); });
+  if (!parsed) {
+    Report(aKey, parsed.mFailure.mMessage);
+  }
+  return text;
+}
+
 void
 object_reader::Finish()
 {
--- a/Libraries/LibSettings/ObjectReader.h
+++ b/Libraries/LibSettings/ObjectReader.h
@@ -51,6 +51,8 @@
   /// The child object, or null; a child that is no object is a problem.
   const json* Object(const std::string& aKey);
   std::string RequiredText(const std::string& aKey);
+  /// A text that is an IP number and a port.
+  std::string RequiredAddress(const std::string& aKey);
 
   /// Takes note of a key that its caller reads by itself.
   void Expect(const std::string& aKey) { mKnown.push_back(aKey); }
--- a/Meta/primrosewind.sh
+++ b/Meta/primrosewind.sh
@@ -30,7 +30,10 @@
   format                   format the sources
   compare                  time to the first token through the entry against
                            the engine itself, as a ratio
-  bench [ARGUMENTS]        load and policy experiments in virtual time
+  bench [EXPERIMENT]       load and policy experiments in virtual time with a
+                           plot, from Experiments/ (default: hanbit), into
+                           Build/report
+  fuzz [--seconds N]       the property tests with fresh seeds (default: 60)
   help                     this text
 TEXT
 }
@@ -262,6 +265,32 @@
     --compare "$(member http "$run/engine-1.address")"
 }
 
+bench() {
+  local name=${1:-hanbit} report="$build/report"
+  "$bin/primrose-bench" --settings "$root/Experiments/$name.json" \
+    --output "$report"
+  (cd "$report" && gnuplot "$name.gp")
+  echo "Table, data and plot: ${report#"$root"/}/$name.{txt,jsonl,dat,png}"
+}
+
+fuzz() {
+  local seconds=60 end rounds=0 histories=1000 seed
+  if [ "${1:-}" = --seconds ]; then seconds=${2:?seconds}; fi
+  end=$((SECONDS + seconds))
+  while [ $SECONDS -lt $end ]; do
+    seed=$((RANDOM * 32768 + RANDOM))
+    if ! RC_PARAMS="seed=$seed max_success=$histories" \
+      "$bin/primrose-tests" claims decision parser settings \
+      >"$build/fuzz.log" 2>&1; then
+      cat "$build/fuzz.log"
+      echo "failed with RC_PARAMS=\"seed=$seed max_success=$histories\"" >&2
+      exit 1
+    fi
+    rounds=$((rounds + 1))
+  done
+  echo "$rounds rounds of $histories histories for each property, no failure"
+}
+
 command=${1:-help}
 [ $# -eq 0 ] || shift
 mkdir -p "$build"
@@ -276,7 +305,8 @@
 lint) install_packages; build_all; lint ;;
 format) cd "$root" && sources | xargs clang-format -i ;;
 compare) install_packages; build_all; compare ;;
-bench) install_packages; build_all; "$bin/primrose-bench" "$@" ;;
+bench) install_packages; build_all; bench "$@" ;;
+fuzz) install_packages; build_all; fuzz "$@" ;;
 help | --help) usage ;;
 *)
   echo "unknown command \"$command\"" >&2
--- /dev/null
+++ b/Tests/Unit/CoreTest.cpp
@@ -0,0 +1,90 @@
+#include "LibCore/LibCore.h"
+#include "LibObserve/LibObserve.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace primrose;
+
+class core_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(core_test);
+  CPPUNIT_TEST(TableStandsInOrder);
+  CPPUNIT_TEST(NamesAreUnique);
+  CPPUNIT_TEST(OwnerOfRequest);
+  CPPUNIT_TEST(NearestWordOnlyWhenNear);
+  CPPUNIT_TEST(NumbersUseTheWholeText);
+  CPPUNIT_TEST(LogValuesCannotForgeALine);
+  CPPUNIT_TEST(RendezvousMovesOnlyTheLostNodesKeys);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  static constexpr int kKinds = static_cast<int>(error_kind::Internal) + 1;
+
+  void TableStandsInOrder()
+  {
+    for (int i = 0; i < kKinds; ++i) {
+      const error_kind kind = static_cast<error_kind>(i);
+      CPPUNIT_ASSERT(AnswerFor(kind).mKind == kind);
+    }
+  }
+
+  void NamesAreUnique()
+  {
+    for (int i = 0; i < kKinds; ++i) {
+      const error_kind kind = static_cast<error_kind>(i);
+      CPPUNIT_ASSERT(KindNamed(AnswerFor(kind).mName) == kind);
+    }
+  }
+
+  void OwnerOfRequest()
+  {
+    id_maker ids("entry-7.mapo", 0xabcdef);
+    CPPUNIT_ASSERT_EQUAL(std::string("entry-7.mapo"),
+                         std::string(OwnerOf(ids.Next())));
+    CPPUNIT_ASSERT(OwnerOf("nonsense").empty());
+    CPPUNIT_ASSERT(OwnerOf(".1").empty());
+  }
+
+  void NearestWordOnlyWhenNear()
+  {
+    const std::vector<std::string> known = { "probes", "priority" };
+    CPPUNIT_ASSERT_EQUAL(std::string("probes"),
+                         NearestWord("porbes", known).value_or(""));
+    CPPUNIT_ASSERT(!NearestWord("quarterly", known));
+  }
+
+  void NumbersUseTheWholeText()
+  {
+    CPPUNIT_ASSERT_EQUAL(1.5, ParseNumber("1.5").value_or(0));
+    for (const char* const wrong : { "", "1s", " 1", "nan", "inf", "1e999" }) {
+      CPPUNIT_ASSERT_MESSAGE(wrong, !ParseNumber(wrong));
+    }
+  }
+
+  void LogValuesCannotForgeALine()
+  {
+    CPPUNIT_ASSERT_EQUAL(std::string("plain"), QuoteLogValue("plain"));
+    CPPUNIT_ASSERT_EQUAL(std::string("\"a\\x0aevent=b\""),
+                         QuoteLogValue("a\nevent=b"));
+  }
+
+  void RendezvousMovesOnlyTheLostNodesKeys()
+  {
+    const std::vector<std::string> nodes = { "a", "b", "c", "d" };
+    const auto home = [&](const std::string& aKey, std::size_t aCount) {
+      std::size_t best = 0;
+      for (std::size_t i = 1; i < aCount; ++i) {
+        const bool better = RendezvousWeight(aKey, nodes[i]) >
+                            RendezvousWeight(aKey, nodes[best]);
+        best = better ? i : best;
+      }
+      return best;
+    };
+    for (int i = 0; i < 200; ++i) {
+      const std::string key = std::to_string(i);
+      const std::size_t before = home(key, 4);
+      CPPUNIT_ASSERT(before == 3 || home(key, 3) == before);
+    }
+  }
+};
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(core_test, "core");
--- a/Utilities/Bench/World.cpp
+++ b/Utilities/Bench/World.cpp
@@ -68,6 +68,9 @@
 
 private:
   void At(time_point aTime, std::function<void()> aAct);
+  void Later(const flight& aFlight,
+             duration aDelay,
+             void (world::*aStep)(flight&));
   void Arrive(std::size_t aIndex);
   void Place(flight& aFlight);
   void PlaceByReport(flight& aFlight);
@@ -151,6 +154,22 @@
   mQueue.push({ aTime, mOrder++, std::move(aAct) });
 }
 
+/// A step of an attempt, after a delay; dropped if the flight has been placed
+/// anew meanwhile, as a message to an attempt that was given up would be.
+void
+world::Later(const flight& aFlight,
+             duration aDelay,
+             void (world::*aStep)(flight&))
+{
+  const std::size_t index = aFlight.mIndex;
+  const unsigned attempt = aFlight.mAttempts;
+  At(mNow + aDelay, [this, index, attempt, aStep]() {
+    if (mFlights[index].mAttempts == attempt) {
+      (this->*aStep)(mFlights[index]);
+    }
+  });
+}
+
 world_result
 world::Run()
 {
@@ -282,8 +301,7 @@
   for (const std::size_t one : chosen) {
     aFlight.mRanked.push_back({ one, 0 });
   }
-  At(mNow + mSettings.mOneWay,
-     [this, index = aFlight.mIndex]() { ReserveNext(mFlights[index]); });
+  Later(aFlight, mSettings.mOneWay, &world::ReserveNext);
 }
 
 void
@@ -303,9 +321,13 @@
                   aFlight.mGroup,
                   mRandom);
   mResult.mProbes += asked.size();
-  At(mNow + mSettings.mOneWay, [this, index = aFlight.mIndex, asked]() {
-    TakeAnswers(mFlights[index], asked);
-  });
+  const unsigned attempt = aFlight.mAttempts;
+  At(mNow + mSettings.mOneWay,
+     [this, index = aFlight.mIndex, attempt, asked]() {
+       if (mFlights[index].mAttempts == attempt) {
+         TakeAnswers(mFlights[index], asked);
+       }
+     });
 }
 
 void
@@ -351,8 +373,7 @@
       });
   }
   // The answers' way back and the reservation's way there.
-  At(mNow + 2 * mSettings.mOneWay,
-     [this, index = aFlight.mIndex]() { ReserveNext(mFlights[index]); });
+  Later(aFlight, 2 * mSettings.mOneWay, &world::ReserveNext);
 }
 
 void
@@ -401,8 +422,7 @@
       Refused(aFlight, answer);
       return;
     }
-    At(mNow + 2 * mSettings.mOneWay,
-       [this, index = aFlight.mIndex]() { ReserveNext(mFlights[index]); });
+    Later(aFlight, 2 * mSettings.mOneWay, &world::ReserveNext);
     return;
   }
   aFlight.mSites.push_back(aSite);
@@ -425,8 +445,7 @@
   }
   const duration pause =
     RetryPause(aFlight.mAttempts, std::chrono::milliseconds(50), mRandom);
-  At(mNow + pause,
-     [this, index = aFlight.mIndex]() { Place(mFlights[index]); });
+  Later(aFlight, pause, &world::Place);
 }
 
 void
@@ -442,12 +461,10 @@
 {
   ++aFlight.mGranted;
   if (aFlight.mGranted < aFlight.mGroup) {
-    At(mNow + 2 * mSettings.mOneWay,
-       [this, index = aFlight.mIndex]() { ReserveNext(mFlights[index]); });
+    Later(aFlight, 2 * mSettings.mOneWay, &world::ReserveNext);
     return;
   }
-  At(mNow + 2 * mSettings.mOneWay,
-     [this, index = aFlight.mIndex]() { SubmitAll(mFlights[index]); });
+  Later(aFlight, 2 * mSettings.mOneWay, &world::SubmitAll);
 }
 
 void
--- a/Utilities/StandIn/Main.cpp
+++ b/Utilities/StandIn/Main.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr std::size_t kLargestBody = std::size_t{ 64 } * 1024 * 1024;
-constexpr duration kListLag = std::chrono::seconds(2);
+constexpr std::int64_t kListLagMs = 2000;
 
 class stand_in
 {
@@ -72,10 +72,11 @@
 result<std::unique_ptr<face>>
 MakeFace(const std::string& aKind,
          const node_settings& aSettings,
+         duration aListLag,
          const clock_source& aClock)
 {
   if (aKind == "platform") {
-    return MakePlatformFace(aClock, kListLag);
+    return MakePlatformFace(aClock, aListLag);
   }
   if (aKind == "service") {
     return MakeServiceFace();
@@ -101,10 +102,12 @@
     node_settings const settings,
     LoadNodeSettings(aOptions.mSettingsFile, node_role::StandIn));
   const std::string kind = aOptions.mValues["face"].as<std::string>();
+  const duration listLag = std::chrono::milliseconds(
+    aOptions.mValues["list-lag-ms"].as<std::int64_t>());
   const system_clock_source clock;
   main_loop loop;
   BOOST_LEAF_ASSIGN(std::unique_ptr<face> made,
-                    MakeFace(kind, settings, clock));
+                    MakeFace(kind, settings, listLag, clock));
   BOOST_LEAF_ASSIGN(ip_address const address, ParseAddress(settings.mHttp));
   if (aOptions.mCheck) {
     std::cout << aOptions.mSettingsFile << ": good\n";
@@ -141,6 +144,10 @@
     "face",
     boost::program_options::value<std::string>()->default_value("engine"),
     "engine, service or platform");
+  program.mExtra.add_options()(
+    "list-lag-ms",
+    boost::program_options::value<std::int64_t>()->default_value(kListLagMs),
+    "platform: how late a change shows in the list of VMs");
   common_options options;
   const std::optional<int> end = ReadCommandLine(argc, argv, program, options);
   if (end) {
