The hang-up test sees that hang-ups are noticed

Cause: with the watch on callers' connections switched off the test stayed green: chunks that were written failed by themselves, and a whole answer ended before the test gave up. Change: a whole answer too, and both must be counted.

--- a/Tests/EndToEnd/FleetTest.cpp
+++ b/Tests/EndToEnd/FleetTest.cpp
@@ -221,22 +221,31 @@
   }
 
   /// Symptom: engines work for callers that have gone.
-  /// Sequence: a caller hangs up in mid-answer, or while it waits.
+  /// Sequence: a caller hangs up in mid-answer, or while it waits for a whole
+  /// answer, when nothing is written to it that could fail.
   /// Cause: nobody looks at the caller's connection.
   void HangupFreesTheEngine()
   {
     fleet all(Loop(), { 1, 0, 1 });
-    {
-      kj::Promise<http_response> dropped = all.Http().Send(
-        all.Completion(1, PromptOf(1000, "hangup"), 5000, true));
-      kj::Promise<void> held = dropped.ignoreResult().eagerlyEvaluate(nullptr);
-      all.Until("the engine works",
-                [&]() { return UsedByEngine(all, "engine-1") > 0; });
+    for (const bool streamed : { true, false }) {
+      {
+        kj::Promise<void> held =
+          all.Http()
+            .Send(all.Completion(1, PromptOf(1000, "hangup"), 5000, streamed))
+            .ignoreResult()
+            .eagerlyEvaluate(nullptr);
+        all.Until("the engine works",
+                  [&]() { return UsedByEngine(all, "engine-1") > 0; });
+      }
+      all.Until("the engine is free",
+                [&]() { return UsedByEngine(all, "engine-1") == 0; });
+      all.Until("the agent's ledger is empty",
+                [&]() { return UsedByAgent(all, "agent-1") == 0; });
     }
-    all.Until("the engine is free",
-              [&]() { return UsedByEngine(all, "engine-1") == 0; });
-    all.Until("the agent's ledger is empty",
-              [&]() { return UsedByAgent(all, "agent-1") == 0; });
+    // Both were noticed, not just waited for to end by themselves.
+    const std::string metrics = all.Get("entry-1", "/metrics").mBody;
+    CPPUNIT_ASSERT(metrics.find("primrose_hangups_total 2\n") !=
+                   std::string::npos);
   }
 
   void DeadlineFreesTheEngine()
