Retries pass over the endpoint that failed; a refused connection marks the engine down

Cause: a retry could go to the dead engine again and again, its agent noticing only after three looks (1.5 s); all attempts were used up by then (one run of four of the test failed). Change: attempts of a request avoid endpoints under which one failed; an agent that cannot connect refuses until a look succeeds.

--- a/Services/Agent/AgentService.cpp
+++ b/Services/Agent/AgentService.cpp
@@ -285,6 +285,12 @@
       if (aEnd.mComplete || aEnd.mRan == ran_state::No) {
         mGiven.erase(aAttempt);
       }
+      if (aEnd.mUnreachable && mBoard.mEngineUp) {
+        // Refused until a look succeeds: the regular looks would notice only
+        // after a second and a half, and every request until then would fail.
+        mBoard.mEngineUp = false;
+        Log(log_level::Error, "engine_down", { { "attempt", aAttempt } });
+      }
       return aEnd;
     })
     .exclusiveJoin(kj::mv(abort.promise))
--- a/Services/Agent/EngineLink.cpp
+++ b/Services/Agent/EngineLink.cpp
@@ -68,6 +68,7 @@
       [](kj::Exception&& aException) -> kj::Promise<stream_end> {
         stream_end end;
         end.mRan = ran_state::Unknown;
+        end.mUnreachable = true;
         end.mProblem = aException.getDescription().cStr();
         return end;
       });
--- a/Services/Agent/EngineLink.h
+++ b/Services/Agent/EngineLink.h
@@ -39,6 +39,7 @@
   std::uint64_t mChunks = 0;
   ran_state mRan = ran_state::No;
   std::string mProblem;
+  bool mUnreachable = false; ///< No connection to the engine was made.
 
   bool operator==(const stream_end&) const = default;
 };
--- a/Services/Entry/CompletionRun.cpp
+++ b/Services/Entry/CompletionRun.cpp
@@ -120,8 +120,9 @@
 completion_run::Attempt()
 {
   ++mAttempts;
-  return mPlacer.Place(mRequest).then(
-    [this](placement aPlacement) { return TakePlacement(kj::mv(aPlacement)); });
+  return mPlacer.Place(mRequest, mFailed).then([this](placement aPlacement) {
+    return TakePlacement(kj::mv(aPlacement));
+  });
 }
 
 kj::Promise<void>
@@ -275,6 +276,9 @@
         { "attempt", mCursor.mAttempt },
         { "endpoint", mPlaces.front().mEndpoint },
         { "why", aProblem->mMessage } });
+  for (const place& one : mPlaces) {
+    mFailed.insert(one.mEndpoint);
+  }
   if (mDelivered > 0) {
     aProblem->mKind = error_kind::StreamBroken;
   }
--- a/Services/Entry/CompletionRun.h
+++ b/Services/Entry/CompletionRun.h
@@ -54,6 +54,7 @@
   time_point mStarted;
   std::vector<place> mPlaces;
   std::vector<std::string> mMembers;
+  std::set<std::string> mFailed; ///< Endpoints under which attempts failed.
   stream_cursor mCursor;
   std::string mText;
   std::uint64_t mDelivered = 0; ///< Chunks passed on to a streaming caller.
--- a/Services/Entry/Placer.cpp
+++ b/Services/Entry/Placer.cpp
@@ -3,6 +3,7 @@
 #include "LibWire/LibWire.h"
 
 #include <algorithm>
+#include <functional>
 #include <spdlog/fmt/fmt.h>
 
 namespace primrose::entry {
@@ -42,7 +43,8 @@
 }
 
 kj::Promise<placement>
-placer::Place(const completion_request& aRequest)
+placer::Place(const completion_request& aRequest,
+              const std::set<std::string>& aFailed)
 {
   std::shared_ptr<search> state = std::make_shared<search>();
   const work_shape& shape = aRequest.mShape;
@@ -58,9 +60,18 @@
        Usable(mBoard.mDirectory, shape.mModel, mClock.Now())) {
     state->mNames.push_back(view->mListed.mName);
   }
+  const auto failed = [&](const std::string& aName) {
+    return aFailed.contains(aName);
+  };
+  const std::size_t others = static_cast<std::size_t>(std::count_if(
+    state->mNames.begin(), state->mNames.end(), std::not_fn(failed)));
+  const std::size_t wanted =
+    GroupSize(shape, state->mRules, state->mEngine.mCapacity);
+  if (others >= std::min(wanted, state->mNames.size()) && others > 0) {
+    std::erase_if(state->mNames, failed);
+  }
   state->mGroup =
-    std::min(GroupSize(shape, state->mRules, state->mEngine.mCapacity),
-             std::max<std::size_t>(1, state->mNames.size()));
+    std::min(wanted, std::max<std::size_t>(1, state->mNames.size()));
   if (state->mGroup > 1) {
     state->mRules.mProbes = static_cast<unsigned>(std::max<std::size_t>(
       state->mRules.mProbes, kProbesPerMember * state->mGroup));
--- a/Services/Entry/Placer.h
+++ b/Services/Entry/Placer.h
@@ -7,6 +7,7 @@
 #include "RequestParser.h"
 
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace primrose::entry {
@@ -42,7 +43,11 @@
          id_maker& aIds);
 
   /// One try at placing. Never fails; the answer says why there is no place.
-  kj::Promise<placement> Place(const completion_request& aRequest);
+  /// Endpoints under which an attempt of this request failed are passed over
+  /// as long as there are enough others: their agents may not have noticed
+  /// yet that the engine is down.
+  kj::Promise<placement> Place(const completion_request& aRequest,
+                               const std::set<std::string>& aFailed);
 
 private:
   struct search;
--- a/Tests/EndToEnd/FleetTest.cpp
+++ b/Tests/EndToEnd/FleetTest.cpp
@@ -263,7 +263,8 @@
 
   /// Symptom: a request fails although other engines are well.
   /// Sequence: the engine dies under it before the caller got anything.
-  /// Cause: no retry where one is safe.
+  /// Cause: no retry where one is safe; or retries that all go to the dead
+  /// engine, whose agent has not noticed yet (seen in one run of four).
   void DeadEngineIsRetriedElsewhere()
   {
     fleet all(Loop(), { 2, 0, 1 });
