--- a/Tests/EndToEnd/Fleet.cpp
+++ b/Tests/EndToEnd/Fleet.cpp
@@ -71,8 +71,8 @@
     WriteSettings(name, NodeSettings(name));
     Start(name, { "primrose-entry" });
   }
-  const std::size_t agents =
-    static_cast<std::size_t>(aSize.mEngines + aSize.mServices);
+  const std::size_t agents = static_cast<std::size_t>(aSize.mEngines) +
+                             static_cast<std::size_t>(aSize.mServices);
   for (int i = 1; i <= aSize.mEntries; ++i) {
     const std::string name = fmt::format("entry-{}", i);
     Until("the entry knows all endpoints", [&]() {
@@ -161,6 +161,7 @@
   aCommand.insert(aCommand.end(),
                   { "--settings", mFolder + "/" + aName + ".json" });
   std::vector<const char*> words;
+  words.reserve(aCommand.size() + 1);
   for (const std::string& word : aCommand) {
     words.push_back(word.c_str());
   }
--- a/Utilities/Load/Main.cpp
+++ b/Utilities/Load/Main.cpp
@@ -144,10 +144,15 @@
   }
   const system_clock_source clock;
   main_loop loop;
-  load_run run(clock, plan);
   if (aOptions.mValues.count("compare") != 0) {
+    // One token: a longer answer would still be written, and slow its engine,
+    // when the next request comes.
+    load_plan one = plan;
+    one.mOutputTokens = 1;
+    load_run run(clock, one);
     return Compare(run, loop, aOptions.mValues["compare"].as<std::string>());
   }
+  load_run run(clock, plan);
   return RunLoad(run, loop, PlanRequests(plan).size());
 }
 
