One way to run a program, to read a bearer key, to note a failed request

Cause: duplicates named the five programs' ends of main, two lingering exits, three readings of Authorization and two endings with a failure. Change: one function each (RunProgram, QuitSoon, BearerKey, NoteFailed); the failure's log line now names the organisation and service in both.

--- a/Libraries/LibDaemon/CommandLine.cpp
+++ b/Libraries/LibDaemon/CommandLine.cpp
@@ -82,4 +82,20 @@
   return isUsage ? kExitUsage : kExitFailed;
 }
 
+int
+RunProgram(int aCount,
+           const char* const* aArguments,
+           const program_description& aProgram,
+           result<int> (*aStart)(const common_options&))
+{
+  common_options options;
+  const std::optional<int> end =
+    ReadCommandLine(aCount, aArguments, aProgram, options);
+  if (end) {
+    return *end;
+  }
+  const outcome<int> ran = Capture<int>([&]() { return aStart(options); });
+  return ran ? *ran.mValue : ReportFailure(aProgram.mName, ran.mFailure);
+}
+
 } // namespace primrose
--- a/Libraries/LibDaemon/CommandLine.h
+++ b/Libraries/LibDaemon/CommandLine.h
@@ -47,4 +47,12 @@
 int
 ReportFailure(const std::string& aProgram, const failure& aFailure);
 
+/// A whole program: reads the arguments, runs `aStart` with them and gives the
+/// exit code of `main`. A failure is printed as one line.
+int
+RunProgram(int aCount,
+           const char* const* aArguments,
+           const program_description& aProgram,
+           result<int> (*aStart)(const common_options&));
+
 } // namespace primrose
--- a/Libraries/LibDaemon/MainLoop.cpp
+++ b/Libraries/LibDaemon/MainLoop.cpp
@@ -39,6 +39,20 @@
   g_main_loop_quit(mLoop);
 }
 
+void
+main_loop::QuitSoon()
+{
+  constexpr guint kLingerMs = 500;
+  g_timeout_add(kLingerMs, &LingerOver, this);
+}
+
+int
+main_loop::LingerOver(void* aSelf)
+{
+  static_cast<main_loop*>(aSelf)->Quit(0);
+  return G_SOURCE_REMOVE;
+}
+
 void
 main_loop::OnTerminate(std::function<void()> aHandler)
 {
--- a/Libraries/LibDaemon/MainLoop.h
+++ b/Libraries/LibDaemon/MainLoop.h
@@ -19,12 +19,15 @@
   /// Runs until `Quit`; gives the exit code.
   int Run();
   void Quit(int aExitCode);
+  /// Ends well after a moment in which the last answers can leave.
+  void QuitSoon();
   /// Called at SIGTERM and SIGINT; the second signal quits at once.
   void OnTerminate(std::function<void()> aHandler);
   kj::WaitScope& Scope() { return mPort.Scope(); }
 
 private:
   static int Terminate(void* aSelf);
+  static int LingerOver(void* aSelf);
 
   glib_event_port mPort;
   GMainLoop* mLoop;
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -118,6 +118,15 @@
            soup_server_message_get_request_headers(mMessage), aName) != nullptr;
 }
 
+std::string
+http_exchange::BearerKey() const
+{
+  constexpr std::string_view kScheme = "Bearer ";
+  const std::string header = Header("Authorization");
+  return header.starts_with(kScheme) ? header.substr(kScheme.size())
+                                     : std::string();
+}
+
 std::string
 http_exchange::Body() const
 {
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -30,6 +30,8 @@
   std::string Header(const char* aName) const;
   bool HasHeader(const char* aName) const;
   std::string Body() const;
+  /// The key of `Authorization: Bearer KEY`, or empty.
+  std::string BearerKey() const;
 
   void SetHeader(const char* aName, const std::string& aValue);
   void Answer(unsigned aStatus,
--- a/Services/Agent/AgentService.cpp
+++ b/Services/Agent/AgentService.cpp
@@ -151,7 +151,7 @@
 bool
 agent_service::IsOperator(const std::string& aKey) const
 {
-  return KeyHash(aKey) == mSettings.mOperatorKeyHash;
+  return !aKey.empty() && KeyHash(aKey) == mSettings.mOperatorKeyHash;
 }
 
 probe_answer
--- a/Services/Agent/Main.cpp
+++ b/Services/Agent/Main.cpp
@@ -29,10 +29,7 @@
   } else if (path == "/status") {
     aExchange.Answer(200, kJsonType, aService.Status().dump());
   } else if (path == "/drain" && aExchange.Method() == "POST") {
-    constexpr std::string_view kScheme = "Bearer ";
-    const std::string header = aExchange.Header("Authorization");
-    const bool allowed = header.starts_with(kScheme) &&
-                         aService.IsOperator(header.substr(kScheme.size()));
+    const bool allowed = aService.IsOperator(aExchange.BearerKey());
     if (!allowed) {
       aExchange.AnswerFailure({ error_kind::Forbidden,
                                 "draining needs the operators' key",
@@ -64,17 +61,7 @@
   StartLog(settings.mName, aOptions.mLogLevel);
   const system_clock_source clock;
   main_loop loop;
-  agent_service service(clock, settings, tree, [&loop]() {
-    // The last answers are on their way out; they get a moment.
-    constexpr guint kLingerMs = 200;
-    g_timeout_add(
-      kLingerMs,
-      [](gpointer aLoop) -> gboolean {
-        static_cast<main_loop*>(aLoop)->Quit(kExitGood);
-        return G_SOURCE_REMOVE;
-      },
-      &loop);
-  });
+  agent_service service(clock, settings, tree, [&loop]() { loop.QuitSoon(); });
   BOOST_LEAF_ASSIGN(std::unique_ptr<rpc_server> const server,
                     rpc_server::Open(rpc, MakeGate(service)));
   BOOST_LEAF_ASSIGN(
@@ -108,11 +95,5 @@
   const program_description program{ "primrose-agent",
                                      PRIMROSE_VERSION,
                                      "the only way to one endpoint" };
-  common_options options;
-  const std::optional<int> end = ReadCommandLine(argc, argv, program, options);
-  if (end) {
-    return *end;
-  }
-  const outcome<int> ran = Capture<int>([&]() { return Start(options); });
-  return ran ? *ran.mValue : ReportFailure(program.mName, ran.mFailure);
+  return RunProgram(argc, argv, program, &Start);
 }
--- a/Services/Entry/CallRun.cpp
+++ b/Services/Entry/CallRun.cpp
@@ -214,23 +214,13 @@
     return;
   }
   mOver = true;
-  const std::string_view kind = AnswerFor(aWhy.mKind).mName;
-  mBoard.mMetrics.Count(Labelled("primrose_calls_total", "outcome", kind));
-  Record(
-    mBoard,
-    mClock,
-    mRequest.mHead.mId,
-    decision_kind::Finish,
-    fmt::format("{}: {} (ran: {})", kind, aWhy.mMessage, RanName(aWhy.mRan)),
-    mRequest.mHead.mPath,
-    { "time_limit_s", "attempts" });
-  Log(log_level::Warning,
-      "call_failed",
-      { { "request", mRequest.mHead.mId },
-        { "service", mRequest.mHead.mPath.mService },
-        { "kind", kind },
-        { "ran", RanName(aWhy.mRan) },
-        { "why", aWhy.mMessage } });
+  NoteFailed(mBoard,
+             mClock,
+             mRequest.mHead.mId,
+             mRequest.mHead.mPath,
+             "primrose_calls_total",
+             "call_failed",
+             aWhy);
   mExchange->AnswerFailure(aWhy);
 }
 
--- a/Services/Entry/CompletionRun.cpp
+++ b/Services/Entry/CompletionRun.cpp
@@ -422,23 +422,13 @@
     return;
   }
   mOver = true;
-  const std::string_view kind = AnswerFor(aWhy.mKind).mName;
-  mBoard.mMetrics.Count(Labelled("primrose_requests_total", "outcome", kind));
-  Record(
-    mBoard,
-    mClock,
-    mRequest.mHead.mId,
-    decision_kind::Finish,
-    fmt::format("{}: {} (ran: {})", kind, aWhy.mMessage, RanName(aWhy.mRan)),
-    mRequest.mHead.mPath,
-    { "time_limit_s", "attempts" });
-  Log(log_level::Warning,
-      "request_failed",
-      { { "request", mRequest.mHead.mId },
-        { "organisation", mRequest.mShape.mOrganisation },
-        { "kind", kind },
-        { "ran", RanName(aWhy.mRan) },
-        { "why", aWhy.mMessage } });
+  NoteFailed(mBoard,
+             mClock,
+             mRequest.mHead.mId,
+             mRequest.mHead.mPath,
+             "primrose_requests_total",
+             "request_failed",
+             aWhy);
   if (!mExchange->IsStreaming()) {
     mExchange->AnswerFailure(aWhy);
     return;
--- a/Services/Entry/EntryBoard.cpp
+++ b/Services/Entry/EntryBoard.cpp
@@ -1,5 +1,7 @@
 #include "EntryBoard.h"
 
+#include <spdlog/fmt/fmt.h>
+
 namespace primrose::entry {
 
 void
@@ -30,4 +32,33 @@
   aBoard.mDecisions.Add(aRequest, std::move(record));
 }
 
+void
+NoteFailed(entry_board& aBoard,
+           const clock_source& aClock,
+           const std::string& aRequest,
+           const tree_path& aPath,
+           std::string_view aFamily,
+           std::string_view aEvent,
+           const failure& aWhy)
+{
+  const std::string_view kind = AnswerFor(aWhy.mKind).mName;
+  aBoard.mMetrics.Count(Labelled(aFamily, "outcome", kind));
+  Record(
+    aBoard,
+    aClock,
+    aRequest,
+    decision_kind::Finish,
+    fmt::format("{}: {} (ran: {})", kind, aWhy.mMessage, RanName(aWhy.mRan)),
+    aPath,
+    { "time_limit_s", "attempts" });
+  Log(log_level::Warning,
+      aEvent,
+      { { "request", aRequest },
+        { "organisation", aPath.mOrganisation },
+        { "service", aPath.mService },
+        { "kind", kind },
+        { "ran", RanName(aWhy.mRan) },
+        { "why", aWhy.mMessage } });
+}
+
 } // namespace primrose::entry
--- a/Services/Entry/EntryBoard.h
+++ b/Services/Entry/EntryBoard.h
@@ -38,4 +38,15 @@
        const std::vector<std::string>& aSettings = {},
        std::vector<decision_alternative> aAlternatives = {});
 
+/// Counts, records and logs a request that ends with a failure. `aFamily` is
+/// the metric; `aEvent` the log's event.
+void
+NoteFailed(entry_board& aBoard,
+           const clock_source& aClock,
+           const std::string& aRequest,
+           const tree_path& aPath,
+           std::string_view aFamily,
+           std::string_view aEvent,
+           const failure& aWhy);
+
 } // namespace primrose::entry
--- a/Services/Entry/EntryService.cpp
+++ b/Services/Entry/EntryService.cpp
@@ -173,11 +173,8 @@
 bool
 entry_service::IsOperator(const http_exchange& aExchange) const
 {
-  constexpr std::string_view kScheme = "Bearer ";
-  const std::string header = aExchange.Header("Authorization");
-  return header.starts_with(kScheme) &&
-         KeyHash(header.substr(kScheme.size())) ==
-           mBoard.mSettings.mOperatorKeyHash;
+  const std::string key = aExchange.BearerKey();
+  return !key.empty() && KeyHash(key) == mBoard.mSettings.mOperatorKeyHash;
 }
 
 void
--- a/Services/Entry/Main.cpp
+++ b/Services/Entry/Main.cpp
@@ -15,20 +15,6 @@
 /// bytes for one.
 constexpr std::size_t kLargestBody = std::size_t{ 12 } * 1024 * 1024;
 
-void
-QuitSoon(main_loop& aLoop)
-{
-  // The last answers are on their way to their callers; they get a moment.
-  constexpr guint kLingerMs = 500;
-  g_timeout_add(
-    kLingerMs,
-    [](gpointer aData) -> gboolean {
-      static_cast<main_loop*>(aData)->Quit(kExitGood);
-      return G_SOURCE_REMOVE;
-    },
-    &aLoop);
-}
-
 result<int>
 Start(const common_options& aOptions)
 {
@@ -43,7 +29,7 @@
   StartLog(settings.mName, aOptions.mLogLevel);
   const system_clock_source clock;
   main_loop loop;
-  entry_service service(clock, settings, tree, [&]() { QuitSoon(loop); });
+  entry_service service(clock, settings, tree, [&]() { loop.QuitSoon(); });
   BOOST_LEAF_ASSIGN(
     std::unique_ptr<http_server> const server,
     http_server::Open(http.mHost,
@@ -70,11 +56,5 @@
   const program_description program{ "primrose-entry",
                                      PRIMROSE_VERSION,
                                      "takes callers' requests" };
-  common_options options;
-  const std::optional<int> end = ReadCommandLine(argc, argv, program, options);
-  if (end) {
-    return *end;
-  }
-  const outcome<int> ran = Capture<int>([&]() { return Start(options); });
-  return ran ? *ran.mValue : ReportFailure(program.mName, ran.mFailure);
+  return RunProgram(argc, argv, program, &Start);
 }
--- a/Services/Entry/RequestParser.cpp
+++ b/Services/Entry/RequestParser.cpp
@@ -70,14 +70,12 @@
 result<std::string>
 Authenticate(const settings_tree& aTree, const http_exchange& aExchange)
 {
-  constexpr std::string_view kScheme = "Bearer ";
-  const std::string header = aExchange.Header("Authorization");
-  if (!header.starts_with(kScheme)) {
+  const std::string key = aExchange.BearerKey();
+  if (key.empty()) {
     return Fail(error_kind::Unauthenticated,
                 "Authorization: expected \"Bearer KEY\"");
   }
-  std::string organisation =
-    aTree.OrganisationOfKey(KeyHash(header.substr(kScheme.size())));
+  std::string organisation = aTree.OrganisationOfKey(KeyHash(key));
   if (organisation.empty()) {
     return Fail(error_kind::Unauthenticated, "no organisation has this key");
   }
--- a/Utilities/Bench/Main.cpp
+++ b/Utilities/Bench/Main.cpp
@@ -64,11 +64,5 @@
     boost::program_options::value<std::size_t>()->default_value(
       std::max(1U, std::thread::hardware_concurrency() / 2)),
     "runs at a time");
-  common_options options;
-  const std::optional<int> end = ReadCommandLine(argc, argv, program, options);
-  if (end) {
-    return *end;
-  }
-  const outcome<int> ran = Capture<int>([&]() { return Start(options); });
-  return ran ? *ran.mValue : ReportFailure(program.mName, ran.mFailure);
+  return RunProgram(argc, argv, program, &Start);
 }
--- a/Utilities/Load/Main.cpp
+++ b/Utilities/Load/Main.cpp
@@ -169,11 +169,5 @@
     boost::program_options::value<std::string>(),
     "address of an engine: compare the time to the first token through the "
     "entry with that of the engine itself");
-  common_options options;
-  const std::optional<int> end = ReadCommandLine(argc, argv, program, options);
-  if (end) {
-    return *end;
-  }
-  const outcome<int> ran = Capture<int>([&]() { return Start(options); });
-  return ran ? *ran.mValue : ReportFailure(program.mName, ran.mFailure);
+  return RunProgram(argc, argv, program, &Start);
 }
--- a/Utilities/StandIn/Main.cpp
+++ b/Utilities/StandIn/Main.cpp
@@ -148,11 +148,5 @@
     "list-lag-ms",
     boost::program_options::value<std::int64_t>()->default_value(kListLagMs),
     "platform: how late a change shows in the list of VMs");
-  common_options options;
-  const std::optional<int> end = ReadCommandLine(argc, argv, program, options);
-  if (end) {
-    return *end;
-  }
-  const outcome<int> ran = Capture<int>([&]() { return Start(options); });
-  return ran ? *ran.mValue : ReportFailure(program.mName, ran.mFailure);
+  return RunProgram(argc, argv, program, &Start);
 }
