Back-pressure holds until the caller has taken enough; the stand-in can die and ignore fencing

Cause: read again, a chunk waited 10 ms once and then passed whatever the backlog was, so a caller that does not read slowed its stream but did not stop it; the issue's faults die and fencing off were missing; an agent's expiry was logged without the request's id. Change: the chunk waits until the backlog is under its bound; the two faults, with a test; the id. Not measured: the wait itself (a test would have to write megabytes past the kernel's buffers).

--- a/Libraries/LibDecision/Scheduler.cpp
+++ b/Libraries/LibDecision/Scheduler.cpp
@@ -545,7 +545,8 @@
   for (const auto& [attempt, work] : aBoard.mWork) {
     const std::optional<expiry_cause> cause = CauseToEnd(work, aNow);
     if (cause) {
-      expired.push_back({ attempt, *cause, work.mStage });
+      expired.push_back(
+        { work.mReservation.mRequest, attempt, *cause, work.mStage });
     }
   }
   for (const expired_work& item : expired) {
--- a/Libraries/LibDecision/Scheduler.h
+++ b/Libraries/LibDecision/Scheduler.h
@@ -65,6 +65,7 @@
 
 struct expired_work
 {
+  std::string mRequest;
   std::string mAttempt;
   expiry_cause mCause = expiry_cause::WaitOver;
   stage mStage = stage::Waiting;
--- a/Services/Agent/AgentService.cpp
+++ b/Services/Agent/AgentService.cpp
@@ -227,7 +227,9 @@
   for (const expired_work& item : Expire(mBoard, mClock.Now())) {
     Log(log_level::Warning,
         "work_expired",
-        { { "attempt", item.mAttempt }, { "cause", ExpiryName(item.mCause) } });
+        { { "request", item.mRequest },
+          { "attempt", item.mAttempt },
+          { "cause", ExpiryName(item.mCause) } });
     mMetrics.Count(
       Labelled("primrose_expired_total", "cause", ExpiryName(item.mCause)));
     const auto waiting = mWaiting.find(item.mAttempt);
--- a/Services/Entry/CompletionRun.cpp
+++ b/Services/Entry/CompletionRun.cpp
@@ -331,10 +331,19 @@
       (*fulfiller)->fulfill();
     }
   }
-  if (mExchange->Backlog() <= kLargestBacklog) {
+  return WhenTaken();
+}
+
+/// Resolves when the caller has taken enough. Until then the agent's stream,
+/// and by it the engine's connection, stand still: a caller that does not read
+/// must not fill this process's memory.
+kj::Promise<void>
+completion_run::WhenTaken()
+{
+  if (mOver || mExchange->Backlog() <= kLargestBacklog) {
     return kj::READY_NOW;
   }
-  return Delay(kBacklogPause);
+  return Delay(kBacklogPause).then([this]() { return WhenTaken(); });
 }
 
 void
--- a/Services/Entry/CompletionRun.h
+++ b/Services/Entry/CompletionRun.h
@@ -42,6 +42,7 @@
   kj::Promise<void> RenewOne(std::size_t aIndex);
   kj::Promise<void> WhenAllChunks(std::uint64_t aChunks);
   void NoteFirstChunk();
+  kj::Promise<void> WhenTaken();
   void Finish();
   void FinishWith(failure aWhy);
   duration Remaining() const;
--- a/Tests/EndToEnd/FleetTest.cpp
+++ b/Tests/EndToEnd/FleetTest.cpp
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(ExplainNamesTheSettings);
   CPPUNIT_TEST(OperatorsFacesNeedTheKey);
   CPPUNIT_TEST(ConnectionsDoNotPileUp);
+  CPPUNIT_TEST(StandInFencesOrNot);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -167,6 +168,25 @@
     CPPUNIT_ASSERT(metrics.find("# TYPE") != std::string::npos);
   }
 
+  /// The stand-in must be able to be either kind of engine that users have.
+  void StandInFencesOrNot()
+  {
+    fleet all(Loop(), { 1, 0, 0 });
+    const auto order = [&](int aFencing) {
+      http_request request{
+        "POST", "http://" + all.Address("engine-1") + "/v1/orders"
+      };
+      request.mBody = json{
+        { "order", "adapter" }, { "value", "a" }, { "fencing", aFencing }
+      }.dump();
+      return all.Send(std::move(request)).mStatus;
+    };
+    CPPUNIT_ASSERT_EQUAL(200U, order(5));
+    CPPUNIT_ASSERT_EQUAL(409U, order(4));
+    all.Fault("engine-1", { { "ignore_fencing", true } });
+    CPPUNIT_ASSERT_EQUAL(200U, order(4));
+  }
+
   /// Symptom: the entry's processor time for a request grows with the number
   /// of requests before it (1.8 ms at first, 4.4 ms after three thousand).
   /// Sequence: many requests, each on a connection of its own.
--- a/Utilities/StandIn/EngineFace.cpp
+++ b/Utilities/StandIn/EngineFace.cpp
@@ -282,7 +282,7 @@
     BOOST_LEAF_ASSIGN(std::int64_t const fencing,
                       OptionalInteger(body, "fencing", 0, 0, INT64_MAX));
     order_state& state = mOrders[name];
-    if (mFencing && fencing < state.mFencing) {
+    if (!mFaults.mIgnoreFencing && fencing < state.mFencing) {
       return Fail(error_kind::Conflict, "an old fencing number");
     }
     state = { value, fencing };
@@ -414,7 +414,6 @@
   std::deque<cache_event> mEvents;
   std::map<std::string, order_state> mOrders;
   std::uint64_t mEventNumber = 0;
-  bool mFencing = true;
   guint mTimer = 0;
 };
 
--- a/Utilities/StandIn/Faults.cpp
+++ b/Utilities/StandIn/Faults.cpp
@@ -30,6 +30,9 @@
     OptionalInteger(body, "cut_streams", aOld.mCutStreams, 0, kMany));
   BOOST_LEAF_ASSIGN(read.mGapEvents,
                     OptionalFlag(body, "gap_events", aOld.mGapEvents));
+  BOOST_LEAF_ASSIGN(read.mIgnoreFencing,
+                    OptionalFlag(body, "ignore_fencing", aOld.mIgnoreFencing));
+  BOOST_LEAF_ASSIGN(read.mDie, OptionalFlag(body, "die", aOld.mDie));
   return read;
 }
 
@@ -43,7 +46,9 @@
            { "lose_answers", aFaults.mLoseAnswers },
            { "step_percent", aFaults.mStepPercent },
            { "cut_streams", aFaults.mCutStreams },
-           { "gap_events", aFaults.mGapEvents } };
+           { "gap_events", aFaults.mGapEvents },
+           { "ignore_fencing", aFaults.mIgnoreFencing },
+           { "die", aFaults.mDie } };
 }
 
 } // namespace primrose::standin
--- a/Utilities/StandIn/Faults.h
+++ b/Utilities/StandIn/Faults.h
@@ -20,6 +20,8 @@
   std::int64_t mStepPercent = 100; ///< Engine: duration of a step.
   std::int64_t mCutStreams = 0;    ///< Engine: cut so many streams half-way.
   bool mGapEvents = false;         ///< Engine: every third cache event is lost.
+  bool mIgnoreFencing = false;     ///< Engine: old fencing numbers are taken.
+  bool mDie = false;               ///< The process ends at once, with 1.
 
   bool operator==(const faults&) const = default;
 };
--- a/Utilities/StandIn/Main.cpp
+++ b/Utilities/StandIn/Main.cpp
@@ -5,6 +5,7 @@
 
 #include "LibDaemon/LibDaemon.h"
 
+#include <cstdlib>
 #include <iostream>
 #include <kj/async.h>
 
@@ -58,6 +59,9 @@
       BOOST_LEAF_ASSIGN(mFace->mFaults,
                         ReadFaults(mFace->mFaults, aExchange->Body()));
       mFace->FaultsChanged();
+      if (mFace->mFaults.mDie) {
+        std::_Exit(kExitFailed);
+      }
     }
     AnswerJson(aExchange, ToJson(mFace->mFaults));
     return {};
