Ctrl-C ends the first run while its load is still sent

Cause: primrose-load waits for its load outside of the loop's own run, so quitting the loop did nothing; the script's trap waited for it. Seen: SIGINT to the whole group 9 s after the start left all processes up after 20 s. After: the script ends with 130 and none of 13 processes is left. A struct was renamed for what it is, an open connection.

--- a/Libraries/LibWire/Connection.cpp
+++ b/Libraries/LibWire/Connection.cpp
@@ -74,14 +74,14 @@
   mConnections.add(ended.attach(kj::mv(connection)));
 }
 
-struct agent_link::session
+struct agent_link::open_connection
 {
   kj::Own<kj::AsyncIoStream> mStream;
   capnp::TwoPartyVatNetwork mNetwork;
   capnp::RpcSystem<capnp::rpc::twoparty::VatId> mRpc;
   kj::Maybe<kj::Promise<void>> mWatch;
 
-  explicit session(kj::Own<kj::AsyncIoStream> aStream)
+  explicit open_connection(kj::Own<kj::AsyncIoStream> aStream)
     : mStream(kj::mv(aStream))
     , mNetwork(*mStream, capnp::rpc::twoparty::Side::CLIENT, MessageLimits())
     , mRpc(capnp::makeRpcClient(mNetwork))
@@ -114,18 +114,18 @@
 {
   return WithTimeout(Connect(mAddress), kConnectLimit)
     .then([this](kj::Own<kj::AsyncIoStream> aStream) {
-      mSession = std::make_shared<session>(kj::mv(aStream));
-      auto request = mSession->Gate().openRequest();
+      mConnection = std::make_shared<open_connection>(kj::mv(aStream));
+      auto request = mConnection->Gate().openRequest();
       request.setKey(mKey);
       request.setCaller(mCaller);
-      std::weak_ptr<session> const watched = mSession;
-      mSession->mWatch = mSession->mNetwork.onDisconnect()
-                           .then([this, watched]() {
-                             if (watched.lock() == mSession) {
-                               mStale = true;
-                             }
-                           })
-                           .eagerlyEvaluate(nullptr);
+      std::weak_ptr<open_connection> const watched = mConnection;
+      mConnection->mWatch = mConnection->mNetwork.onDisconnect()
+                              .then([this, watched]() {
+                                if (watched.lock() == mConnection) {
+                                  mStale = true;
+                                }
+                              })
+                              .eagerlyEvaluate(nullptr);
       return request.send().then(
         [](capnp::Response<wire::Gate::OpenResults> aAnswer) {
           return aAnswer.getAgent();
--- a/Libraries/LibWire/Connection.h
+++ b/Libraries/LibWire/Connection.h
@@ -52,14 +52,14 @@
   const ip_address& Address() const { return mAddress; }
 
 private:
-  struct session;
+  struct open_connection;
   kj::Promise<wire::Agent::Client> Open();
 
   ip_address mAddress;
   std::string mKey;
   std::string mCaller;
   kj::Maybe<kj::ForkedPromise<wire::Agent::Client>> mOpening;
-  std::shared_ptr<session> mSession;
+  std::shared_ptr<open_connection> mConnection;
   /// The connection broke or could not be made; the next use makes a new one.
   bool mStale = false;
 };
--- a/Utilities/Load/Main.cpp
+++ b/Utilities/Load/Main.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
 #include <iostream>
 #include <map>
 #include <spdlog/fmt/fmt.h>
@@ -144,6 +145,10 @@
   }
   const system_clock_source clock;
   main_loop loop;
+  // The load is waited for outside of the loop's own run, so that quitting the
+  // loop would not end it.
+  constexpr int kInterrupted = 130;
+  loop.OnTerminate([]() { std::_Exit(kInterrupted); });
   if (aOptions.mValues.count("compare") != 0) {
     // One token: a longer answer would still be written, and slow its engine,
     // when the next request comes.
