Dead state and repeated choices taken out on a second reading

Cause: read again, a capacity table and a state request that nobody used, a variable that only held what was thrown away, four copies of one choice of a baseline, and one loop twice in the tests.

--- a/Services/Agent/EngineLink.cpp
+++ b/Services/Agent/EngineLink.cpp
@@ -234,19 +234,6 @@
       });
 }
 
-kj::Promise<std::optional<engine_state>>
-engine_link::State()
-{
-  return GetJson("/v1/state")
-    .then([](std::optional<json> aBody) -> std::optional<engine_state> {
-      if (!aBody) {
-        return std::nullopt;
-      }
-      return engine_state{ aBody->value("model", ""),
-                           aBody->value("capacity_tokens", tokens{ 0 }) };
-    });
-}
-
 kj::Promise<std::optional<std::uint64_t>>
 engine_link::Steps()
 {
--- a/Services/Agent/EngineLink.h
+++ b/Services/Agent/EngineLink.h
@@ -13,14 +13,6 @@
 
 namespace primrose::agent {
 
-struct engine_state
-{
-  std::string mModel;
-  tokens mCapacity = 0;
-
-  bool operator==(const engine_state&) const = default;
-};
-
 struct engine_request
 {
   std::string mId;
@@ -62,7 +54,6 @@
   kj::Promise<bool> Hold(const std::string& aId, tokens aTokens);
   /// The ids of all that holds memory in the engine; nothing if it is silent.
   kj::Promise<std::optional<std::set<std::string>>> List();
-  kj::Promise<std::optional<engine_state>> State();
   /// Whether the engine answers, and the count of steps it has done.
   kj::Promise<std::optional<std::uint64_t>> Steps();
   /// The prefixes that the engine says it cached after an event number; the
--- a/Services/Entry/EntryBoard.h
+++ b/Services/Entry/EntryBoard.h
@@ -18,7 +18,6 @@
   endpoint_directory mDirectory;
   std::map<std::string, placement_memory> mFronts; ///< By model.
   std::map<std::string, organisation_use> mOrganisations;
-  std::map<std::string, tokens> mCapacity; ///< Of an engine, by model.
   retry_budget mRetries;
   decision_log mDecisions;
   metrics mMetrics;
--- a/Tests/EndToEnd/FleetTest.cpp
+++ b/Tests/EndToEnd/FleetTest.cpp
@@ -35,6 +35,23 @@
   return aFleet.GetJson(aAgent, "/status")["used_tokens"].get<tokens>();
 }
 
+/// Waits until one of two has memory in use by this measure; gives its name.
+std::string
+BusyOne(fleet& aFleet,
+        const std::string& aFirst,
+        const std::string& aSecond,
+        tokens (*aUsed)(fleet&, const std::string&))
+{
+  std::string busy;
+  aFleet.Until("one of two works", [&]() {
+    for (const std::string& one : { aFirst, aSecond }) {
+      busy = aUsed(aFleet, one) > 0 ? one : busy;
+    }
+    return !busy.empty();
+  });
+  return busy;
+}
+
 int
 Executions(fleet& aFleet, const std::string& aKey)
 {
@@ -291,13 +308,8 @@
     const std::string prompt = PromptOf(1000, "death");
     kj::Promise<http_response> answer =
       all.Http().Send(all.Completion(1, prompt, 300, false));
-    std::string victim;
-    all.Until("an engine works", [&]() {
-      for (const char* const engine : { "engine-1", "engine-2" }) {
-        victim = UsedByEngine(all, engine) > 0 ? engine : victim;
-      }
-      return !victim.empty();
-    });
+    const std::string victim =
+      BusyOne(all, "engine-1", "engine-2", &UsedByEngine);
     all.Signal(victim, SIGKILL);
     ExpectWhole(answer.wait(Loop().Scope()), prompt, 300);
   }
@@ -540,13 +552,7 @@
     const std::string prompt = PromptOf(1000, "drain");
     kj::Promise<http_response> running =
       all.Http().Send(all.Completion(1, prompt, 300, false));
-    std::string busy;
-    all.Until("an agent works", [&]() {
-      for (const char* const agent : { "agent-1", "agent-2" }) {
-        busy = UsedByAgent(all, agent) > 0 ? agent : busy;
-      }
-      return !busy.empty();
-    });
+    const std::string busy = BusyOne(all, "agent-1", "agent-2", &UsedByAgent);
     all.Signal(busy, SIGTERM);
     for (int i = 0; i < 5; ++i) {
       const std::string other = PromptOf(500, "other" + std::to_string(i));
--- a/Utilities/Bench/Experiment.cpp
+++ b/Utilities/Bench/Experiment.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <filesystem>
 #include <future>
+#include <map>
 #include <spdlog/fmt/fmt.h>
 
 namespace primrose::bench {
@@ -32,20 +33,19 @@
   return baseline;
 }
 
+const std::map<std::string, placement_kind> kBaselines = {
+  { "round-robin", placement_kind::RoundRobin },
+  { "least-requests", placement_kind::LeastRequests },
+  { "two-choices", placement_kind::TwoChoices },
+  { "shortest-queue", placement_kind::ShortestQueue },
+};
+
 result<bench_policy>
 PolicyNamed(const std::string& aName, const policy& aValues)
 {
-  if (aName == "round-robin") {
-    return Baseline(aName, placement_kind::RoundRobin);
-  }
-  if (aName == "least-requests") {
-    return Baseline(aName, placement_kind::LeastRequests);
-  }
-  if (aName == "two-choices") {
-    return Baseline(aName, placement_kind::TwoChoices);
-  }
-  if (aName == "shortest-queue") {
-    return Baseline(aName, placement_kind::ShortestQueue);
+  const auto baseline = kBaselines.find(aName);
+  if (baseline != kBaselines.end()) {
+    return Baseline(aName, baseline->second);
   }
   if (aName == "shortest-queue-parts") {
     // The best baseline with our cutting of long prompts, to tell the two
--- a/Utilities/Bench/World.cpp
+++ b/Utilities/Bench/World.cpp
@@ -652,7 +652,6 @@
   for (const auto& [attempt, work] : one.mBoard.mWork) {
     victims.push_back(mByAttempt.at(attempt));
   }
-  const std::map<std::string, job_state> lost = std::move(one.mEngine.mJobs);
   one.mEngine = MakeEngine(mSettings.mEngine);
   one.mWake.reset();
   for (const std::size_t victim : victims) {
