--- a/Libraries/LibDaemon/CommandLine.cpp
+++ b/Libraries/LibDaemon/CommandLine.cpp
@@ -1,5 +1,6 @@
 #include "LibDaemon/CommandLine.h"
 
+#include <cstdlib>
 #include <iostream>
 
 namespace primrose {
@@ -68,6 +69,10 @@
         "\"");
   }
   aOptions.mCheck = aOptions.mValues.count("check") != 0;
+  if (aOptions.mSettingsFile.empty() && !aProgram.mSettingsVariable.empty()) {
+    const char* const named = std::getenv(aProgram.mSettingsVariable.c_str());
+    aOptions.mSettingsFile = named == nullptr ? "" : named;
+  }
   if (aOptions.mSettingsFile.empty()) {
     return ReportUsage(aProgram, "--settings FILE is required");
   }
--- a/Libraries/LibDaemon/CommandLine.h
+++ b/Libraries/LibDaemon/CommandLine.h
@@ -24,6 +24,9 @@
   std::string mVersion;
   std::string mPurpose;
   boost::program_options::options_description mExtra{ "More options" };
+  /// An environment variable that names the settings file where --settings
+  /// does not; empty if there is none.
+  std::string mSettingsVariable;
 };
 
 struct common_options
--- /dev/null
+++ b/Libraries/LibFleet/Endpoints.cpp
@@ -0,0 +1,160 @@
+#include "LibFleet/Endpoints.h"
+
+#include <algorithm>
+
+namespace primrose {
+
+namespace {
+
+/// The first pause after a bad sign, and the longest. A killed endpoint is
+/// taken off the list after three missed reports of about a second each, so
+/// there is no use in avoiding one for much longer than that.
+constexpr duration kFirstPause = std::chrono::milliseconds(700);
+constexpr duration kLongestPause = std::chrono::seconds(6);
+constexpr unsigned kMostDoublings = 4;
+
+/// Weight of the newest attempt in the recent share of failures.
+constexpr double kFailureWeight = 0.2;
+/// Above this share of failed answers an endpoint is avoided for a while;
+/// well above what a sound service fails by itself.
+constexpr double kFailingShare = 0.5;
+
+void
+Strike(endpoint_health& aHealth, time_point aNow)
+{
+  const unsigned doublings = std::min(aHealth.mStrikes, kMostDoublings);
+  const duration pause = std::min(kFirstPause * (1U << doublings), kLongestPause);
+  ++aHealth.mStrikes;
+  aHealth.mAvoidUntil = aNow + pause;
+}
+
+} // namespace
+
+listing
+ApplyRow(endpoint_board& aBoard, const row_change<endpoint>& aChange)
+{
+  const auto gone = aBoard.mGone.find(aChange.mKey);
+  if (gone != aBoard.mGone.end() && gone->second >= aChange.mRevision) {
+    return listing::Unchanged;
+  }
+  const auto held = aBoard.mEndpoints.find(aChange.mKey);
+  if (held != aBoard.mEndpoints.end() &&
+      held->second.mRevision >= aChange.mRevision) {
+    return listing::Unchanged;
+  }
+  if (!aChange.mValue.has_value()) {
+    aBoard.mGone[aChange.mKey] = aChange.mRevision;
+    return aBoard.mEndpoints.erase(aChange.mKey) != 0 ? listing::Left
+                                                      : listing::Unchanged;
+  }
+  aBoard.mGone.erase(aChange.mKey);
+  if (held == aBoard.mEndpoints.end()) {
+    known_endpoint added;
+    added.mListed = *aChange.mValue;
+    added.mRevision = aChange.mRevision;
+    aBoard.mEndpoints.emplace(aChange.mKey, std::move(added));
+    return listing::Joined;
+  }
+  const bool wasLeaving = held->second.mListed.mLeaving;
+  held->second.mListed = *aChange.mValue;
+  held->second.mRevision = aChange.mRevision;
+  return !wasLeaving && aChange.mValue->mLeaving ? listing::Leaving
+                                                 : listing::Changed;
+}
+
+std::vector<std::string>
+ApplyWholeList(endpoint_board& aBoard,
+               const std::vector<row_change<endpoint>>& aRows,
+               std::uint64_t aRevision)
+{
+  std::unordered_map<std::string, bool> listed;
+  for (const row_change<endpoint>& row : aRows) {
+    listed.emplace(row.mKey, true);
+    (void)ApplyRow(aBoard, row);
+  }
+  std::vector<std::string> left;
+  for (const auto& [id, known] : aBoard.mEndpoints) {
+    if (!listed.contains(id) && known.mRevision <= aRevision) {
+      left.push_back(id);
+    }
+  }
+  for (const std::string& id : left) {
+    (void)ApplyRow(aBoard, { id, aRevision + 1, std::nullopt });
+  }
+  return left;
+}
+
+void
+NoteSign(endpoint_health& aHealth, endpoint_sign aSign, time_point aNow)
+{
+  const bool bad = aSign != endpoint_sign::Answered;
+  aHealth.mFailures =
+    aHealth.mFailures * (1 - kFailureWeight) + (bad ? kFailureWeight : 0);
+  switch (aSign) {
+    case endpoint_sign::Answered:
+      aHealth.mStrikes = 0;
+      return;
+    case endpoint_sign::Failed:
+    case endpoint_sign::Broke:
+      if (aHealth.mFailures > kFailingShare) {
+        Strike(aHealth, aNow);
+      }
+      return;
+    case endpoint_sign::Unreachable:
+    case endpoint_sign::Silent:
+    case endpoint_sign::Elsewhere:
+      Strike(aHealth, aNow);
+      return;
+  }
+}
+
+bool
+Usable(const known_endpoint& aEndpoint, std::string_view aService)
+{
+  return !aEndpoint.mListed.mLeaving && aEndpoint.mListed.mService == aService;
+}
+
+bool
+Avoided(const known_endpoint& aEndpoint, time_point aNow)
+{
+  return aEndpoint.mHealth.mAvoidUntil > aNow;
+}
+
+known_endpoint*
+ChoosePlainEndpoint(endpoint_board& aBoard,
+                    std::string_view aService,
+                    std::string_view aDataCentre,
+                    const std::vector<std::string>& aTried,
+                    time_point aNow,
+                    double aDraw)
+{
+  struct rank
+  {
+    bool mAvoided = false;
+    unsigned mOutstanding = 0;
+    bool mAway = false;
+    std::uint64_t mDraw = 0;
+    auto operator<=>(const rank&) const = default;
+  };
+  constexpr double kDrawSteps = 1e6;
+  known_endpoint* best = nullptr;
+  rank bestRank;
+  for (auto& [id, known] : aBoard.mEndpoints) {
+    if (!Usable(known, aService) ||
+        std::find(aTried.begin(), aTried.end(), id) != aTried.end()) {
+      continue;
+    }
+    const rank candidate{ Avoided(known, aNow),
+                          known.mOutstanding,
+                          known.mListed.mDataCentre != aDataCentre,
+                          Hash(id, static_cast<std::uint64_t>(
+                                     aDraw * kDrawSteps)) };
+    if (best == nullptr || candidate < bestRank) {
+      best = &known;
+      bestRank = candidate;
+    }
+  }
+  return best;
+}
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibFleet/Endpoints.h
@@ -0,0 +1,122 @@
+#pragma once
+
+/// The endpoints that the platform lists, and what this process believes of
+/// each from what it saw itself.
+
+#include "LibCore/LibCore.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace primrose {
+
+/// One endpoint as the platform's list shows it.
+struct endpoint
+{
+  std::string mId; ///< New at each start of the endpoint.
+  ip_address mAddress;
+  std::string mService;
+  std::string mDataCentre;
+  unsigned mSlots = 1;
+  bool mLeaving = false;
+
+  bool operator==(const endpoint&) const = default;
+};
+
+/// One row of a table of the platform: a value, or that it is gone.
+template<typename T>
+struct row_change
+{
+  std::string mKey;
+  std::uint64_t mRevision = 0;
+  std::optional<T> mValue; ///< Nothing: the row was removed.
+
+  bool operator==(const row_change&) const = default;
+};
+
+/// How an attempt at an endpoint ended, as far as the endpoint's health goes.
+enum class endpoint_sign : std::uint8_t
+{
+  Answered,    ///< A proper answer, whatever its status.
+  Unreachable, ///< No connection in time.
+  Broke,       ///< The connection broke, or the bytes were no answer.
+  Silent,      ///< Nothing came for far longer than expected.
+  Failed,      ///< An answer that says that the endpoint failed.
+  Elsewhere,   ///< Another endpoint has the address now.
+};
+
+struct endpoint_health
+{
+  unsigned mStrikes = 0;      ///< Bad signs since the last good ones.
+  double mFailures = 0;       ///< Recent share of attempts that failed.
+  time_point mAvoidUntil{};   ///< Not chosen before, if there are others.
+
+  bool operator==(const endpoint_health&) const = default;
+};
+
+struct known_endpoint
+{
+  endpoint mListed;
+  std::uint64_t mRevision = 0;
+  endpoint_health mHealth;
+  unsigned mOutstanding = 0; ///< This process's own attempts.
+
+  bool operator==(const known_endpoint&) const = default;
+};
+
+struct endpoint_board
+{
+  std::map<std::string, known_endpoint> mEndpoints; ///< By id.
+  /// Revisions of removed rows, so that a stale read does not bring back an
+  /// endpoint that this process knows to be gone.
+  std::unordered_map<std::string, std::uint64_t> mGone;
+};
+
+/// What a change of the list did to an endpoint.
+enum class listing : std::uint8_t
+{
+  Unchanged,
+  Joined,
+  Leaving,
+  Left,
+  Changed,
+};
+
+/// Takes one changed row. An older revision than the one held changes nothing.
+listing
+ApplyRow(endpoint_board& aBoard, const row_change<endpoint>& aChange);
+
+/// Takes a whole reading of the list as of `aRevision`: what is not in it and
+/// was not seen later is gone. Gives the ids that left.
+std::vector<std::string>
+ApplyWholeList(endpoint_board& aBoard,
+               const std::vector<row_change<endpoint>>& aRows,
+               std::uint64_t aRevision);
+
+/// Takes note of how an attempt ended.
+void
+NoteSign(endpoint_health& aHealth, endpoint_sign aSign, time_point aNow);
+
+/// True if the endpoint may be given new work of this service.
+bool
+Usable(const known_endpoint& aEndpoint, std::string_view aService);
+
+/// True if recent signs say to go elsewhere while there is an elsewhere.
+bool
+Avoided(const known_endpoint& aEndpoint, time_point aNow);
+
+/// The least busy endpoint of a plain service that is not in `aTried`; of
+/// equals, one of the same data centre, then by `aDraw` in [0, 1). Null if
+/// there is none. `aPeers` gives what other entries have outstanding there.
+known_endpoint*
+ChoosePlainEndpoint(endpoint_board& aBoard,
+                    std::string_view aService,
+                    std::string_view aDataCentre,
+                    const std::vector<std::string>& aTried,
+                    time_point aNow,
+                    double aDraw);
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibFleet/EngineLedger.h
@@ -0,0 +1,80 @@
+#pragma once
+
+/// What each engine has been given, by this entry and by the others: reading
+/// that it still has to do, and the requests that write there.
+
+#include "LibCore/LibCore.h"
+
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace primrose {
+
+/// Names an engine or a placement in messages between entries: a hash of the
+/// endpoint's id, which is new at each of its starts.
+using engine_key = std::uint64_t;
+using placement_key = std::uint64_t;
+
+/// One request's place: the engine that writes its answer, and those that read
+/// an equal part of its prompt.
+struct placement
+{
+  placement_key mKey = 0;
+  std::uint64_t mOwner = 0; ///< The start of the entry that placed it.
+  std::vector<engine_key> mEngines; ///< The first one writes; all read.
+  double mPartMs = 0;               ///< Reading that each of them does.
+  duration mLongestPause{};         ///< That its events may have.
+  double mTokens = 0;               ///< Memory that it takes where it writes.
+  time_point mExpires{};            ///< Forgotten then, whatever was heard.
+
+  bool operator==(const placement&) const = default;
+};
+
+struct engine_load
+{
+  double mBacklogMs = 0;    ///< Reading not yet done, as of `mBacklogAt`.
+  time_point mBacklogAt{};
+  double mTokens = 0;       ///< Memory taken by those that write here.
+  /// How many write here, by the longest pause that each allows.
+  std::map<duration, unsigned> mWriters;
+
+  bool operator==(const engine_load&) const = default;
+};
+
+struct engine_ledger
+{
+  std::unordered_map<engine_key, engine_load> mEngines;
+  std::unordered_map<placement_key, placement> mPlacements;
+};
+
+/// Takes a placement in; one that is known already changes nothing.
+void
+NotePlaced(engine_ledger& aLedger, const placement& aPlaced, time_point aNow);
+
+/// Takes a placement out: its answer has ended, or it never began.
+void
+NoteEnded(engine_ledger& aLedger, placement_key aKey);
+
+/// Takes out what has expired: entries that were killed never tell the end.
+void
+ForgetExpired(engine_ledger& aLedger, time_point aNow);
+
+/// Takes out what one entry had placed: it is gone, and what it sent on ended
+/// with it.
+void
+ForgetOwner(engine_ledger& aLedger, std::uint64_t aOwner);
+
+/// Reading that is left at a time, in milliseconds.
+double
+BacklogMs(const engine_load& aLoad, time_point aNow);
+
+unsigned
+WriterCount(const engine_load& aLoad);
+
+/// The shortest of the pauses that the writers allow; nothing if none writes.
+std::optional<duration>
+TightestPause(const engine_load& aLoad);
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibFleet/LibFleet.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/// LibFleet: what an entry that forwards straight to the endpoints believes and
+/// decides: the manifest in force, the list of endpoints, what each engine has
+/// been given to read, where a request goes, and how often it may be repeated.
+/// No I/O, no clock, no thread.
+
+#include "LibFleet/Budget.h"
+#include "LibFleet/EngineCost.h"
+#include "LibFleet/EngineLedger.h"
+#include "LibFleet/EnginePlacement.h"
+#include "LibFleet/Endpoints.h"
+#include "LibFleet/Manifest.h"
--- /dev/null
+++ b/Libraries/LibGateway/Adapter.h
@@ -0,0 +1,112 @@
+#pragma once
+
+/// What a deployment has to translate so that the gateway can run in it: the
+/// fields of requests and answers, the calls and rows of the platform's tables.
+/// An adapter holds no state and decides nothing.
+
+#include "LibFleet/LibFleet.h"
+#include "LibNet/LibNet.h"
+
+namespace primrose {
+
+/// What a caller's request says of itself.
+struct request_facts
+{
+  std::string mId;
+  std::string mHost;
+  std::optional<std::string> mKey;
+  std::optional<duration> mTimeLeft; ///< That the caller will wait.
+  double mPromptTokens = 0;
+  double mMostAnswerTokens = 0;
+  std::optional<std::uint64_t> mLastEvent; ///< The stream goes on after it.
+
+  bool operator==(const request_facts&) const = default;
+};
+
+/// An engine that reads a part of a prompt for another.
+struct reading_helper
+{
+  ip_address mAddress;
+  std::string mReservation; ///< Memory set aside there; empty if none.
+
+  bool operator==(const reading_helper&) const = default;
+};
+
+/// What the gateway adds to a request for one endpoint.
+struct forwarding
+{
+  std::string mEndpointId;  ///< Only this endpoint may run it.
+  ip_address mAddress;
+  duration mTimeLeft{};
+  std::string mOrganisation; ///< Empty if the route asks for no key.
+  std::vector<reading_helper> mHelpers;
+  std::optional<std::uint64_t> mLastEvent;
+
+  bool operator==(const forwarding&) const = default;
+};
+
+/// What an endpoint's answer says of itself.
+struct answer_facts
+{
+  std::string mRequestId;
+  bool mProven = false;    ///< It bears the endpoint's proof.
+  bool mNotRun = false;    ///< The endpoint promises not to have run it.
+  bool mElsewhere = false; ///< Another endpoint has this address now.
+  bool mEncoded = false;   ///< The body is not as the endpoint made it.
+  std::optional<duration> mIdleTimeout; ///< Of the connection.
+  std::string mFaultyAddress; ///< A helper that was the cause of a refusal.
+
+  bool operator==(const answer_facts&) const = default;
+};
+
+/// A reading of a table of the platform.
+struct table_reading
+{
+  enum class outcome : std::uint8_t
+  {
+    Good,
+    HistoryLost, ///< Changes since the asked revision are not known any more.
+    Refused,     ///< The platform did nothing.
+    NoAnswer,    ///< Nothing, or no proper answer.
+  };
+  outcome mOutcome = outcome::NoAnswer;
+  std::vector<row_change<std::string>> mRows;
+  std::uint64_t mRevision = 0;
+  bool mTruncated = false;
+
+  bool operator==(const table_reading&) const = default;
+};
+
+struct gateway_adapter
+{
+  std::string mManifestTable;
+  std::string mManifestKey;
+  std::string mEndpointTable;
+  std::string mEntryTable; ///< Where entries leave their addresses.
+
+  result<request_facts> (*mReadRequest)(const http_head&) = nullptr;
+  /// The whole head for an endpoint.
+  std::string (*mWriteRequest)(const http_head&,
+                               const forwarding&,
+                               std::size_t aBodyBytes) = nullptr;
+  answer_facts (*mReadAnswer)(const http_head&) = nullptr;
+  /// A final answer of the gateway's own.
+  std::string (*mWriteFailure)(const failure&,
+                               std::string_view aRequestId,
+                               bool aKeepAlive) = nullptr;
+
+  http_call (*mReadTable)(std::string_view aTable,
+                          std::string_view aFromKey) = nullptr;
+  http_call (*mReadChanges)(std::string_view aTable,
+                            std::uint64_t aAfter,
+                            duration aWait) = nullptr;
+  http_call (*mWriteRow)(std::string_view aTable,
+                         std::string_view aKey,
+                         std::string_view aValue) = nullptr;
+  table_reading (*mDecodeTable)(const http_answer&) = nullptr;
+  result<manifest> (*mDecodeManifest)(const std::string& aValue) = nullptr;
+  result<endpoint> (*mDecodeEndpoint)(const std::string& aKey,
+                                      const std::string& aValue) = nullptr;
+};
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -0,0 +1,180 @@
+#include "LibGateway/Attempt.h"
+
+namespace primrose {
+
+namespace {
+
+/// A connection within a region takes a few milliseconds; an endpoint that
+/// has not answered by now is dark or its queue of connections is full.
+constexpr duration kConnectTimeout = std::chrono::milliseconds(250);
+/// For an endpoint that names no timeout for idle connections.
+constexpr duration kUsualIdleTimeout = std::chrono::seconds(4);
+
+} // namespace
+
+attempt::attempt(event_loop& aLoop,
+                 endpoint_connections& aConnections,
+                 const gateway_adapter& aAdapter,
+                 attempt_owner& aOwner,
+                 endpoint aEndpoint,
+                 std::string aRequestId)
+  : mLoop(aLoop)
+  , mConnections(aConnections)
+  , mAdapter(aAdapter)
+  , mOwner(&aOwner)
+  , mEndpoint(std::move(aEndpoint))
+  , mRequestId(std::move(aRequestId))
+  , mReader(http_role::Answer, http_limits{})
+{
+}
+
+attempt::~attempt()
+{
+  Cancel();
+}
+
+void
+attempt::Send(std::string aHead, const std::string& aBody, bool aFresh)
+{
+  mSentAt = mLoop.Now();
+  mChannel = aFresh ? nullptr : mConnections.TakeIdle(mEndpoint.mId);
+  mKept = mChannel != nullptr;
+  if (!mKept) {
+    mChannel = mConnections.Connect(mEndpoint.mAddress);
+    mTimer = mLoop.After(kConnectTimeout, [this]() {
+      mTimer = 0;
+      End(attempt_end::Unreached, "no_connection_in_time");
+    });
+  }
+  mSent = mKept;
+  mChannel->SetOwner(this);
+  aHead.append(aBody);
+  mChannel->Write(aHead);
+}
+
+void
+attempt::Cancel()
+{
+  mOwner = nullptr;
+  mLoop.Cancel(mTimer);
+  DropChannel();
+}
+
+void
+attempt::DropChannel()
+{
+  if (mChannel != nullptr) {
+    mChannel->Close();
+    mLoop.DeleteLater(std::move(mChannel));
+    mChannel = nullptr;
+  }
+}
+
+void
+attempt::PauseReading(bool aPaused)
+{
+  if (mChannel != nullptr && mChannel->Open()) {
+    mChannel->PauseReading(aPaused);
+  }
+}
+
+void
+attempt::OnConnected(tcp_channel&)
+{
+  mSent = true;
+  mLoop.Cancel(mTimer);
+}
+
+void
+attempt::End(attempt_end aEnd, const std::string& aWhy)
+{
+  attempt_owner* const owner = mOwner;
+  Cancel();
+  if (owner != nullptr) {
+    owner->OnAttemptEnd(*this, aEnd, aWhy);
+  }
+}
+
+bool
+attempt::TakeHead()
+{
+  mHeadTaken = true;
+  mFacts = mAdapter.mReadAnswer(mReader.Head());
+  if (mFacts.mRequestId != mRequestId && !mFacts.mElsewhere) {
+    // The answer to somebody else's request, which came late.
+    End(attempt_end::Broken, "foreign_answer");
+    return false;
+  }
+  if (mFacts.mElsewhere || mFacts.mNotRun) {
+    End(attempt_end::NotRun, mFacts.mElsewhere ? "elsewhere" : "refused");
+    return false;
+  }
+  if (!mFacts.mProven || mFacts.mEncoded) {
+    End(attempt_end::Broken, mFacts.mEncoded ? "encoded" : "unproven");
+    return false;
+  }
+  mOwner->OnAnswerHead(*this);
+  return mOwner != nullptr;
+}
+
+void
+attempt::OnInput(tcp_channel& aChannel)
+{
+  const read_state state = mReader.Read(aChannel.Input());
+  if (state == read_state::Head) {
+    return;
+  }
+  if (state != read_state::Body && state != read_state::Complete) {
+    End(attempt_end::Broken, "malformed_answer");
+    return;
+  }
+  if (!mHeadTaken && !TakeHead()) {
+    return;
+  }
+  if (state == read_state::Complete) {
+    Complete();
+    return;
+  }
+  if (!mReader.Body().empty()) {
+    mOwner->OnAnswerBody(*this);
+  }
+}
+
+void
+attempt::Complete()
+{
+  // Bytes behind the answer belong to no request: such a connection is not
+  // used again, or the next request would be given them.
+  if (mChannel->Open() && mReader.Head().mKeepAlive &&
+      mChannel->Input().empty() && !mReader.EndsWithConnection()) {
+    mConnections.Keep(mEndpoint.mId,
+                      std::move(mChannel),
+                      mFacts.mIdleTimeout.value_or(kUsualIdleTimeout));
+    mChannel = nullptr;
+  } else {
+    DropChannel();
+  }
+  attempt_owner* const owner = mOwner;
+  mOwner = nullptr;
+  owner->OnAnswerEnd(*this);
+}
+
+void
+attempt::OnEnd(tcp_channel&, channel_end aEnd)
+{
+  if (!mSent) {
+    End(attempt_end::Unreached, "connection_refused");
+    return;
+  }
+  if (aEnd == channel_end::Finished && mHeadTaken &&
+      mReader.EndsWithConnection() &&
+      mReader.Finish() == read_state::Complete) {
+    Complete();
+    return;
+  }
+  const bool nothingCame = !mReader.Started();
+  End(mKept && nothingCame ? attempt_end::Stale : attempt_end::Broken,
+      aEnd == channel_end::Reset ? "reset" : "closed");
+}
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibGateway/EndpointConnections.h
@@ -0,0 +1,47 @@
+#pragma once
+
+/// Kept connections to endpoints: each serves one request at a time and is
+/// used again while the endpoint keeps it.
+
+#include "LibGateway/GatewayBoard.h"
+
+#include <deque>
+
+namespace primrose {
+
+class endpoint_connections final : public channel_owner
+{
+public:
+  explicit endpoint_connections(event_loop& aLoop);
+  ~endpoint_connections() override;
+  endpoint_connections(const endpoint_connections&) = delete;
+  endpoint_connections& operator=(const endpoint_connections&) = delete;
+
+  /// An idle connection to this start of the endpoint, or null.
+  std::shared_ptr<tcp_channel> TakeIdle(const std::string& aId);
+  /// A new connection, which is still to be made.
+  std::shared_ptr<tcp_channel> Connect(const ip_address& aAddress);
+  /// Gives back a connection whose answer was whole, to be kept for a while.
+  void Keep(const std::string& aId,
+            std::shared_ptr<tcp_channel> aChannel,
+            duration aIdleTimeout);
+  /// Closes the idle connections to an endpoint that is leaving or gone.
+  void CloseIdle(const std::string& aId);
+  void CloseOverdue();
+
+  void OnInput(tcp_channel& aChannel) override;
+  void OnEnd(tcp_channel& aChannel, channel_end aEnd) override;
+
+private:
+  struct kept
+  {
+    std::shared_ptr<tcp_channel> mChannel;
+    time_point mUntil{};
+  };
+  void Drop(const tcp_channel& aChannel);
+
+  event_loop& mLoop;
+  std::map<std::string, std::deque<kept>> mIdle;
+};
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibGateway/Exchange.h
@@ -0,0 +1,126 @@
+#pragma once
+
+/// One request of a caller, from its whole reading to its final answer.
+
+#include "LibGateway/Attempt.h"
+#include "LibGateway/PeerNews.h"
+
+#include <memory>
+
+namespace primrose {
+
+/// What exchanges share.
+struct gateway_context
+{
+  event_loop& mLoop;
+  const gateway_settings& mSettings;
+  const gateway_adapter& mAdapter;
+  gateway_board& mBoard;
+  endpoint_connections& mConnections;
+  peer_news& mPeers;
+};
+
+/// The caller's connection, as an exchange sees it.
+class caller_port
+{
+public:
+  virtual ~caller_port() = default;
+  virtual void Write(std::string_view aBytes) = 0;
+  virtual std::size_t Pending() const = 0;
+  /// The answer is whole; the connection may take another request.
+  virtual void Finish(bool aKeepAlive) = 0;
+  /// The answer cannot be made whole: the connection is cut, so that what was
+  /// written does not look complete.
+  virtual void Cut() = 0;
+};
+
+class exchange final
+  : public attempt_owner
+  , public std::enable_shared_from_this<exchange>
+{
+public:
+  exchange(const gateway_context& aContext,
+           caller_port& aPort,
+           http_head aHead,
+           std::string aBody);
+  ~exchange() override;
+  exchange(const exchange&) = delete;
+  exchange& operator=(const exchange&) = delete;
+
+  void Start();
+  /// The caller closed its connection: nothing more is done for it.
+  void CallerLeft();
+  /// The caller has taken what was written.
+  void PortDrained();
+
+  void OnAnswerHead(attempt& aAttempt) override;
+  void OnAnswerBody(attempt& aAttempt) override;
+  void OnAnswerEnd(attempt& aAttempt) override;
+  void OnAttemptEnd(attempt& aAttempt,
+                    attempt_end aEnd,
+                    const std::string& aWhy) override;
+
+private:
+  enum class state : std::uint8_t
+  {
+    Open,
+    Ended,
+  };
+  bool Admit();
+  bool Authenticate();
+  void Dispatch();
+  bool ChooseEngines();
+  bool ChoosePlain();
+  void SendTo(const known_endpoint& aEndpoint,
+              const std::vector<known_endpoint*>& aHelpers);
+  void WatchSilence(duration aLimit);
+  void OnSilence();
+  void OnDeadline();
+  bool MayRepeat();
+  bool Repeatable() const;
+  void Retry(const std::string& aWhy);
+  void GiveUp(error_kind aKind, const std::string& aWhy);
+  void Refuse(error_kind aKind, const std::string& aWhy, double aRetryAfter);
+  void Answer(const failure& aFailure);
+  void ForwardWhole(attempt& aAttempt);
+  void ForwardEvents(attempt& aAttempt);
+  void WriteHead(const http_head& aHead, std::optional<std::size_t> aLength);
+  void LeaveEndpoint();
+  void Sign(const attempt& aAttempt, endpoint_sign aSign);
+  void End(std::string_view aOutcome, const std::string& aWhy);
+  bool KeepAlive() const;
+  duration Left() const;
+
+  gateway_context mContext;
+  caller_port* mPort;
+  http_head mHead;
+  std::string mBody;
+  request_facts mFacts;
+  manifest_pointer mManifest; ///< As of admission; held for the route.
+  const route* mRoute = nullptr;
+  const service* mService = nullptr;
+  std::string mOrganisation;
+  time_point mBegan{};
+  time_point mDeadline{};
+  std::shared_ptr<attempt> mAttempt;
+  std::vector<std::string> mTried; ///< Endpoints that it was sent to.
+  std::vector<std::string> mPassedOver; ///< Tried or unreachable.
+  std::optional<placement_key> mPlacement;
+  double mExpectedMs = 0;   ///< Until the first event, by this entry's sums.
+  std::size_t mHelpers = 0;
+  bool mMayHaveRun = false; ///< An endpoint got it and promised nothing.
+  bool mFreshNext = false;
+  bool mStreaming = false;
+  bool mHeadWritten = false;
+  bool mPaused = false;
+  event_cursor mCursor;
+  std::optional<http_head> mStreamHead; ///< Of the first endpoint.
+  time_point mFirstEventAt{};
+  time_point mLastEventAt{};
+  duration mLongestPause{};
+  state mState = state::Open;
+  timer_id mDeadlineTimer = 0;
+  timer_id mSilenceTimer = 0;
+};
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -0,0 +1,315 @@
+#include "LibGateway/Gateway.h"
+
+#include "LibGateway/Probe.h"
+
+namespace primrose {
+
+namespace {
+
+/// House-keeping: overdue connections, expired placements, the end of a drain.
+constexpr duration kTick = std::chrono::milliseconds(100);
+/// The balancer takes an entry out after two probes a second apart; until then
+/// it sends new connections, so a draining entry listens a little longer.
+constexpr duration kListenWhileDraining = std::chrono::milliseconds(2600);
+/// Kept back from the grace for closing connections in order.
+constexpr duration kEndBeforeGrace = std::chrono::milliseconds(400);
+constexpr duration kRegisterTimeout = std::chrono::milliseconds(900);
+constexpr duration kRegisterPause = std::chrono::milliseconds(700);
+
+constexpr unsigned kGood = 200;
+constexpr unsigned kNotReady = 503;
+
+std::string_view
+ListingName(listing aListing)
+{
+  switch (aListing) {
+    case listing::Unchanged:
+      return "unchanged";
+    case listing::Joined:
+      return "joined";
+    case listing::Leaving:
+      return "leaving";
+    case listing::Left:
+      return "left";
+    case listing::Changed:
+      return "changed";
+  }
+  return "";
+}
+
+} // namespace
+
+gateway::gateway(event_loop& aLoop,
+                 const gateway_settings& aSettings,
+                 const gateway_adapter& aAdapter)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+  , mAdapter(aAdapter)
+  , mConnections(aLoop)
+  , mPeers(aLoop, mSettings, mBoard)
+  , mContext{ mLoop, mSettings, mAdapter, mBoard, mConnections, mPeers }
+{
+  mBoard.mBoot = FreshSeed();
+  mBoard.mRandom.seed(mBoard.mBoot);
+}
+
+gateway::~gateway()
+{
+  mLoop.Cancel(mTimer);
+}
+
+result<void>
+gateway::Start()
+{
+  mManifestFollower = std::make_unique<table_follower>(
+    mLoop,
+    mAdapter,
+    mBoard,
+    mSettings.mStore,
+    mAdapter.mManifestTable,
+    table_follower::listener{
+      [this](const table_reading& aReading) {
+        for (const row_change<std::string>& row : aReading.mRows) {
+          OnManifestRow(row);
+        }
+      },
+      [this](const table_reading& aReading) {
+        for (const row_change<std::string>& row : aReading.mRows) {
+          OnManifestRow(row);
+        }
+      } });
+  mEndpointFollower = std::make_unique<table_follower>(
+    mLoop,
+    mAdapter,
+    mBoard,
+    mSettings.mStore,
+    mAdapter.mEndpointTable,
+    table_follower::listener{
+      [this](const table_reading& aReading) { OnEndpoints(aReading, true); },
+      [this](const table_reading& aReading) {
+        OnEndpoints(aReading, false);
+      } });
+  mManifestFollower->Start();
+  mEndpointFollower->Start();
+  BOOST_LEAF_CHECK(mPeers.Open());
+  mRegistrar = std::make_unique<http_caller>(mLoop, mSettings.mStore);
+  Register();
+  BOOST_LEAF_ASSIGN(
+    mCallers,
+    tcp_listener::Open(mLoop, mSettings.mCallers, [this](int aSocket) {
+      const std::shared_ptr<caller_connection> opened =
+        std::make_shared<caller_connection>(
+          mContext, aSocket, [this](caller_connection& aClosed) {
+            const auto found = mOpen.find(&aClosed);
+            if (found != mOpen.end()) {
+              mLoop.DeleteLater(std::move(found->second));
+              mOpen.erase(found);
+            }
+          });
+      mOpen.emplace(opened.get(), opened);
+    }));
+  BOOST_LEAF_ASSIGN(
+    mReadiness,
+    tcp_listener::Open(mLoop, mSettings.mReadiness, [this](int aSocket) {
+      AnswerProbe(aSocket, false);
+    }));
+  BOOST_LEAF_ASSIGN(
+    mMetrics,
+    tcp_listener::Open(mLoop, mSettings.mMetrics, [this](int aSocket) {
+      AnswerProbe(aSocket, true);
+    }));
+  Tick();
+  return {};
+}
+
+bool
+gateway::Ready() const
+{
+  return !mBoard.mDraining && mBoard.mManifest != nullptr &&
+         mBoard.mEndpointsKnown;
+}
+
+void
+gateway::AnswerProbe(int aSocket, bool aMetrics)
+{
+  probe_connection::Serve(mLoop, aSocket, [this, aMetrics]() {
+    if (aMetrics) {
+      mBoard.mMetrics.Set("gateway_open_requests",
+                          static_cast<double>(mBoard.mOpenRequests));
+      mBoard.mMetrics.Set(
+        "gateway_endpoints",
+        static_cast<double>(mBoard.mEndpoints.mEndpoints.size()));
+      mBoard.mMetrics.Set("gateway_peers",
+                          static_cast<double>(mBoard.mPeers.size()));
+      return probe_connection::answer{ kGood, mBoard.mMetrics.Exposition() };
+    }
+    return Ready() ? probe_connection::answer{ kGood, "ready\n" }
+                   : probe_connection::answer{ kNotReady, "not ready\n" };
+  });
+}
+
+void
+gateway::OnManifestRow(const row_change<std::string>& aRow)
+{
+  if (aRow.mKey != mAdapter.mManifestKey || !aRow.mValue.has_value()) {
+    return;
+  }
+  const outcome<manifest> decoded = Capture<manifest>(
+    [this, &aRow]() { return mAdapter.mDecodeManifest(*aRow.mValue); });
+  if (!decoded) {
+    Log(log_level::Error,
+        "manifest_malformed",
+        { { "revision", aRow.mRevision },
+          { "why", decoded.mFailure.mMessage } });
+    return;
+  }
+  if (!IsNewer(mBoard.mManifest, *decoded.mValue)) {
+    return;
+  }
+  Log(log_level::Info,
+      "manifest_in_force",
+      { { "version", decoded.mValue->mVersion },
+        { "before",
+          mBoard.mManifest == nullptr
+            ? 0
+            : mBoard.mManifest->Manifest().mVersion },
+        { "routes", decoded.mValue->mRoutes.size() },
+        { "organisations", decoded.mValue->mOrganisations.size() } });
+  mBoard.mMetrics.Set("gateway_manifest_version",
+                      static_cast<double>(decoded.mValue->mVersion));
+  mBoard.mManifest = std::make_shared<const manifest_index>(*decoded.mValue);
+  mBoard.mManifestSince = mLoop.Now();
+}
+
+void
+gateway::NoteListing(const std::string& aId, listing aListing)
+{
+  if (aListing == listing::Unchanged || aListing == listing::Changed) {
+    return;
+  }
+  Log(log_level::Info,
+      "endpoint_listed",
+      { { "endpoint", aId },
+        { "change", ListingName(aListing) },
+        { "known", mBoard.mEndpoints.mEndpoints.size() } });
+  if (aListing != listing::Joined) {
+    mConnections.CloseIdle(aId);
+  }
+}
+
+void
+gateway::OnEndpoints(const table_reading& aReading, bool aWhole)
+{
+  std::vector<row_change<endpoint>> rows;
+  for (const row_change<std::string>& row : aReading.mRows) {
+    row_change<endpoint> change{ row.mKey, row.mRevision, std::nullopt };
+    if (row.mValue.has_value()) {
+      const outcome<endpoint> decoded =
+        Capture<endpoint>([this, &row]() {
+          return mAdapter.mDecodeEndpoint(row.mKey, *row.mValue);
+        });
+      if (!decoded) {
+        Log(log_level::Error,
+            "endpoint_malformed",
+            { { "endpoint", row.mKey }, { "why", decoded.mFailure.mMessage } });
+        continue;
+      }
+      change.mValue = *decoded.mValue;
+    }
+    rows.push_back(std::move(change));
+  }
+  for (const row_change<endpoint>& row : rows) {
+    NoteListing(row.mKey, ApplyRow(mBoard.mEndpoints, row));
+  }
+  if (aWhole) {
+    for (const std::string& id :
+         ApplyWholeList(mBoard.mEndpoints, rows, aReading.mRevision)) {
+      NoteListing(id, listing::Left);
+    }
+    mBoard.mEndpointsKnown = true;
+  }
+}
+
+void
+gateway::Register()
+{
+  mRegistrar->Call(mAdapter.mWriteRow(mAdapter.mEntryTable,
+                                      mSettings.mPeers.mHost,
+                                      mSettings.mName),
+                   kRegisterTimeout,
+                   [this](const http_answer& aAnswer) {
+                     if (aAnswer.mStatus == kGood) {
+                       LearnEntries();
+                       return;
+                     }
+                     (void)mLoop.After(kRegisterPause,
+                                       [this]() { Register(); });
+                   });
+}
+
+void
+gateway::LearnEntries()
+{
+  mRegistrar->Call(
+    mAdapter.mReadTable(mAdapter.mEntryTable, ""),
+    kRegisterTimeout,
+    [this](const http_answer& aAnswer) {
+      const table_reading reading = mAdapter.mDecodeTable(aAnswer);
+      if (reading.mOutcome != table_reading::outcome::Good) {
+        (void)mLoop.After(kRegisterPause, [this]() { LearnEntries(); });
+        return;
+      }
+      std::vector<std::string> hosts;
+      for (const row_change<std::string>& row : reading.mRows) {
+        hosts.push_back(row.mKey);
+      }
+      mPeers.AddHosts(hosts);
+    });
+}
+
+void
+gateway::Tick()
+{
+  mConnections.CloseOverdue();
+  ForgetExpired(mBoard.mLedger, mLoop.Now());
+  if (mBoard.mDraining) {
+    CheckDrained();
+  }
+  mTimer = mLoop.After(kTick, [this]() {
+    mTimer = 0;
+    Tick();
+  });
+}
+
+void
+gateway::Drain()
+{
+  if (mBoard.mDraining) {
+    return;
+  }
+  mBoard.mDraining = true;
+  mDrainBegan = mLoop.Now();
+  Log(log_level::Info,
+      "draining",
+      { { "open_requests", mBoard.mOpenRequests },
+        { "grace_ms", Milliseconds(mSettings.mGrace) } });
+}
+
+void
+gateway::CheckDrained()
+{
+  const duration drained = mLoop.Now() - mDrainBegan;
+  const bool overdue = drained >= mSettings.mGrace - kEndBeforeGrace;
+  if (!overdue &&
+      (drained < kListenWhileDraining || mBoard.mOpenRequests > 0)) {
+    return;
+  }
+  Log(log_level::Info,
+      "stopped",
+      { { "open_requests", mBoard.mOpenRequests },
+        { "drained_ms", Milliseconds(drained) } });
+  mPeers.TellLeaving();
+  mLoop.Quit();
+}
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibGateway/GatewayBoard.h
@@ -0,0 +1,60 @@
+#pragma once
+
+/// What the gateway believes; every controller reads and writes here.
+
+#include "LibGateway/Adapter.h"
+#include "LibObserve/LibObserve.h"
+
+#include <map>
+#include <set>
+
+namespace primrose {
+
+/// What one process is told at its start.
+struct gateway_settings
+{
+  std::string mName;
+  std::string mDataCentre;
+  ip_address mCallers;   ///< Where callers connect.
+  ip_address mReadiness; ///< Where the balancer asks.
+  ip_address mMetrics;   ///< Where counters are read.
+  ip_address mPeers;     ///< Where other entries' datagrams arrive.
+  ip_address mStore;
+  std::vector<std::string> mSeeds; ///< Hosts of entries to ask first.
+  duration mGrace{};     ///< Between the signal to end and the forced end.
+  repeat_bound mRepeats;
+
+  bool operator==(const gateway_settings&) const = default;
+};
+
+/// Another entry, as heard from by datagram.
+struct peer_entry
+{
+  std::uint64_t mBoot = 0; ///< New at each of its starts.
+  time_point mHeard{};
+
+  bool operator==(const peer_entry&) const = default;
+};
+
+struct gateway_board
+{
+  manifest_pointer mManifest;
+  time_point mManifestSince{};
+  bool mEndpointsKnown = false;
+  endpoint_board mEndpoints;
+  engine_ledger mLedger;
+  std::map<std::string, repeat_record> mRepeats; ///< By service.
+  std::map<std::string, peer_entry> mPeers;      ///< By host.
+  std::uint64_t mBoot = 0;
+  std::uint64_t mLastPlacement = 0;
+  std::size_t mOpenRequests = 0;
+  bool mDraining = false;
+  random_engine mRandom;
+  metrics mMetrics;
+};
+
+/// Entries that share the repeat budget: this one and the peers heard of.
+std::size_t
+EntryCount(const gateway_board& aBoard);
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibGateway/Probe.cpp
@@ -0,0 +1,71 @@
+#include "LibGateway/Probe.h"
+
+namespace primrose {
+
+namespace {
+
+constexpr channel_limits kLimits{ std::chrono::seconds(5),
+                                  std::chrono::seconds(10) };
+
+} // namespace
+
+probe_connection::probe_connection(event_loop& aLoop,
+                                   int aSocket,
+                                   asked aAsked)
+  : mLoop(aLoop)
+  , mAsked(std::move(aAsked))
+  , mChannel(std::make_shared<tcp_channel>(aLoop, aSocket, kLimits))
+  , mReader(http_role::Request, http_limits{})
+{
+  mChannel->SetOwner(this);
+}
+
+void
+probe_connection::Serve(event_loop& aLoop, int aSocket, asked aAsked)
+{
+  const std::shared_ptr<probe_connection> made(
+    new probe_connection(aLoop, aSocket, std::move(aAsked)));
+  made->mSelf = made;
+}
+
+void
+probe_connection::OnInput(tcp_channel& aChannel)
+{
+  const read_state state = mReader.Read(aChannel.Input());
+  if (state == read_state::Head || state == read_state::Body) {
+    return;
+  }
+  if (state != read_state::Complete) {
+    Close();
+    return;
+  }
+  const answer given = mAsked();
+  std::string text = "HTTP/1.1 " + std::to_string(given.mStatus) + ' ';
+  text.append(ReasonPhrase(given.mStatus)).append("\r\n");
+  AppendField(text, "Content-Type", "text/plain");
+  AppendField(text, "Content-Length", std::to_string(given.mBody.size()));
+  text.append("\r\n").append(given.mBody);
+  aChannel.Write(text);
+  if (!mReader.Head().mKeepAlive) {
+    aChannel.SetOwner(nullptr);
+    aChannel.CloseWhenDrained();
+    mLoop.DeleteLater(std::move(mSelf));
+    return;
+  }
+  mReader.Restart();
+}
+
+void
+probe_connection::OnEnd(tcp_channel&, channel_end)
+{
+  Close();
+}
+
+void
+probe_connection::Close()
+{
+  mChannel->Close();
+  mLoop.DeleteLater(std::move(mSelf));
+}
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibGateway/TableFollower.cpp
@@ -0,0 +1,166 @@
+#include "LibGateway/TableFollower.h"
+
+namespace primrose {
+
+namespace {
+
+/// How long the platform may hold a question about changes. A connection that
+/// went silent, or an answer that was lost, shows only when the answer is
+/// overdue; this and the slack together bound how old the copy can be.
+constexpr duration kWait = std::chrono::milliseconds(1800);
+constexpr duration kWaitSlack = std::chrono::milliseconds(500);
+/// A whole reading takes some milliseconds; a slow platform up to 250.
+constexpr duration kReadTimeout = std::chrono::milliseconds(900);
+/// Pauses after a failure: short enough that a return is noticed well within
+/// the bounds on changes, with jitter so that entries do not ask together.
+constexpr duration kFirstPause = std::chrono::milliseconds(60);
+constexpr duration kLongestPause = std::chrono::milliseconds(500);
+constexpr unsigned kMostDoublings = 4;
+
+} // namespace
+
+table_follower::table_follower(event_loop& aLoop,
+                               const gateway_adapter& aAdapter,
+                               gateway_board& aBoard,
+                               const ip_address& aStore,
+                               std::string aTable,
+                               listener aListener)
+  : mLoop(aLoop)
+  , mAdapter(aAdapter)
+  , mBoard(aBoard)
+  , mTable(std::move(aTable))
+  , mListener(std::move(aListener))
+  , mCaller(aLoop, aStore)
+{
+}
+
+table_follower::~table_follower()
+{
+  mLoop.Cancel(mTimer);
+}
+
+void
+table_follower::Start()
+{
+  ReadWhole("");
+}
+
+void
+table_follower::ReadWhole(const std::string& aFromKey)
+{
+  if (aFromKey.empty()) {
+    mGathered = table_reading{};
+  }
+  mCaller.Call(mAdapter.mReadTable(mTable, aFromKey),
+               kReadTimeout,
+               [this](const http_answer& aAnswer) {
+                 OnWhole(mAdapter.mDecodeTable(aAnswer));
+               });
+}
+
+void
+table_follower::OnWhole(table_reading aReading)
+{
+  if (aReading.mOutcome != table_reading::outcome::Good) {
+    OnTrouble(aReading);
+    return;
+  }
+  NoteReached();
+  const bool first = mGathered.mRows.empty();
+  // A table in several answers is as old as the first of them.
+  mGathered.mRevision = first ? aReading.mRevision : mGathered.mRevision;
+  mGathered.mRows.insert(mGathered.mRows.end(),
+                         aReading.mRows.begin(),
+                         aReading.mRows.end());
+  if (aReading.mTruncated && !aReading.mRows.empty()) {
+    // The first key that sorts behind the last one given.
+    ReadWhole(aReading.mRows.back().mKey + '\x01');
+    return;
+  }
+  mRevision = mGathered.mRevision;
+  mListener.mWhole(mGathered);
+  mGathered = table_reading{};
+  ReadChanges();
+}
+
+void
+table_follower::ReadChanges()
+{
+  mCaller.Call(mAdapter.mReadChanges(mTable, *mRevision, kWait),
+               kWait + kWaitSlack,
+               [this](const http_answer& aAnswer) {
+                 OnChanges(mAdapter.mDecodeTable(aAnswer));
+               });
+}
+
+void
+table_follower::OnChanges(const table_reading& aReading)
+{
+  if (aReading.mOutcome != table_reading::outcome::Good) {
+    OnTrouble(aReading);
+    return;
+  }
+  NoteReached();
+  mRevision = std::max(*mRevision, aReading.mRevision);
+  if (!aReading.mRows.empty()) {
+    mListener.mChanges(aReading);
+  }
+  ReadChanges();
+}
+
+void
+table_follower::NoteReached()
+{
+  if (!mReached) {
+    Log(log_level::Info,
+        "store_reached",
+        { { "table", mTable },
+          { "away_ms",
+            mTroubled ? Milliseconds(mLoop.Now() - mTroubledSince) : 0 },
+          { "failures", mFailures } });
+  }
+  mReached = true;
+  mTroubled = false;
+  mFailures = 0;
+}
+
+void
+table_follower::OnTrouble(const table_reading& aReading)
+{
+  const bool lost =
+    aReading.mOutcome == table_reading::outcome::HistoryLost;
+  if (lost) {
+    Log(log_level::Warning,
+        "store_history_lost",
+        { { "table", mTable }, { "revision", mRevision.value_or(0) } });
+    mRevision.reset();
+  } else if (!mTroubled) {
+    mTroubled = true;
+    mTroubledSince = mLoop.Now();
+    Log(log_level::Warning,
+        "store_lost",
+        { { "table", mTable },
+          { "outcome",
+            aReading.mOutcome == table_reading::outcome::Refused
+              ? "refused"
+              : "no_answer" },
+          { "revision", mRevision.value_or(0) } });
+  }
+  mReached = mReached && lost;
+  mBoard.mMetrics.Count("gateway_store_failures_total");
+  const unsigned doublings = std::min(mFailures++, kMostDoublings);
+  const duration longest =
+    std::min(kFirstPause * (1U << doublings), kLongestPause);
+  const duration pause =
+    FromSeconds(Seconds(longest) * (0.5 + 0.5 * Uniform(mBoard.mRandom)));
+  mTimer = mLoop.After(pause, [this]() {
+    mTimer = 0;
+    if (mRevision.has_value()) {
+      ReadChanges();
+    } else {
+      ReadWhole("");
+    }
+  });
+}
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibGateway/TableFollower.h
@@ -0,0 +1,57 @@
+#pragma once
+
+/// Keeps a copy of one table of the platform: a whole reading, then a long poll
+/// for changes, again and again, through whatever the platform does.
+
+#include "LibGateway/GatewayBoard.h"
+
+namespace primrose {
+
+class table_follower
+{
+public:
+  struct listener
+  {
+    /// A whole reading as of a revision.
+    std::function<void(const table_reading&)> mWhole;
+    std::function<void(const table_reading&)> mChanges;
+  };
+
+  table_follower(event_loop& aLoop,
+                 const gateway_adapter& aAdapter,
+                 gateway_board& aBoard,
+                 const ip_address& aStore,
+                 std::string aTable,
+                 listener aListener);
+  ~table_follower();
+  table_follower(const table_follower&) = delete;
+  table_follower& operator=(const table_follower&) = delete;
+
+  void Start();
+  /// False while the last call failed.
+  bool Reached() const { return mReached; }
+
+private:
+  void ReadWhole(const std::string& aFromKey);
+  void OnWhole(table_reading aReading);
+  void ReadChanges();
+  void OnChanges(const table_reading& aReading);
+  void OnTrouble(const table_reading& aReading);
+  void NoteReached();
+
+  event_loop& mLoop;
+  const gateway_adapter& mAdapter;
+  gateway_board& mBoard;
+  std::string mTable;
+  listener mListener;
+  http_caller mCaller;
+  table_reading mGathered;
+  std::optional<std::uint64_t> mRevision;
+  bool mReached = false;
+  bool mTroubled = false;
+  time_point mTroubledSince{};
+  unsigned mFailures = 0;
+  timer_id mTimer = 0;
+};
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibNet/HttpClientCall.cpp
@@ -0,0 +1,111 @@
+#include "LibNet/HttpClientCall.h"
+
+namespace primrose {
+
+http_caller::http_caller(event_loop& aLoop, ip_address aServer)
+  : mLoop(aLoop)
+  , mServer(std::move(aServer))
+  , mReader(http_role::Answer, http_limits{})
+{
+}
+
+http_caller::~http_caller()
+{
+  mLoop.Cancel(mTimer);
+}
+
+void
+http_caller::Call(const http_call& aCall,
+                  duration aTimeout,
+                  answered aAnswered)
+{
+  std::string bytes = aCall.mMethod + ' ' + aCall.mTarget + " HTTP/1.1\r\n";
+  AppendField(bytes, "Host", mServer.Text());
+  if (!aCall.mContentType.empty()) {
+    AppendField(bytes, "Content-Type", aCall.mContentType);
+  }
+  if (aCall.mMethod != "GET") {
+    AppendField(bytes, "Content-Length", std::to_string(aCall.mBody.size()));
+  }
+  bytes += "\r\n" + aCall.mBody;
+  mWaiting.push_back({ std::move(bytes), aTimeout, std::move(aAnswered) });
+  SendNext();
+}
+
+void
+http_caller::SendNext()
+{
+  if (mBusy || mWaiting.empty()) {
+    return;
+  }
+  mBusy = true;
+  if (mChannel == nullptr || !mChannel->Open()) {
+    DropChannel();
+    mChannel = std::make_shared<tcp_channel>(mLoop, mServer, channel_limits{});
+    mChannel->SetOwner(this);
+  }
+  mReader.Restart();
+  mChannel->Write(mWaiting.front().mBytes);
+  mTimer = mLoop.After(mWaiting.front().mTimeout, [this]() {
+    mTimer = 0;
+    DropChannel();
+    Settle({});
+  });
+}
+
+void
+http_caller::DropChannel()
+{
+  if (mChannel != nullptr) {
+    mChannel->Close();
+    mLoop.DeleteLater(std::move(mChannel));
+    mChannel = nullptr;
+  }
+}
+
+void
+http_caller::Settle(const http_answer& aAnswer)
+{
+  mLoop.Cancel(mTimer);
+  const answered notify = std::move(mWaiting.front().mAnswered);
+  mWaiting.pop_front();
+  mBusy = false;
+  notify(aAnswer);
+  SendNext();
+}
+
+void
+http_caller::OnInput(tcp_channel& aChannel)
+{
+  if (!mBusy) {
+    // Bytes that no call asked for.
+    DropChannel();
+    return;
+  }
+  const read_state state = mReader.Read(aChannel.Input());
+  if (state == read_state::Head || state == read_state::Body) {
+    return;
+  }
+  if (state != read_state::Complete) {
+    DropChannel();
+    Settle({});
+    return;
+  }
+  const http_answer answer{ mReader.Head().mStatus,
+                            std::move(mReader.Body()) };
+  if (!mReader.Head().mKeepAlive) {
+    DropChannel();
+  }
+  Settle(answer);
+}
+
+void
+http_caller::OnEnd(tcp_channel&, channel_end)
+{
+  DropChannel();
+  if (mBusy) {
+    Settle({});
+  }
+}
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibNet/HttpClientCall.h
@@ -0,0 +1,68 @@
+#pragma once
+
+/// Calls over one kept connection to one server, one at a time: what the
+/// platform's store is asked through. A call that gets no answer in its time
+/// ends the connection, since a late answer would belong to nobody.
+
+#include "LibNet/HttpReader.h"
+#include "LibNet/TcpChannel.h"
+
+#include <deque>
+
+namespace primrose {
+
+struct http_call
+{
+  std::string mMethod;
+  std::string mTarget;
+  std::string mBody;
+  std::string mContentType;
+
+  bool operator==(const http_call&) const = default;
+};
+
+struct http_answer
+{
+  unsigned mStatus = 0; ///< 0: no answer came.
+  std::string mBody;
+
+  bool operator==(const http_answer&) const = default;
+};
+
+class http_caller final : public channel_owner
+{
+public:
+  using answered = std::function<void(const http_answer&)>;
+
+  http_caller(event_loop& aLoop, ip_address aServer);
+  ~http_caller() override;
+  http_caller(const http_caller&) = delete;
+  http_caller& operator=(const http_caller&) = delete;
+
+  /// `aAnswered` is called exactly once, never from within `Call`.
+  void Call(const http_call& aCall, duration aTimeout, answered aAnswered);
+
+  void OnInput(tcp_channel& aChannel) override;
+  void OnEnd(tcp_channel& aChannel, channel_end aEnd) override;
+
+private:
+  struct waiting
+  {
+    std::string mBytes;
+    duration mTimeout{};
+    answered mAnswered;
+  };
+  void SendNext();
+  void Settle(const http_answer& aAnswer);
+  void DropChannel();
+
+  event_loop& mLoop;
+  ip_address mServer;
+  std::shared_ptr<tcp_channel> mChannel;
+  http_reader mReader;
+  std::deque<waiting> mWaiting;
+  bool mBusy = false;
+  timer_id mTimer = 0;
+};
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibNet/HttpMessage.cpp
@@ -0,0 +1,120 @@
+#include "LibNet/HttpMessage.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <http_parser.h>
+
+namespace primrose {
+
+namespace {
+
+constexpr std::array<std::string_view, 9> kOneConnection = {
+  "connection", "keep-alive", "transfer-encoding", "content-length",
+  "te",         "trailer",    "upgrade",           "proxy-connection",
+  "expect"
+};
+
+char
+Lower(char aLetter)
+{
+  return aLetter >= 'A' && aLetter <= 'Z'
+           ? static_cast<char>(aLetter - 'A' + 'a')
+           : aLetter;
+}
+
+/// True if a comma-separated list names this word.
+bool
+ListNames(std::string_view aList, std::string_view aWord)
+{
+  while (!aList.empty()) {
+    const std::size_t comma = aList.find(',');
+    std::string_view item = aList.substr(0, comma);
+    aList = comma == std::string_view::npos ? "" : aList.substr(comma + 1);
+    const std::size_t first = item.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+      continue;
+    }
+    item = item.substr(first, item.find_last_not_of(" \t") - first + 1);
+    if (SameFieldName(item, aWord)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+bool
+SameFieldName(std::string_view aOne, std::string_view aOther)
+{
+  return std::equal(
+    aOne.begin(), aOne.end(), aOther.begin(), aOther.end(), [](char a, char b) {
+      return Lower(a) == Lower(b);
+    });
+}
+
+std::optional<std::string_view>
+FieldValue(const http_fields& aFields, std::string_view aName)
+{
+  for (const http_field& field : aFields) {
+    if (SameFieldName(field.mName, aName)) {
+      return field.mValue;
+    }
+  }
+  return std::nullopt;
+}
+
+std::size_t
+FieldCount(const http_fields& aFields, std::string_view aName)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aFields.begin(), aFields.end(), [aName](const http_field& aField) {
+      return SameFieldName(aField.mName, aName);
+    }));
+}
+
+bool
+ConcernsOneConnection(const http_fields& aFields, std::string_view aName)
+{
+  for (const std::string_view name : kOneConnection) {
+    if (SameFieldName(name, aName)) {
+      return true;
+    }
+  }
+  for (const http_field& field : aFields) {
+    if (SameFieldName(field.mName, "connection") &&
+        ListNames(field.mValue, aName)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+AppendField(std::string& aHead, std::string_view aName, std::string_view aValue)
+{
+  aHead.append(aName).append(": ").append(aValue).append("\r\n");
+}
+
+std::string_view
+ReasonPhrase(unsigned aStatus)
+{
+  return http_status_str(static_cast<http_status>(aStatus));
+}
+
+void
+AppendChunk(std::string& aOutput, std::string_view aBytes)
+{
+  if (aBytes.empty()) {
+    return;
+  }
+  constexpr int kHexadecimal = 16;
+  std::array<char, kHexadecimal> size{};
+  const std::to_chars_result end = std::to_chars(
+    size.data(), size.data() + size.size(), aBytes.size(), kHexadecimal);
+  aOutput.append(size.data(), end.ptr);
+  aOutput.append("\r\n").append(aBytes).append("\r\n");
+}
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -0,0 +1,232 @@
+#include "LibNet/HttpReader.h"
+
+namespace primrose {
+
+namespace {
+
+/// What a callback answers so that the parser stops there with an error.
+constexpr int kStop = 1;
+/// What the head's callback answers for "there is no body".
+constexpr int kSkipBody = 1;
+constexpr unsigned kFirstFinalStatus = 200;
+
+bool
+MayHaveBody(unsigned aStatus)
+{
+  constexpr unsigned kNoContent = 204;
+  constexpr unsigned kNotModified = 304;
+  return aStatus >= kFirstFinalStatus && aStatus != kNoContent &&
+         aStatus != kNotModified;
+}
+
+http_reader&
+ReaderOf(http_parser* aParser)
+{
+  return *static_cast<http_reader*>(aParser->data);
+}
+
+} // namespace
+
+http_reader::http_reader(http_role aRole, const http_limits& aLimits)
+  : mRole(aRole)
+  , mLimits(aLimits)
+{
+  Restart();
+}
+
+void
+http_reader::Restart(bool aNoBody)
+{
+  http_parser_init(&mParser,
+                   mRole == http_role::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+  mParser.data = this;
+  mHead = http_head{};
+  mBody.clear();
+  mHeadBytes = 0;
+  mBodyBytes = 0;
+  mNoBody = aNoBody;
+  mValueSeen = false;
+  mEndsWithConnection = false;
+  mState = read_state::Head;
+}
+
+const http_parser_settings&
+http_reader::Callbacks()
+{
+  static const http_parser_settings callbacks = []() {
+    http_parser_settings made;
+    http_parser_settings_init(&made);
+    made.on_url = &http_reader::OnUrl;
+    made.on_header_field = &http_reader::OnName;
+    made.on_header_value = &http_reader::OnValue;
+    made.on_headers_complete = &http_reader::OnHead;
+    made.on_body = &http_reader::OnBody;
+    made.on_message_complete = &http_reader::OnEnd;
+    return made;
+  }();
+  return callbacks;
+}
+
+int
+http_reader::OnUrl(http_parser* aParser, const char* aAt, size_t aSize)
+{
+  ReaderOf(aParser).mHead.mTarget.append(aAt, aSize);
+  return 0;
+}
+
+int
+http_reader::OnName(http_parser* aParser, const char* aAt, size_t aSize)
+{
+  http_reader& reader = ReaderOf(aParser);
+  if (reader.mState != read_state::Head) {
+    // A trailer: it says nothing that a caller may rely on, so it is dropped.
+    return 0;
+  }
+  if (reader.mHead.mFields.empty() || reader.mValueSeen) {
+    reader.mHead.mFields.emplace_back();
+    reader.mValueSeen = false;
+  }
+  reader.mHead.mFields.back().mName.append(aAt, aSize);
+  return 0;
+}
+
+int
+http_reader::OnValue(http_parser* aParser, const char* aAt, size_t aSize)
+{
+  http_reader& reader = ReaderOf(aParser);
+  if (reader.mState != read_state::Head) {
+    return 0;
+  }
+  reader.mValueSeen = true;
+  reader.mHead.mFields.back().mValue.append(aAt, aSize);
+  return 0;
+}
+
+bool
+http_reader::HeadIsSound() const
+{
+  // Two parties that read different lengths out of one head see different
+  // requests in the same bytes. Only heads with one reading are taken.
+  const bool chunked = FieldCount(mHead.mFields, "transfer-encoding") > 0;
+  const std::size_t lengths = FieldCount(mHead.mFields, "content-length");
+  if (lengths > 1 || (chunked && lengths > 0)) {
+    return false;
+  }
+  if (chunked) {
+    const std::optional<std::string_view> coding =
+      FieldValue(mHead.mFields, "transfer-encoding");
+    if (FieldCount(mHead.mFields, "transfer-encoding") > 1 ||
+        !SameFieldName(*coding, "chunked")) {
+      return false;
+    }
+  }
+  for (const http_field& field : mHead.mFields) {
+    if (field.mName.empty() ||
+        field.mValue.find_first_of(std::string_view("\r\n\0", 3)) !=
+          std::string::npos) {
+      return false;
+    }
+  }
+  return mRole == http_role::Answer ||
+         (FieldCount(mHead.mFields, "host") == 1 && !mHead.mTarget.empty() &&
+          mHead.mTarget.front() == '/');
+}
+
+int
+http_reader::OnHead(http_parser* aParser)
+{
+  http_reader& reader = ReaderOf(aParser);
+  reader.mHead.mStatus = aParser->status_code;
+  if (reader.mRole == http_role::Request) {
+    reader.mHead.mMethod =
+      http_method_str(static_cast<http_method>(aParser->method));
+  }
+  reader.mHead.mKeepAlive = http_should_keep_alive(aParser) != 0;
+  if (aParser->upgrade != 0 || !reader.HeadIsSound()) {
+    reader.mState = read_state::Malformed;
+    return -1;
+  }
+  reader.mEndsWithConnection =
+    reader.mRole == http_role::Answer && !reader.mNoBody &&
+    MayHaveBody(aParser->status_code) &&
+    FieldCount(reader.mHead.mFields, "content-length") == 0 &&
+    FieldCount(reader.mHead.mFields, "transfer-encoding") == 0;
+  reader.mState = read_state::Body;
+  return reader.mNoBody ? kSkipBody : 0;
+}
+
+int
+http_reader::OnBody(http_parser* aParser, const char* aAt, size_t aSize)
+{
+  http_reader& reader = ReaderOf(aParser);
+  reader.mBodyBytes += aSize;
+  if (reader.mBodyBytes > reader.mLimits.mBodyBytes) {
+    reader.mState = read_state::BodyTooBig;
+    return kStop;
+  }
+  reader.mBody.append(aAt, aSize);
+  return 0;
+}
+
+int
+http_reader::OnEnd(http_parser* aParser)
+{
+  http_reader& reader = ReaderOf(aParser);
+  reader.mState = read_state::Complete;
+  // Stops the parser right behind the message.
+  http_parser_pause(aParser, 1);
+  return 0;
+}
+
+read_state
+http_reader::Read(std::string& aInput)
+{
+  if (mState != read_state::Head && mState != read_state::Body) {
+    return mState;
+  }
+  const bool inHead = mState == read_state::Head;
+  const std::size_t used =
+    http_parser_execute(&mParser, &Callbacks(), aInput.data(), aInput.size());
+  const http_errno error = HTTP_PARSER_ERRNO(&mParser);
+  if (inHead) {
+    mHeadBytes += used;
+  }
+  if (error == HPE_PAUSED) {
+    aInput.erase(0, used);
+    if (mRole == http_role::Answer && mHead.mStatus < kFirstFinalStatus) {
+      // An interim answer; the real one follows.
+      const bool noBody = mNoBody;
+      Restart(noBody);
+      return aInput.empty() ? mState : Read(aInput);
+    }
+    return mState;
+  }
+  if (error != HPE_OK) {
+    if (error == HPE_HEADER_OVERFLOW) {
+      mState = read_state::HeadTooBig;
+    } else if (mState != read_state::BodyTooBig) {
+      mState = read_state::Malformed;
+    }
+    return mState;
+  }
+  aInput.erase(0, used);
+  if (mState == read_state::Head && mHeadBytes > mLimits.mHeadBytes) {
+    mState = read_state::HeadTooBig;
+  }
+  return mState;
+}
+
+read_state
+http_reader::Finish()
+{
+  if (mState == read_state::Complete) {
+    return mState;
+  }
+  (void)http_parser_execute(&mParser, &Callbacks(), nullptr, 0);
+  if (mState != read_state::Complete) {
+    mState = read_state::Malformed;
+  }
+  return mState;
+}
+
+} // namespace primrose
--- a/Meta/primrosewind.sh
+++ b/Meta/primrosewind.sh
@@ -11,7 +11,8 @@
   g++ cmake ninja-build pkg-config clang-format clang-tidy
   libglib2.0-dev libsoup-3.0-dev libcapnp-dev libboost1.81-dev
   libboost-program-options1.81-dev libspdlog-dev libcppunit-dev
-  nlohmann-json3-dev libxxhash-dev librapidcheck-dev libbenchmark-dev
+  nlohmann-json3-dev libxxhash-dev libhttp-parser-dev librapidcheck-dev
+  libbenchmark-dev
   gnuplot-nox
 )
 
