Places are priced by what they cost callers

Cause: (1) a prompt that no engine could hold was refused at once, yet its reading stayed in every entry's sums, which drifted to ten seconds of work that was not there; (2) where nothing fitted within the pauses, a long prompt was spread over all engines and stretched every stream a little over its limit. Change: a placement that ends unread is taken out of the backlog; a place costs the worth of this request if it is late and of the streams it stretches, and a stream that is stretched already costs nothing more.

--- a/Libraries/LibFleet/EngineLedger.cpp
+++ b/Libraries/LibFleet/EngineLedger.cpp
@@ -13,37 +13,59 @@
 double
 ElapsedMs(time_point aFrom, time_point aTo)
 {
-  constexpr double kMsPerSecond = 1e3;
-  return std::max(0.0, Seconds(aTo - aFrom) * kMsPerSecond);
+  constexpr double kMsInSecond = 1e3;
+  return std::max(0.0, Seconds(aTo - aFrom) * kMsInSecond);
 }
 
-} // namespace
+/// The writing part of a pass with a usual number of writers; what is read in
+/// one pass comes on top of it.
+constexpr double kUsualPassMs = 50;
+constexpr double kMsPerSecond = 1e3;
 
-double
-BacklogMs(const engine_load& aLoad, time_point aNow)
+/// Marks the streams that a backlog makes pause for longer than they may.
+void
+MarkStretched(engine_ledger& aLedger, const engine_load& aLoad)
 {
-  const double rate = aLoad.mWriters.empty() ? 1 : kReadingShareBesideWriters;
-  return std::max(0.0,
-                  aLoad.mBacklogMs - rate * ElapsedMs(aLoad.mBacklogAt, aNow));
+  for (const placement_key key : aLoad.mWriting) {
+    const auto found = aLedger.mPlacements.find(key);
+    if (found != aLedger.mPlacements.end() &&
+        Seconds(found->second.mLongestPause) * kMsPerSecond <
+          aLoad.mBacklogMs + kUsualPassMs) {
+      found->second.mStretched = true;
+    }
+  }
 }
 
-unsigned
-WriterCount(const engine_load& aLoad)
+void
+AddBacklog(engine_load& aLoad, double aMs, time_point aNow)
 {
-  unsigned count = 0;
-  for (const auto& [pause, writers] : aLoad.mWriters) {
-    count += writers;
-  }
-  return count;
+  aLoad.mBacklogMs = std::max(0.0, BacklogMs(aLoad, aNow) + aMs);
+  aLoad.mBacklogAt = aNow;
 }
 
-std::optional<duration>
-TightestPause(const engine_load& aLoad)
+template<typename Condition>
+void
+ForgetWhere(engine_ledger& aLedger, time_point aNow, Condition&& aCondition)
 {
-  if (aLoad.mWriters.empty()) {
-    return std::nullopt;
+  std::vector<placement_key> forgotten;
+  for (const auto& [key, placed] : aLedger.mPlacements) {
+    if (aCondition(placed)) {
+      forgotten.push_back(key);
+    }
+  }
+  for (const placement_key key : forgotten) {
+    NoteEnded(aLedger, key, placement_end::Read, aNow);
   }
-  return aLoad.mWriters.begin()->first;
+}
+
+} // namespace
+
+double
+BacklogMs(const engine_load& aLoad, time_point aNow)
+{
+  const double rate = aLoad.mWriting.empty() ? 1 : kReadingShareBesideWriters;
+  return std::max(0.0,
+                  aLoad.mBacklogMs - rate * ElapsedMs(aLoad.mBacklogAt, aNow));
 }
 
 void
@@ -55,62 +77,55 @@
   }
   for (const engine_key engine : aPlaced.mEngines) {
     engine_load& load = aLedger.mEngines[engine];
-    load.mBacklogMs = BacklogMs(load, aNow) + aPlaced.mPartMs;
-    load.mBacklogAt = aNow;
+    AddBacklog(load, aPlaced.mPartMs, aNow);
+    MarkStretched(aLedger, load);
   }
   engine_load& writing = aLedger.mEngines[aPlaced.mEngines.front()];
-  ++writing.mWriters[aPlaced.mLongestPause];
+  writing.mWriting.push_back(aPlaced.mKey);
   writing.mTokens += aPlaced.mTokens;
+  for (const engine_key holder : aPlaced.mHolders) {
+    aLedger.mEngines[holder].mTokens += aPlaced.mHolderTokens;
+  }
 }
 
 void
-NoteEnded(engine_ledger& aLedger, placement_key aKey)
+NoteEnded(engine_ledger& aLedger,
+          placement_key aKey,
+          placement_end aEnd,
+          time_point aNow)
 {
   const auto found = aLedger.mPlacements.find(aKey);
   if (found == aLedger.mPlacements.end()) {
     return;
   }
   const placement& ended = found->second;
+  if (aEnd == placement_end::Unread) {
+    for (const engine_key engine : ended.mEngines) {
+      AddBacklog(aLedger.mEngines[engine], -ended.mPartMs, aNow);
+    }
+  }
   engine_load& load = aLedger.mEngines[ended.mEngines.front()];
   load.mTokens = std::max(0.0, load.mTokens - ended.mTokens);
-  const auto writers = load.mWriters.find(ended.mLongestPause);
-  if (writers != load.mWriters.end() && --writers->second == 0) {
-    load.mWriters.erase(writers);
+  std::erase(load.mWriting, aKey);
+  for (const engine_key holder : ended.mHolders) {
+    double& tokens = aLedger.mEngines[holder].mTokens;
+    tokens = std::max(0.0, tokens - ended.mHolderTokens);
   }
   aLedger.mPlacements.erase(found);
 }
 
-namespace {
-
-template<typename Condition>
-void
-ForgetWhere(engine_ledger& aLedger, Condition&& aCondition)
-{
-  std::vector<placement_key> forgotten;
-  for (const auto& [key, placed] : aLedger.mPlacements) {
-    if (aCondition(placed)) {
-      forgotten.push_back(key);
-    }
-  }
-  for (const placement_key key : forgotten) {
-    NoteEnded(aLedger, key);
-  }
-}
-
-} // namespace
-
 void
 ForgetExpired(engine_ledger& aLedger, time_point aNow)
 {
-  ForgetWhere(aLedger, [aNow](const placement& aPlaced) {
+  ForgetWhere(aLedger, aNow, [aNow](const placement& aPlaced) {
     return aPlaced.mExpires <= aNow;
   });
 }
 
 void
-ForgetOwner(engine_ledger& aLedger, std::uint64_t aOwner)
+ForgetOwner(engine_ledger& aLedger, std::uint64_t aOwner, time_point aNow)
 {
-  ForgetWhere(aLedger, [aOwner](const placement& aPlaced) {
+  ForgetWhere(aLedger, aNow, [aOwner](const placement& aPlaced) {
     return aPlaced.mOwner == aOwner;
   });
 }
--- a/Libraries/LibFleet/EngineLedger.h
+++ b/Libraries/LibFleet/EngineLedger.h
@@ -5,7 +5,6 @@
 
 #include "LibCore/LibCore.h"
 
-#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -26,19 +25,24 @@
   std::vector<engine_key> mEngines; ///< The first one writes; all read.
   double mPartMs = 0;               ///< Reading that each of them does.
   duration mLongestPause{};         ///< That its events may have.
+  double mWorth = 0;                ///< Against other requests.
   double mTokens = 0;               ///< Memory that it takes where it writes.
+  std::vector<engine_key> mHolders; ///< Engines that hold memory for it.
+  double mHolderTokens = 0;         ///< Memory that each of those holds.
   time_point mExpires{};            ///< Forgotten then, whatever was heard.
+  /// A pause of its stream is known to be over its limit, so that further
+  /// reading beside it costs its caller nothing more.
+  bool mStretched = false;
 
   bool operator==(const placement&) const = default;
 };
 
 struct engine_load
 {
-  double mBacklogMs = 0;    ///< Reading not yet done, as of `mBacklogAt`.
+  double mBacklogMs = 0; ///< Reading not yet done, as of `mBacklogAt`.
   time_point mBacklogAt{};
-  double mTokens = 0;       ///< Memory taken by those that write here.
-  /// How many write here, by the longest pause that each allows.
-  std::map<duration, unsigned> mWriters;
+  double mTokens = 0; ///< Memory taken by those that write here.
+  std::vector<placement_key> mWriting;
 
   bool operator==(const engine_load&) const = default;
 };
@@ -49,13 +53,23 @@
   std::unordered_map<placement_key, placement> mPlacements;
 };
 
+/// How a placement ended, for what its engines still have to read.
+enum class placement_end : std::uint8_t
+{
+  Read,   ///< Its prompt was read.
+  Unread, ///< It was refused or given up before its first event.
+};
+
 /// Takes a placement in; one that is known already changes nothing.
 void
 NotePlaced(engine_ledger& aLedger, const placement& aPlaced, time_point aNow);
 
 /// Takes a placement out: its answer has ended, or it never began.
 void
-NoteEnded(engine_ledger& aLedger, placement_key aKey);
+NoteEnded(engine_ledger& aLedger,
+          placement_key aKey,
+          placement_end aEnd,
+          time_point aNow);
 
 /// Takes out what has expired: entries that were killed never tell the end.
 void
@@ -64,17 +78,10 @@
 /// Takes out what one entry had placed: it is gone, and what it sent on ended
 /// with it.
 void
-ForgetOwner(engine_ledger& aLedger, std::uint64_t aOwner);
+ForgetOwner(engine_ledger& aLedger, std::uint64_t aOwner, time_point aNow);
 
 /// Reading that is left at a time, in milliseconds.
 double
 BacklogMs(const engine_load& aLoad, time_point aNow);
 
-unsigned
-WriterCount(const engine_load& aLoad);
-
-/// The shortest of the pauses that the writers allow; nothing if none writes.
-std::optional<duration>
-TightestPause(const engine_load& aLoad);
-
 } // namespace primrose
--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -14,27 +14,56 @@
 constexpr std::size_t kMostParts = 17;
 /// Writers gathered on one engine. Each adds 0.4% to a step, but also its own
 /// reading; above this the reading of new ones eats up the allowed pause.
-constexpr unsigned kGatheredWriters = 12;
+constexpr std::size_t kGatheredWriters = 12;
 /// What a pause may have beyond the reading that is known: reading that other
 /// entries place at the same moment, and the wire.
-constexpr double kPauseMarginMs = 45;
-/// A tenth of a millisecond; ends a comparison of equal sums of times.
-constexpr double kSameMs = 0.1;
-/// Context of a usual writer, for the length of a pass, in tokens.
-constexpr double kWriterContext = 6000;
+constexpr double kPauseMarginMs = 30;
+/// Passes between a prompt's reading and its first event at the caller: the
+/// one in progress when it came, and the one that writes the event.
+constexpr double kPassesToFirstEvent = 2;
+/// Share of a request's worth that is lost when it is late.
+constexpr double kLostWhenLate = 0.75;
+/// Expected share of the objective from which being late becomes likely.
+constexpr double kLateFrom = 0.6;
+/// Added for each further objective of delay, so that of two late places the
+/// earlier one is taken.
+constexpr double kLaterPenalty = 0.2;
+/// Shares of a request's worth: for starting to write on an engine that long
+/// prompts could have used, and on one that they do use.
+constexpr double kOpeningPenalty = 0.2;
+constexpr double kMixingPenalty = 0.45;
+/// For each writer more, up to the number gathered and beyond it.
+constexpr double kGatherGain = 0.01;
+constexpr double kCrowdPenalty = 0.06;
+/// For each engine that a prompt is divided over, and for the time until its
+/// parts are read, as shares of its worth.
+constexpr double kPartPenalty = 0.001;
+constexpr double kTimePenalty = 0.05;
+/// For a place in another data centre: only decides between equals.
+constexpr double kAwayPenalty = 0.002;
+/// Memory that is planned with; the rest covers answers that grow.
+constexpr double kUsableMemory = 0.95;
+/// Worth of any request, and of each thousand tokens of its prompt.
+constexpr double kBaseWorth = 0.6;
+constexpr double kWorthPerThousand = 0.13;
 
+constexpr double kThousand = 1e3;
 constexpr double kMsPerSecond = 1e3;
 
+struct writer
+{
+  double mPauseMs = 0;
+  double mWorth = 0;
+  bool mStretched = false;
+};
+
 struct candidate
 {
   known_endpoint* mEndpoint = nullptr;
   double mBacklogMs = 0;
   double mFreeTokens = 0;
-  unsigned mWriters = 0;
-  /// Reading that may still be added without stretching a writer's pause.
-  double mRoomMs = 0;
   double mPassMs = 0;
-  bool mTight = false; ///< Its writers allow shorter pauses than this work.
+  std::vector<writer> mWriters;
   bool mAvoided = false;
   bool mAway = false;
 };
@@ -45,6 +74,22 @@
   return Seconds(aTime) * kMsPerSecond;
 }
 
+std::vector<writer>
+WritersOf(const engine_ledger& aLedger, const engine_load& aLoad)
+{
+  std::vector<writer> writers;
+  writers.reserve(aLoad.mWriting.size());
+  for (const placement_key key : aLoad.mWriting) {
+    const auto placed = aLedger.mPlacements.find(key);
+    if (placed != aLedger.mPlacements.end()) {
+      writers.push_back({ ToMs(placed->second.mLongestPause),
+                          placed->second.mWorth,
+                          placed->second.mStretched });
+    }
+  }
+  return writers;
+}
+
 std::vector<candidate>
 Candidates(endpoint_board& aBoard,
            const engine_ledger& aLedger,
@@ -67,19 +112,14 @@
     candidate one;
     one.mEndpoint = &known;
     one.mBacklogMs = BacklogMs(load, aNow);
-    one.mFreeTokens = aTiming.mMemoryTokens - load.mTokens;
-    one.mWriters = WriterCount(load);
-    one.mPassMs = PassMs(
-      aTiming, one.mWriters + 1, std::max(load.mTokens, kWriterContext));
-    const std::optional<duration> tightest = TightestPause(load);
-    one.mTight = tightest.has_value() && *tightest < aWork.mLongestPause;
-    one.mRoomMs = tightest.has_value()
-                    ? ToMs(*tightest) - one.mPassMs - kPauseMarginMs -
-                        one.mBacklogMs
-                    : std::numeric_limits<double>::infinity();
+    one.mFreeTokens = aTiming.mMemoryTokens * kUsableMemory - load.mTokens;
+    one.mWriters = WritersOf(aLedger, load);
+    one.mPassMs = PassMs(aTiming,
+                         static_cast<double>(one.mWriters.size() + 1),
+                         load.mTokens + aWork.mPromptTokens);
     one.mAvoided = Avoided(known, aNow);
     one.mAway = known.mListed.mDataCentre != aDataCentre;
-    candidates.push_back(one);
+    candidates.push_back(std::move(one));
   }
   // Engines with bad signs are left out while enough others are there.
   const std::size_t sound = static_cast<std::size_t>(
@@ -92,36 +132,71 @@
   return candidates;
 }
 
-/// The room for reading where this work itself would write.
+/// Worth of the streams whose pauses this reading would stretch.
+double
+HarmOf(const candidate& aCandidate, double aReadingMs)
+{
+  const double pause = aCandidate.mBacklogMs + aReadingMs +
+                       aCandidate.mPassMs + kPauseMarginMs;
+  double harm = 0;
+  for (const writer& one : aCandidate.mWriters) {
+    if (!one.mStretched && one.mPauseMs < pause) {
+      harm += kLostWhenLate * one.mWorth;
+    }
+  }
+  return harm;
+}
+
+/// Worth that is likely lost if the first event takes this long.
 double
-RoomAsWriter(const candidate& aCandidate, const engine_work& aWork)
+LateCost(double aFirstMs, const engine_work& aWork)
 {
-  const double own = ToMs(aWork.mLongestPause) - aCandidate.mPassMs -
-                     kPauseMarginMs - aCandidate.mBacklogMs;
-  return std::min(aCandidate.mRoomMs, own);
+  const double share = aFirstMs / ToMs(aWork.mObjective);
+  if (share <= kLateFrom) {
+    return 0;
+  }
+  const double likely =
+    share < 1 ? (share - kLateFrom) / (1 - kLateFrom)
+              : 1 + kLaterPenalty * (share - 1);
+  return kLostWhenLate * aWork.mWorth * likely;
 }
 
 bool
-CanWrite(const candidate& aCandidate,
-         const engine_timing& aTiming,
-         const engine_work& aWork)
+HasRoom(const candidate& aCandidate,
+        const engine_timing& aTiming,
+        const engine_work& aWork)
 {
-  return aCandidate.mWriters < aTiming.mSlots &&
+  return aCandidate.mWriters.size() < aTiming.mSlots &&
          aCandidate.mFreeTokens >= aWork.mPromptTokens + aWork.mAnswerTokens;
 }
 
-/// The rank of an engine for a prompt that is read whole; lower is better.
-struct whole_rank
+/// What writing a stream with tight pauses here costs beyond the moment: such
+/// streams are to gather where no long prompts are read.
+double
+GatheringCost(const candidate& aCandidate, const engine_work& aWork)
 {
-  bool mCannotWrite = false;
-  bool mStretches = false;   ///< A pause would be over its limit.
-  bool mScattered = false;   ///< Not one of the engines gathered on.
-  double mCost = 0;
-  bool mAway = false;
-  std::uint64_t mOrder = 0; ///< The same for all entries.
-
-  auto operator<=>(const whole_rank&) const = default;
-};
+  const double own = ToMs(aWork.mLongestPause);
+  const bool longReading =
+    aCandidate.mBacklogMs + aCandidate.mPassMs + kPauseMarginMs > own ||
+    std::any_of(aCandidate.mWriters.begin(),
+                aCandidate.mWriters.end(),
+                [](const writer& a) { return a.mStretched; });
+  if (longReading) {
+    return kMixingPenalty * aWork.mWorth;
+  }
+  const std::size_t alike = static_cast<std::size_t>(
+    std::count_if(aCandidate.mWriters.begin(),
+                  aCandidate.mWriters.end(),
+                  [own](const writer& a) { return a.mPauseMs <= own; }));
+  if (alike == 0) {
+    return kOpeningPenalty * aWork.mWorth;
+  }
+  const std::size_t writers = aCandidate.mWriters.size();
+  if (writers > kGatheredWriters) {
+    return kCrowdPenalty * static_cast<double>(writers - kGatheredWriters);
+  }
+  return -kGatherGain * static_cast<double>(writers);
+}
 
 engine_choice
 PlaceWhole(const std::vector<candidate>& aCandidates,
@@ -130,104 +205,161 @@
            double aReadingMs)
 {
   const candidate* best = nullptr;
-  whole_rank bestRank;
+  std::pair<double, std::uint64_t> bestCost;
+  double bestFirst = 0;
   for (const candidate& one : aCandidates) {
-    whole_rank rank;
-    rank.mCannotWrite = !CanWrite(one, aTiming, aWork);
-    rank.mStretches = RoomAsWriter(one, aWork) < aReadingMs;
-    rank.mScattered = one.mWriters == 0 || one.mWriters >= kGatheredWriters;
-    rank.mCost = rank.mScattered || rank.mStretches
-                   ? one.mBacklogMs + one.mWriters
-                   : -static_cast<double>(one.mWriters);
-    rank.mAway = one.mAway;
-    rank.mOrder = Hash(one.mEndpoint->mListed.mId);
-    if (best == nullptr || rank < bestRank) {
+    const double first =
+      one.mBacklogMs + aReadingMs + kPassesToFirstEvent * one.mPassMs;
+    const double cost =
+      LateCost(first, aWork) + HarmOf(one, aReadingMs) +
+      GatheringCost(one, aWork) +
+      (HasRoom(one, aTiming, aWork) ? 0 : aWork.mWorth) +
+      (one.mAway ? kAwayPenalty : 0);
+    // Of equals, the same one for all entries.
+    const std::pair<double, std::uint64_t> ranked(
+      cost, Hash(one.mEndpoint->mListed.mId));
+    if (best == nullptr || ranked < bestCost) {
       best = &one;
-      bestRank = rank;
+      bestCost = ranked;
+      bestFirst = first;
     }
   }
   engine_choice choice;
   choice.mWriter = best->mEndpoint;
   choice.mPartMs = aReadingMs;
-  choice.mFirstEventMs = best->mBacklogMs + aReadingMs + 2 * best->mPassMs;
-  choice.mWithinPauses = !bestRank.mStretches;
+  choice.mFirstEventMs = bestFirst;
+  choice.mHarm = HarmOf(*best, aReadingMs);
   return choice;
 }
 
-/// The engines, loose ones first, then by what they have to read.
-std::vector<const candidate*>
-ReadingOrder(const std::vector<candidate>& aCandidates)
-{
-  std::vector<const candidate*> order;
-  order.reserve(aCandidates.size());
-  for (const candidate& one : aCandidates) {
-    order.push_back(&one);
-  }
-  std::sort(order.begin(),
-            order.end(),
-            [](const candidate* aOne, const candidate* aOther) {
-              if (aOne->mTight != aOther->mTight) {
-                return !aOne->mTight;
-              }
-              return aOne->mBacklogMs < aOther->mBacklogMs;
-            });
-  return order;
-}
-
 struct division
 {
   std::vector<const candidate*> mEngines;
   double mPartMs = 0;
-  double mEndMs = std::numeric_limits<double>::infinity();
-  bool mWithinPauses = false;
+  double mReadMs = 0; ///< Until the last part is read.
+  double mHarm = 0;
+  double mCost = std::numeric_limits<double>::infinity();
 };
 
-/// The division that ends first among those that stretch no pause; `aTight`
-/// also takes engines whose writers allow shorter pauses than this work.
+/// The cheapest engines for so many parts. `aDelayWeight` prices an engine's
+/// backlog against harm.
 division
-BestDivision(const std::vector<const candidate*>& aOrder,
-             double aReadingMs,
-             bool aTight)
+Divide(const std::vector<candidate>& aCandidates,
+       const engine_work& aWork,
+       double aReadingMs,
+       std::size_t aParts,
+       double aDelayWeight)
 {
+  struct priced
+  {
+    double mPrice = 0;
+    double mHarm = 0;
+    const candidate* mCandidate = nullptr;
+  };
+  division made;
+  made.mPartMs = aReadingMs / static_cast<double>(aParts);
+  std::vector<priced> order;
+  order.reserve(aCandidates.size());
+  const double objective = ToMs(aWork.mObjective);
+  for (const candidate& one : aCandidates) {
+    const double harm = HarmOf(one, made.mPartMs);
+    const double delay = (one.mBacklogMs + one.mPassMs) / objective;
+    order.push_back(
+      { harm + aDelayWeight * aWork.mWorth * delay, harm, &one });
+  }
+  std::partial_sort(order.begin(),
+                    order.begin() + static_cast<std::ptrdiff_t>(aParts),
+                    order.end(),
+                    [](const priced& aOne, const priced& aOther) {
+                      return aOne.mPrice < aOther.mPrice;
+                    });
+  order.resize(aParts);
+  double wait = 0;
+  for (const priced& one : order) {
+    made.mEngines.push_back(one.mCandidate);
+    made.mHarm += one.mHarm;
+    wait = std::max(wait, one.mCandidate->mBacklogMs);
+  }
+  made.mReadMs = wait + made.mPartMs;
+  const double pass = order.front().mCandidate->mPassMs;
+  made.mCost = made.mHarm +
+               LateCost(made.mReadMs + kPassesToFirstEvent * pass, aWork) +
+               aWork.mWorth * (kTimePenalty * made.mReadMs / objective +
+                               kPartPenalty * static_cast<double>(aParts));
+  return made;
+}
+
+division
+CheapestDivision(const std::vector<candidate>& aCandidates,
+                 const engine_work& aWork,
+                 double aReadingMs)
+{
+  constexpr double kPatient = 0.15;
+  constexpr double kHasty = 1;
   division best;
-  for (std::size_t parts = std::min(kMostParts, aOrder.size()); parts > 0;
-       --parts) {
-    const double part = aReadingMs / static_cast<double>(parts);
-    division tried;
-    tried.mPartMs = part;
-    double longest = 0;
-    for (const candidate* const one : aOrder) {
-      if (tried.mEngines.size() == parts || (one->mTight && !aTight)) {
-        break;
-      }
-      if (!one->mTight || one->mRoomMs >= part) {
-        tried.mEngines.push_back(one);
-        longest = std::max(longest, one->mBacklogMs + one->mPassMs);
+  const std::size_t most = std::min(kMostParts, aCandidates.size());
+  for (std::size_t parts = 1; parts <= most; ++parts) {
+    for (const double weight : { kPatient, kHasty }) {
+      division tried = Divide(aCandidates, aWork, aReadingMs, parts, weight);
+      if (tried.mCost < best.mCost) {
+        best = std::move(tried);
       }
     }
-    if (tried.mEngines.size() < parts) {
-      continue;
-    }
-    tried.mEndMs = longest + part;
-    tried.mWithinPauses = true;
-    if (tried.mEndMs + kSameMs < best.mEndMs) {
-      best = std::move(tried);
+  }
+  return best;
+}
+
+/// The engine that keeps the prompt's memory and writes: one with room, few
+/// tight streams beside it, and the most free memory.
+const candidate*
+ChooseWriter(const std::vector<const candidate*>& aEngines,
+             const engine_timing& aTiming,
+             const engine_work& aWork)
+{
+  const candidate* best = nullptr;
+  std::tuple<bool, std::size_t, double> bestRank;
+  const double own = ToMs(aWork.mLongestPause);
+  for (const candidate* const one : aEngines) {
+    const std::size_t tight = static_cast<std::size_t>(
+      std::count_if(one->mWriters.begin(),
+                    one->mWriters.end(),
+                    [own](const writer& a) { return a.mPauseMs < own; }));
+    const std::tuple<bool, std::size_t, double> rank(
+      !HasRoom(*one, aTiming, aWork), tight, -one->mFreeTokens);
+    if (best == nullptr || rank < bestRank) {
+      best = one;
+      bestRank = rank;
     }
   }
   return best;
 }
 
-/// All engines that there are, whatever their writers allow.
-division
-WidestDivision(const std::vector<const candidate*>& aOrder, double aReadingMs)
+/// Adds memory on readers where the writer's own does not do.
+void
+AddHolders(engine_choice& aChoice,
+           std::vector<const candidate*>& aReaders,
+           const candidate& aWriter,
+           const engine_work& aWork)
 {
-  division widest;
-  const std::size_t parts = std::min(kMostParts, aOrder.size());
-  widest.mEngines.assign(aOrder.begin(),
-                         aOrder.begin() + static_cast<std::ptrdiff_t>(parts));
-  widest.mPartMs = aReadingMs / static_cast<double>(parts);
-  widest.mEndMs = widest.mEngines.back()->mBacklogMs + widest.mPartMs;
-  return widest;
+  const double missing = aWork.mPromptTokens + aWork.mAnswerTokens -
+                         std::max(0.0, aWriter.mFreeTokens);
+  if (missing <= 0) {
+    return;
+  }
+  std::sort(aReaders.begin(),
+            aReaders.end(),
+            [](const candidate* aOne, const candidate* aOther) {
+              return aOne->mFreeTokens > aOther->mFreeTokens;
+            });
+  for (std::size_t holders = 1; holders <= aReaders.size(); ++holders) {
+    const double each = missing / static_cast<double>(holders);
+    if (aReaders[holders - 1]->mFreeTokens >= each) {
+      aChoice.mHolders = holders;
+      aChoice.mHolderTokens = each;
+      return;
+    }
+  }
+  aChoice.mFits = false;
 }
 
 engine_choice
@@ -236,49 +368,36 @@
              const engine_work& aWork,
              double aReadingMs)
 {
-  const std::vector<const candidate*> order = ReadingOrder(aCandidates);
-  division chosen = BestDivision(order, aReadingMs, false);
-  // Engines with tight writers help where the loose ones alone are too late.
-  constexpr double kComfortable = 0.6;
-  if (chosen.mEndMs > kComfortable * ToMs(aWork.mObjective)) {
-    division wider = BestDivision(order, aReadingMs, true);
-    if (wider.mEndMs < chosen.mEndMs) {
-      chosen = std::move(wider);
+  const division chosen = CheapestDivision(aCandidates, aWork, aReadingMs);
+  const candidate* const writing =
+    ChooseWriter(chosen.mEngines, aTiming, aWork);
+  std::vector<const candidate*> readers;
+  for (const candidate* const one : chosen.mEngines) {
+    if (one != writing) {
+      readers.push_back(one);
     }
   }
-  if (chosen.mEngines.empty()) {
-    chosen = WidestDivision(order, aReadingMs);
-  }
-  // The writer keeps the prompt's memory, so it is the one with most room.
-  const auto writer = std::max_element(
-    chosen.mEngines.begin(),
-    chosen.mEngines.end(),
-    [&aTiming, &aWork](const candidate* aOne, const candidate* aOther) {
-      const bool oneCan = CanWrite(*aOne, aTiming, aWork);
-      const bool otherCan = CanWrite(*aOther, aTiming, aWork);
-      if (oneCan != otherCan) {
-        return otherCan;
-      }
-      if (aOne->mTight != aOther->mTight) {
-        return aOne->mTight;
-      }
-      return aOne->mFreeTokens < aOther->mFreeTokens;
-    });
   engine_choice choice;
-  choice.mWriter = (*writer)->mEndpoint;
-  for (const candidate* const one : chosen.mEngines) {
-    if (one != *writer) {
-      choice.mReaders.push_back(one->mEndpoint);
-    }
+  AddHolders(choice, readers, *writing, aWork);
+  choice.mWriter = writing->mEndpoint;
+  for (const candidate* const one : readers) {
+    choice.mReaders.push_back(one->mEndpoint);
   }
   choice.mPartMs = chosen.mPartMs;
-  choice.mFirstEventMs = chosen.mEndMs + 2 * (*writer)->mPassMs;
-  choice.mWithinPauses = chosen.mWithinPauses;
+  choice.mFirstEventMs =
+    chosen.mReadMs + kPassesToFirstEvent * writing->mPassMs;
+  choice.mHarm = chosen.mHarm;
   return choice;
 }
 
 } // namespace
 
+double
+WorthOfWork(double aPromptTokens)
+{
+  return kBaseWorth + kWorthPerThousand * aPromptTokens / kThousand;
+}
+
 std::optional<engine_choice>
 PlaceOnEngines(endpoint_board& aBoard,
                const engine_ledger& aLedger,
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -4,10 +4,12 @@
 ///
 /// An engine works in passes: a pass writes one event for each writer and reads
 /// everything that waits, so what is read in one pass is a pause in all streams
-/// of that engine. Two rules follow. Work whose events may not pause for long
-/// is gathered on few engines, most busy first, so that the others are free to
-/// read long prompts. And a prompt is cut into parts so short that they fit
-/// into the pause that the writers of each reading engine allow.
+/// of that engine. A place is therefore priced by what it costs callers: the
+/// worth of this request if its first event would be late, and the worth of
+/// the streams whose pauses its reading would stretch over their limits. From
+/// that follow the two habits of the fleet: streams with tight limits gather on
+/// few engines, and long prompts, cut into equal parts, are read on the others;
+/// where they must meet, few streams are harmed much rather than many a little.
 
 #include "LibFleet/Endpoints.h"
 #include "LibFleet/EngineCost.h"
@@ -23,6 +25,7 @@
   double mAnswerTokens = 0;
   duration mLongestPause{};
   duration mObjective{};
+  double mWorth = 0; ///< Against other requests; see `WorthOfWork`.
 
   bool operator==(const engine_work&) const = default;
 };
@@ -31,13 +34,22 @@
 {
   known_endpoint* mWriter = nullptr;
   std::vector<known_endpoint*> mReaders; ///< Besides the writer.
+  /// Of the readers, the first so many are to hold memory for the prompt.
+  std::size_t mHolders = 0;
+  double mHolderTokens = 0;  ///< Memory that each of those holds.
   double mPartMs = 0;        ///< Reading of each.
   double mFirstEventMs = 0;  ///< Expected until the first event.
-  bool mWithinPauses = false; ///< No writer's pause is stretched over its limit.
+  double mHarm = 0;          ///< Worth of the streams that it stretches.
+  bool mFits = true;         ///< The fleet has memory for it.
 
   bool operator==(const engine_choice&) const = default;
 };
 
+/// What a prompt of this size is worth against others: operators of both
+/// deployments value their long documents about in proportion to their size.
+double
+WorthOfWork(double aPromptTokens);
+
 /// Chooses engines for a request; nothing if no engine is listed or all were
 /// tried. `aTried` are endpoints that this request was sent to already.
 std::optional<engine_choice>
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -195,6 +195,7 @@
                          ? mRoute->mLongestPause
                          : mRoute->mObjective;
   work.mObjective = mRoute->mObjective;
+  work.mWorth = WorthOfWork(work.mPromptTokens);
   const std::optional<engine_choice> choice =
     PlaceOnEngines(board.mEndpoints,
                    board.mLedger,
@@ -215,6 +216,7 @@
   }
   placed.mPartMs = choice->mPartMs;
   placed.mLongestPause = work.mLongestPause;
+  placed.mWorth = work.mWorth;
   placed.mTokens = work.mPromptTokens + work.mAnswerTokens;
   placed.mExpires = mDeadline;
   NotePlaced(board.mLedger, placed, now);
@@ -231,7 +233,7 @@
         { "prompt_tokens", mFacts.mPromptTokens },
         { "part_ms", choice->mPartMs },
         { "expected_ms", choice->mFirstEventMs },
-        { "within_pauses", static_cast<int>(choice->mWithinPauses) },
+        { "harm", choice->mHarm },
         { "attempt", mTried.size() + 1 },
         { "manifest", mManifest->Manifest().mVersion } });
   SendTo(*choice->mWriter, choice->mReaders);
@@ -288,6 +290,7 @@
   to.mLastEvent = mCursor.LastId().has_value() ? mCursor.LastId()
                                                : mFacts.mLastEvent;
   mHelpers = aHelpers.size();
+  mEventsHere = false;
   mTried.push_back(aEndpoint.mListed.mId);
   mPassedOver.push_back(aEndpoint.mListed.mId);
   ++mContext.mBoard.mEndpoints.mEndpoints[aEndpoint.mListed.mId].mOutstanding;
@@ -371,8 +374,11 @@
     mAttempt = nullptr;
   }
   if (mPlacement.has_value()) {
-    NoteEnded(mContext.mBoard.mLedger, *mPlacement);
-    mContext.mPeers.TellEnded(*mPlacement);
+    const placement_end end =
+      mEventsHere ? placement_end::Read : placement_end::Unread;
+    NoteEnded(
+      mContext.mBoard.mLedger, *mPlacement, end, mContext.mLoop.Now());
+    mContext.mPeers.TellEnded(*mPlacement, end);
     mPlacement.reset();
   }
 }
@@ -426,6 +432,7 @@
     return;
   }
   const time_point now = mContext.mLoop.Now();
+  mEventsHere = true;
   if (!mHeadWritten) {
     mFirstEventAt = now;
     WriteHead(*mStreamHead, std::nullopt);
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -111,6 +111,7 @@
   bool mMayHaveRun = false; ///< An endpoint got it and promised nothing.
   bool mFreshNext = false;
   bool mStreaming = false;
+  bool mEventsHere = false; ///< The current endpoint has sent an event.
   bool mHeadWritten = false;
   bool mPaused = false;
   event_cursor mCursor;
--- a/Libraries/LibGateway/PeerNews.capnp
+++ b/Libraries/LibGateway/PeerNews.capnp
@@ -12,6 +12,9 @@
   pauseMs @3 :UInt32;        # The longest pause that its events may have.
   tokens @4 :Float32;        # Memory that it takes where it writes.
   lifeMs @5 :UInt32;         # It is forgotten after this.
+  worth @6 :Float32;         # Against other requests.
+  holders @7 :List(UInt64);  # Engines that hold memory for it.
+  holderTokens @8 :Float32;  # Memory that each of those holds.
 }
 
 struct PeerNews {
@@ -20,4 +23,5 @@
   ended @2 :List(UInt64);
   peers @3 :List(Text);         # Hosts of entries heard of lately.
   leaving @4 :Bool;             # The entry is about to end.
+  unread @5 :List(UInt64);      # Ended before their prompts were read.
 }
--- a/Libraries/LibGateway/PeerNews.capnp.h
+++ b/Libraries/LibGateway/PeerNews.capnp.h
@@ -33,7 +33,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a3f0c399bd720b59, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a3f0c399bd720b59, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -48,7 +48,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(866e2b3eef8a5cbd, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(866e2b3eef8a5cbd, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -87,6 +87,13 @@
 
   inline  ::uint32_t getLifeMs() const;
 
+  inline float getWorth() const;
+
+  inline bool hasHolders() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getHolders() const;
+
+  inline float getHolderTokens() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -138,6 +145,20 @@
   inline  ::uint32_t getLifeMs();
   inline void setLifeMs( ::uint32_t value);
 
+  inline float getWorth();
+  inline void setWorth(float value);
+
+  inline bool hasHolders();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getHolders();
+  inline void setHolders( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setHolders(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initHolders(unsigned int size);
+  inline void adoptHolders(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownHolders();
+
+  inline float getHolderTokens();
+  inline void setHolderTokens(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -194,6 +215,9 @@
 
   inline bool getLeaving() const;
 
+  inline bool hasUnread() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getUnread() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -251,6 +275,14 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline bool hasUnread();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getUnread();
+  inline void setUnread( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setUnread(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initUnread(unsigned int size);
+  inline void adoptUnread(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownUnread();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -387,6 +419,72 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline float PlacedWork::Reader::getWorth() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline float PlacedWork::Builder::getWorth() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void PlacedWork::Builder::setWorth(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PlacedWork::Reader::hasHolders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PlacedWork::Builder::hasHolders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PlacedWork::Reader::getHolders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PlacedWork::Builder::getHolders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PlacedWork::Builder::setHolders( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void PlacedWork::Builder::setHolders(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PlacedWork::Builder::initHolders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PlacedWork::Builder::adoptHolders(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PlacedWork::Builder::disownHolders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline float PlacedWork::Reader::getHolderTokens() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline float PlacedWork::Builder::getHolderTokens() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void PlacedWork::Builder::setHolderTokens(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PeerNews::Reader::getBoot() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -525,6 +623,44 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerNews::Reader::hasUnread() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerNews::Builder::hasUnread() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerNews::Reader::getUnread() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerNews::Builder::getUnread() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void PeerNews::Builder::setUnread( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void PeerNews::Builder::setUnread(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerNews::Builder::initUnread(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void PeerNews::Builder::adoptUnread(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerNews::Builder::disownUnread() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibGateway/PeerNews.cpp
+++ b/Libraries/LibGateway/PeerNews.cpp
@@ -33,6 +33,63 @@
   return kBeat * (1 + aPeers / kPeersPerBeat);
 }
 
+void
+WriteKeys(capnp::List<std::uint64_t>::Builder aList,
+          const std::vector<std::uint64_t>& aKeys)
+{
+  for (unsigned i = 0; i < aKeys.size(); ++i) {
+    aList.set(i, aKeys[i]);
+  }
+}
+
+std::vector<std::uint64_t>
+ReadKeys(capnp::List<std::uint64_t>::Reader aList)
+{
+  std::vector<std::uint64_t> keys;
+  keys.reserve(aList.size());
+  for (const std::uint64_t key : aList) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
+void
+WriteWork(wire::PlacedWork::Builder aWork,
+          const placement& aPlaced,
+          time_point aNow)
+{
+  aWork.setKey(aPlaced.mKey);
+  WriteKeys(aWork.initEngines(static_cast<unsigned>(aPlaced.mEngines.size())),
+            aPlaced.mEngines);
+  aWork.setPartMs(static_cast<float>(aPlaced.mPartMs));
+  aWork.setPauseMs(
+    static_cast<std::uint32_t>(Milliseconds(aPlaced.mLongestPause)));
+  aWork.setTokens(static_cast<float>(aPlaced.mTokens));
+  aWork.setLifeMs(static_cast<std::uint32_t>(
+    std::max<std::int64_t>(0, Milliseconds(aPlaced.mExpires - aNow))));
+  aWork.setWorth(static_cast<float>(aPlaced.mWorth));
+  WriteKeys(aWork.initHolders(static_cast<unsigned>(aPlaced.mHolders.size())),
+            aPlaced.mHolders);
+  aWork.setHolderTokens(static_cast<float>(aPlaced.mHolderTokens));
+}
+
+placement
+ReadWork(wire::PlacedWork::Reader aWork, std::uint64_t aOwner, time_point aNow)
+{
+  placement told;
+  told.mKey = aWork.getKey();
+  told.mOwner = aOwner;
+  told.mEngines = ReadKeys(aWork.getEngines());
+  told.mPartMs = aWork.getPartMs();
+  told.mLongestPause = std::chrono::milliseconds(aWork.getPauseMs());
+  told.mWorth = aWork.getWorth();
+  told.mTokens = aWork.getTokens();
+  told.mHolders = ReadKeys(aWork.getHolders());
+  told.mHolderTokens = aWork.getHolderTokens();
+  told.mExpires = aNow + std::chrono::milliseconds(aWork.getLifeMs());
+  return told;
+}
+
 } // namespace
 
 std::size_t
@@ -90,9 +147,9 @@
 }
 
 void
-peer_news::TellEnded(placement_key aKey)
+peer_news::TellEnded(placement_key aKey, placement_end aEnd)
 {
-  mEnded.push_back(aKey);
+  (aEnd == placement_end::Read ? mEnded : mUnread).push_back(aKey);
   FlushSoon();
 }
 
@@ -128,26 +185,11 @@
   capnp::List<wire::PlacedWork>::Builder placed =
     news.initPlaced(static_cast<unsigned>(mPlaced.size()));
   for (unsigned i = 0; i < mPlaced.size(); ++i) {
-    const placement& work = mPlaced[i];
-    placed[i].setKey(work.mKey);
-    placed[i].setPartMs(static_cast<float>(work.mPartMs));
-    placed[i].setPauseMs(
-      static_cast<std::uint32_t>(Milliseconds(work.mLongestPause)));
-    placed[i].setTokens(static_cast<float>(work.mTokens));
-    placed[i].setLifeMs(
-      static_cast<std::uint32_t>(Milliseconds(work.mExpires - now)));
-    capnp::List<std::uint64_t>::Builder engines =
-      placed[i].initEngines(static_cast<unsigned>(work.mEngines.size()));
-    for (unsigned engine = 0; engine < work.mEngines.size(); ++engine) {
-      engines.set(engine, work.mEngines[engine]);
-    }
+    WriteWork(placed[i], mPlaced[i], now);
   }
-  capnp::List<std::uint64_t>::Builder ended =
-    news.initEnded(static_cast<unsigned>(mEnded.size()));
-  for (unsigned i = 0; i < mEnded.size(); ++i) {
-    ended.set(i, mEnded[i]);
-  }
-  if (mPlaced.empty() && mEnded.empty()) {
+  WriteKeys(news.initEnded(static_cast<unsigned>(mEnded.size())), mEnded);
+  WriteKeys(news.initUnread(static_cast<unsigned>(mUnread.size())), mUnread);
+  if (mPlaced.empty() && mEnded.empty() && mUnread.empty()) {
     // A beat: it also says who else is there.
     const std::size_t hosts = std::min(kMostHosts, mBoard.mPeers.size());
     capnp::List<capnp::Text>::Builder peers =
@@ -163,6 +205,7 @@
   }
   mPlaced.clear();
   mEnded.clear();
+  mUnread.clear();
   const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
   const kj::ArrayPtr<const char> bytes = words.asChars();
   for (const auto& [host, peer] : mBoard.mPeers) {
@@ -203,7 +246,7 @@
         "peer_lost",
         { { "host", peer->first },
           { "silent_ms", Milliseconds(now - peer->second.mHeard) } });
-    ForgetOwner(mBoard.mLedger, peer->second.mBoot);
+    ForgetOwner(mBoard.mLedger, peer->second.mBoot, now);
     mCandidates.insert(peer->first);
     peer = mBoard.mPeers.erase(peer);
   }
@@ -236,24 +279,17 @@
     if (known == mBoard.mPeers.end()) {
       Log(log_level::Info, "peer_found", { { "host", aFrom.mHost } });
     } else if (known->second.mBoot != news.getBoot()) {
-      ForgetOwner(mBoard.mLedger, known->second.mBoot);
+      ForgetOwner(mBoard.mLedger, known->second.mBoot, now);
     }
     mBoard.mPeers[aFrom.mHost] = { news.getBoot(), now };
     for (const wire::PlacedWork::Reader work : news.getPlaced()) {
-      placement told;
-      told.mKey = work.getKey();
-      told.mOwner = news.getBoot();
-      for (const std::uint64_t engine : work.getEngines()) {
-        told.mEngines.push_back(engine);
-      }
-      told.mPartMs = work.getPartMs();
-      told.mLongestPause = std::chrono::milliseconds(work.getPauseMs());
-      told.mTokens = work.getTokens();
-      told.mExpires = now + std::chrono::milliseconds(work.getLifeMs());
-      NotePlaced(mBoard.mLedger, told, now);
+      NotePlaced(mBoard.mLedger, ReadWork(work, news.getBoot(), now), now);
     }
     for (const std::uint64_t key : news.getEnded()) {
-      NoteEnded(mBoard.mLedger, key);
+      NoteEnded(mBoard.mLedger, key, placement_end::Read, now);
+    }
+    for (const std::uint64_t key : news.getUnread()) {
+      NoteEnded(mBoard.mLedger, key, placement_end::Unread, now);
     }
     std::vector<std::string> hosts;
     for (const capnp::Text::Reader host : news.getPeers()) {
--- a/Libraries/LibGateway/PeerNews.h
+++ b/Libraries/LibGateway/PeerNews.h
@@ -20,7 +20,7 @@
   /// Hosts of entries that were learnt from elsewhere.
   void AddHosts(const std::vector<std::string>& aHosts);
   void TellPlaced(const placement& aPlaced);
-  void TellEnded(placement_key aKey);
+  void TellEnded(placement_key aKey, placement_end aEnd);
   void TellLeaving();
 
 private:
@@ -37,6 +37,7 @@
   std::set<std::string> mCandidates; ///< Hosts not heard from yet.
   std::vector<placement> mPlaced;
   std::vector<placement_key> mEnded;
+  std::vector<placement_key> mUnread;
   bool mLeaving = false;
   unsigned mBeats = 0;
   timer_id mFlushTimer = 0;
