--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -47,6 +47,22 @@
 constexpr double kBaseWorth = 0.6;
 constexpr double kWorthPerThousand = 0.13;
 
+/// A caller leaves a stream whose next event takes longer than eight times the
+/// allowed pause, or than two seconds.
+constexpr double kAbandonedPauses = 8;
+constexpr double kAbandonedMs = 2000;
+/// What a second of one engine is worth when all are busy: short prompts earn
+/// about this. It falls to nothing while half of the engines are idle.
+constexpr double kWorthOfBusySecond = 8;
+constexpr double kFreeShare = 0.5;
+constexpr double kBusyShare = 0.9;
+/// Reading that makes an engine count as busy, and writers.
+constexpr double kBusyBacklogMs = 100;
+constexpr std::size_t kBusyWriters = 9;
+/// Share of a request's worth that its caller loses when it is turned away,
+/// beside the answer itself: it comes back and is owed an answer all the same.
+constexpr double kLostWhenRefused = 0.3;
+
 constexpr double kThousand = 1e3;
 constexpr double kMsPerSecond = 1e3;
 
@@ -143,6 +159,9 @@
     if (!one.mStretched && one.mPauseMs < pause) {
       harm += kLostWhenLate * one.mWorth;
     }
+    if (pause > std::max(kAbandonedMs, kAbandonedPauses * one.mPauseMs)) {
+      harm += (1 - kLostWhenLate) * one.mWorth;
+    }
   }
   return harm;
 }
@@ -362,6 +381,36 @@
   aChoice.mFits = false;
 }
 
+/// What a second of reading takes from other requests, by how busy the engines
+/// are.
+double
+PriceOfSecond(const std::vector<candidate>& aCandidates)
+{
+  const std::size_t busy = static_cast<std::size_t>(std::count_if(
+    aCandidates.begin(), aCandidates.end(), [](const candidate& a) {
+      return a.mBacklogMs > kBusyBacklogMs ||
+             a.mWriters.size() >= kBusyWriters;
+    }));
+  const double share =
+    static_cast<double>(busy) / static_cast<double>(aCandidates.size());
+  return kWorthOfBusySecond *
+         std::clamp((share - kFreeShare) / (kBusyShare - kFreeShare), 0.0, 1.0);
+}
+
+/// True if reading this prompt gains its caller more than it takes from the
+/// callers of others.
+bool
+IsWorthReading(const engine_choice& aChoice,
+               const engine_work& aWork,
+               double aReadingMs,
+               double aPriceOfSecond)
+{
+  const double gain = (1 + kLostWhenRefused) * aWork.mWorth -
+                      LateCost(aChoice.mFirstEventMs, aWork);
+  return gain >=
+         aChoice.mHarm + aPriceOfSecond * aReadingMs / kMsPerSecond;
+}
+
 engine_choice
 PlaceDivided(const std::vector<candidate>& aCandidates,
              const engine_timing& aTiming,
@@ -387,6 +436,9 @@
   choice.mFirstEventMs =
     chosen.mReadMs + kPassesToFirstEvent * writing->mPassMs;
   choice.mHarm = chosen.mHarm;
+  choice.mPriceOfSecond = PriceOfSecond(aCandidates);
+  choice.mWorthReading =
+    IsWorthReading(choice, aWork, aReadingMs, choice.mPriceOfSecond);
   return choice;
 }
 
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -41,6 +41,9 @@
   double mFirstEventMs = 0;  ///< Expected until the first event.
   double mHarm = 0;          ///< Worth of the streams that it stretches.
   bool mFits = true;         ///< The fleet has memory for it.
+  /// It gains its caller more than it takes from the callers of others.
+  bool mWorthReading = true;
+  double mPriceOfSecond = 0; ///< What a second of one engine counted for.
 
   bool operator==(const engine_choice&) const = default;
 };
--- a/Libraries/LibGateway/Adapter.h
+++ b/Libraries/LibGateway/Adapter.h
@@ -59,6 +59,25 @@
   bool operator==(const answer_facts&) const = default;
 };
 
+/// Sets memory of an engine aside for one request, renews that, or ends it.
+struct memory_order
+{
+  std::string mEndpointId; ///< Only this endpoint may take it.
+  std::string mReservation;
+  bool mRelease = false;
+  double mTokens = 0; ///< To set aside.
+  duration mLease{};  ///< The engine frees it by itself after this.
+
+  bool operator==(const memory_order&) const = default;
+};
+
+enum class order_outcome : std::uint8_t
+{
+  Done,
+  Refused,  ///< The engine did nothing.
+  NoAnswer, ///< It may have been done, or may be done later.
+};
+
 /// A reading of a table of the platform.
 struct table_reading
 {
@@ -95,6 +114,9 @@
                                std::string_view aRequestId,
                                bool aKeepAlive) = nullptr;
 
+  http_call (*mWriteOrder)(const memory_order&) = nullptr;
+  order_outcome (*mReadOrder)(const http_answer&) = nullptr;
+
   http_call (*mReadTable)(std::string_view aTable,
                           std::string_view aFromKey) = nullptr;
   http_call (*mReadChanges)(std::string_view aTable,
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -20,6 +20,8 @@
 constexpr double kStallOfPause = 6;
 /// No pause is given up sooner: an engine waits this long for a helper.
 constexpr duration kShortestStall = std::chrono::milliseconds(1700);
+/// Times that engines may refuse to set memory aside for one request.
+constexpr std::size_t kMostMemoryRefusals = 3;
 /// What the final answer needs to reach the caller in its time.
 constexpr duration kAnswerTime = std::chrono::milliseconds(15);
 /// When a refused caller may come back, in seconds.
@@ -207,6 +209,21 @@
   if (!choice.has_value()) {
     return false;
   }
+  if (!choice->mFits || !choice->mWorthReading) {
+    Log(log_level::Info,
+        "turned_away",
+        { { "request", mFacts.mId },
+          { "prompt_tokens", mFacts.mPromptTokens },
+          { "fits", static_cast<int>(choice->mFits) },
+          { "helpers", choice->mReaders.size() },
+          { "part_ms", choice->mPartMs },
+          { "expected_ms", choice->mFirstEventMs },
+          { "harm", choice->mHarm },
+          { "price_of_second", choice->mPriceOfSecond } });
+    GiveUp(error_kind::Overloaded,
+           choice->mFits ? "costs_others_more" : "no_memory");
+    return true;
+  }
   placement placed;
   placed.mKey = Hash(std::to_string(++board.mLastPlacement), board.mBoot);
   placed.mOwner = board.mBoot;
@@ -217,7 +234,12 @@
   placed.mPartMs = choice->mPartMs;
   placed.mLongestPause = work.mLongestPause;
   placed.mWorth = work.mWorth;
-  placed.mTokens = work.mPromptTokens + work.mAnswerTokens;
+  placed.mHolderTokens = choice->mHolderTokens;
+  for (std::size_t i = 0; i < choice->mHolders; ++i) {
+    placed.mHolders.push_back(placed.mEngines[i + 1]);
+  }
+  placed.mTokens = work.mPromptTokens + work.mAnswerTokens -
+                   static_cast<double>(choice->mHolders) * choice->mHolderTokens;
   placed.mExpires = mDeadline;
   NotePlaced(board.mLedger, placed, now);
   mContext.mPeers.TellPlaced(placed);
@@ -230,18 +252,80 @@
         { "organisation", mOrganisation },
         { "endpoint", choice->mWriter->mListed.mId },
         { "helpers", choice->mReaders.size() },
+        { "holders", choice->mHolders },
         { "prompt_tokens", mFacts.mPromptTokens },
         { "part_ms", choice->mPartMs },
         { "expected_ms", choice->mFirstEventMs },
         { "harm", choice->mHarm },
         { "attempt", mTried.size() + 1 },
         { "manifest", mManifest->Manifest().mVersion } });
-  SendTo(*choice->mWriter, choice->mReaders);
+  if (choice->mHolders > 0) {
+    SetMemoryAside(*choice);
+    return true;
+  }
+  std::vector<endpoint> readers;
+  for (const known_endpoint* const reader : choice->mReaders) {
+    readers.push_back(reader->mListed);
+  }
+  SendToEngines(choice->mWriter->mListed, readers, 0);
+  return true;
+}
+
+void
+exchange::SetMemoryAside(const engine_choice& aChoice)
+{
+  std::vector<endpoint> readers;
+  for (const known_endpoint* const reader : aChoice.mReaders) {
+    readers.push_back(reader->mListed);
+  }
+  const endpoint writer = aChoice.mWriter->mListed;
+  const std::size_t holders = aChoice.mHolders;
+  mMemory = std::make_shared<memory_hold>(
+    mContext.mLoop,
+    mContext.mAdapter,
+    mContext.mBoard,
+    mContext.mSettings.mName + '-' + std::to_string(*mPlacement),
+    std::vector<endpoint>(readers.begin(),
+                          readers.begin() +
+                            static_cast<std::ptrdiff_t>(holders)),
+    aChoice.mHolderTokens);
+  mMemory->Acquire(
+    [weak = weak_from_this(), writer, readers, holders](bool aGranted) {
+      const std::shared_ptr<exchange> self = weak.lock();
+      if (self == nullptr || self->mState == state::Ended) {
+        return;
+      }
+      if (aGranted) {
+        self->SendToEngines(writer, readers, holders);
+        return;
+      }
+      Log(log_level::Info,
+          "memory_refused",
+          { { "request", self->mFacts.mId }, { "holders", holders } });
+      self->LeaveEndpoint();
+      if (++self->mMemoryRefusals >= kMostMemoryRefusals) {
+        self->GiveUp(error_kind::Overloaded, "no_memory");
+        return;
+      }
+      self->Dispatch();
+    });
+}
+
+void
+exchange::SendToEngines(const endpoint& aWriter,
+                        const std::vector<endpoint>& aReaders,
+                        std::size_t aHolders)
+{
+  std::vector<reading_helper> helpers;
+  for (std::size_t i = 0; i < aReaders.size(); ++i) {
+    helpers.push_back({ aReaders[i].mAddress,
+                        i < aHolders ? mMemory->Reservation() : "" });
+  }
+  SendTo(aWriter, helpers);
   const double silence =
     std::max(kStreamSilenceOfObjective * Seconds(mRoute->mObjective),
              2 * mExpectedMs / kMsPerSecond);
   WatchSilence(std::max(FromSeconds(silence), kShortestStall));
-  return true;
 }
 
 bool
@@ -267,7 +351,7 @@
         { "outstanding", chosen->mOutstanding },
         { "attempt", mTried.size() + 1 },
         { "manifest", mManifest->Manifest().mVersion } });
-  SendTo(*chosen, {});
+  SendTo(chosen->mListed, {});
   if (mRoute->mKind == call_kind::Idempotent) {
     WatchSilence(
       FromSeconds(kSilenceOfObjective * Seconds(mRoute->mObjective)));
@@ -276,30 +360,31 @@
 }
 
 void
-exchange::SendTo(const known_endpoint& aEndpoint,
-                 const std::vector<known_endpoint*>& aHelpers)
+exchange::SendTo(const endpoint& aEndpoint,
+                 const std::vector<reading_helper>& aHelpers)
 {
   forwarding to;
-  to.mEndpointId = aEndpoint.mListed.mId;
-  to.mAddress = aEndpoint.mListed.mAddress;
+  to.mEndpointId = aEndpoint.mId;
+  to.mAddress = aEndpoint.mAddress;
   to.mTimeLeft = Left();
   to.mOrganisation = mOrganisation;
-  for (const known_endpoint* const helper : aHelpers) {
-    to.mHelpers.push_back({ helper->mListed.mAddress, "" });
-  }
+  to.mHelpers = aHelpers;
   to.mLastEvent = mCursor.LastId().has_value() ? mCursor.LastId()
                                                : mFacts.mLastEvent;
   mHelpers = aHelpers.size();
   mEventsHere = false;
-  mTried.push_back(aEndpoint.mListed.mId);
-  mPassedOver.push_back(aEndpoint.mListed.mId);
-  ++mContext.mBoard.mEndpoints.mEndpoints[aEndpoint.mListed.mId].mOutstanding;
+  mTried.push_back(aEndpoint.mId);
+  mPassedOver.push_back(aEndpoint.mId);
+  const auto known = mContext.mBoard.mEndpoints.mEndpoints.find(aEndpoint.mId);
+  if (known != mContext.mBoard.mEndpoints.mEndpoints.end()) {
+    ++known->second.mOutstanding;
+  }
   mContext.mBoard.mMetrics.Count("gateway_sends_total");
   mAttempt = std::make_shared<attempt>(mContext.mLoop,
                                        mContext.mConnections,
                                        mContext.mAdapter,
                                        *this,
-                                       aEndpoint.mListed,
+                                       aEndpoint,
                                        mFacts.mId);
   // A call that may not be repeated goes on a new connection: on a kept one
   // that the endpoint closes at the same moment nobody could say whether it
@@ -373,6 +458,10 @@
     mContext.mLoop.DeleteLater(std::move(mAttempt));
     mAttempt = nullptr;
   }
+  if (mMemory != nullptr) {
+    mMemory->Release();
+    mMemory = nullptr;
+  }
   if (mPlacement.has_value()) {
     const placement_end end =
       mEventsHere ? placement_end::Read : placement_end::Unread;
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -3,6 +3,7 @@
 /// One request of a caller, from its whole reading to its final answer.
 
 #include "LibGateway/Attempt.h"
+#include "LibGateway/MemoryHold.h"
 #include "LibGateway/PeerNews.h"
 
 #include <memory>
@@ -71,8 +72,12 @@
   void Dispatch();
   bool ChooseEngines();
   bool ChoosePlain();
-  void SendTo(const known_endpoint& aEndpoint,
-              const std::vector<known_endpoint*>& aHelpers);
+  void SetMemoryAside(const engine_choice& aChoice);
+  void SendToEngines(const endpoint& aWriter,
+                     const std::vector<endpoint>& aReaders,
+                     std::size_t aHolders);
+  void SendTo(const endpoint& aEndpoint,
+              const std::vector<reading_helper>& aHelpers);
   void WatchSilence(duration aLimit);
   void OnSilence();
   void OnDeadline();
@@ -106,6 +111,8 @@
   std::vector<std::string> mTried; ///< Endpoints that it was sent to.
   std::vector<std::string> mPassedOver; ///< Tried or unreachable.
   std::optional<placement_key> mPlacement;
+  std::shared_ptr<memory_hold> mMemory;
+  std::size_t mMemoryRefusals = 0;
   double mExpectedMs = 0;   ///< Until the first event, by this entry's sums.
   std::size_t mHelpers = 0;
   bool mMayHaveRun = false; ///< An endpoint got it and promised nothing.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -300,6 +300,19 @@
 {
   const duration drained = mLoop.Now() - mDrainBegan;
   const bool overdue = drained >= mSettings.mGrace - kEndBeforeGrace;
+  if (drained >= kListenWhileDraining) {
+    // From here on a request could not be finished within the grace, so none
+    // is taken: the caller sees a connection that was closed before its
+    // request was read, and goes elsewhere.
+    mCallers.reset();
+    std::vector<std::shared_ptr<caller_connection>> open;
+    for (const auto& [key, connection] : mOpen) {
+      open.push_back(connection);
+    }
+    for (const std::shared_ptr<caller_connection>& connection : open) {
+      connection->CloseIfIdle();
+    }
+  }
   if (!overdue &&
       (drained < kListenWhileDraining || mBoard.mOpenRequests > 0)) {
     return;
--- a/Libraries/LibNet/HttpClientCall.cpp
+++ b/Libraries/LibNet/HttpClientCall.cpp
@@ -21,6 +21,9 @@
 {
   std::string bytes = aCall.mMethod + ' ' + aCall.mTarget + " HTTP/1.1\r\n";
   AppendField(bytes, "Host", mServer.Text());
+  for (const http_field& field : aCall.mFields) {
+    AppendField(bytes, field.mName, field.mValue);
+  }
   if (!aCall.mContentType.empty()) {
     AppendField(bytes, "Content-Type", aCall.mContentType);
   }
--- a/Libraries/LibNet/HttpClientCall.h
+++ b/Libraries/LibNet/HttpClientCall.h
@@ -17,6 +17,7 @@
   std::string mTarget;
   std::string mBody;
   std::string mContentType;
+  http_fields mFields; ///< Besides those that every call has.
 
   bool operator==(const http_call&) const = default;
 };
