--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -776,7 +776,9 @@
     Labelled("gateway_requests_total", "outcome", aOutcome));
   mContext.mBoard.mMetrics.Observe("gateway_request_seconds",
                                    Seconds(now - mBegan));
-  Log(log_level::Info,
+  Log(aOutcome == "answered" || aOutcome == "caller_left"
+        ? log_level::Info
+        : log_level::Warning,
       "request",
       { { "request", mFacts.mId },
         { "route", mRoute == nullptr ? "" : mRoute->mName },
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -141,6 +141,12 @@
         static_cast<double>(mBoard.mEndpoints.mEndpoints.size()));
       mBoard.mMetrics.Set("gateway_peers",
                           static_cast<double>(mBoard.mPeers.size()));
+      mBoard.mMetrics.Set("gateway_log_lines_dropped_total",
+                          static_cast<double>(DroppedLogLines()));
+      mBoard.mMetrics.Set("gateway_manifest_age_seconds",
+                          mBoard.mManifest == nullptr
+                            ? -1
+                            : Seconds(mLoop.Now() - mBoard.mManifestSince));
       return probe_connection::answer{ kGood, mBoard.mMetrics.Exposition() };
     }
     return Ready() ? probe_connection::answer{ kGood, "ready\n" }
@@ -270,6 +276,7 @@
 void
 gateway::Tick()
 {
+  FlushLog();
   mConnections.CloseOverdue();
   ForgetExpired(mBoard.mLedger, mLoop.Now());
   if (mBoard.mDraining) {
--- a/Libraries/LibObserve/Log.cpp
+++ b/Libraries/LibObserve/Log.cpp
@@ -1,8 +1,13 @@
 #include "LibObserve/Log.h"
 
+#include "LibObserve/BoundedOutput.h"
+
 #include <array>
+#include <chrono>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 #include <utility>
 
 namespace primrose {
@@ -47,6 +52,62 @@
   return false;
 }
 
+/// Lines a second of each kind: a routine request takes two, and an entry that
+/// carries a third of a burst of 400 requests a second takes 270 of them.
+constexpr double kLinesPerSecond = 300;
+constexpr double kLinesAtOnce = 1500;
+/// What a reader that stopped may hold back.
+constexpr std::size_t kMostBytes = std::size_t{ 256 } * 1024;
+/// Gathered routine lines go out at this size, or with the next `FlushLog`.
+constexpr std::size_t kFlushBytes = std::size_t{ 8 } * 1024;
+
+class bounded_sink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
+{
+public:
+  bounded_sink()
+    : mOutput(STDOUT_FILENO, kMostBytes)
+  {
+  }
+  std::uint64_t Dropped() const { return mOutput.Dropped() + mOverBudget; }
+
+protected:
+  void sink_it_(const spdlog::details::log_msg& aMessage) override
+  {
+    const bool failure = aMessage.level >= spdlog::level::warn;
+    const double now = std::chrono::duration<double>(
+                         std::chrono::steady_clock::now().time_since_epoch())
+                         .count();
+    if (!TakeLine(failure ? mFailures : mRoutine, now)) {
+      ++mOverBudget;
+      return;
+    }
+    spdlog::memory_buf_t text;
+    formatter_->format(aMessage, text);
+    const std::string_view line(text.data(), text.size());
+    mOutput.Append(line.substr(0, line.size() - 1));
+    if (failure || mOutput.Pending() > kFlushBytes) {
+      mOutput.Flush();
+    }
+  }
+  void flush_() override { mOutput.Flush(); }
+
+private:
+  bounded_output mOutput;
+  line_budget mRoutine{ kLinesPerSecond, kLinesAtOnce, kLinesAtOnce, 0 };
+  line_budget mFailures{ kLinesPerSecond, kLinesAtOnce, kLinesAtOnce, 0 };
+  std::uint64_t mOverBudget = 0;
+};
+
+std::shared_ptr<bounded_sink>&
+BoundedSink()
+{
+  static std::shared_ptr<bounded_sink> sink;
+  return sink;
+}
+
+constexpr const char* kPattern =
+  "time=%Y-%m-%dT%H:%M:%S.%e%z level=%l by=%n %v";
+
 } // namespace
 
 std::string
@@ -99,12 +160,35 @@
   std::shared_ptr<spdlog::logger> logger =
     spdlog::get(aProcess) ? spdlog::get(aProcess)
                           : spdlog::stderr_logger_st(aProcess);
-  logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l by=%n %v");
+  logger->set_pattern(kPattern);
   logger->set_level(LibraryLevel(aLevel));
   logger->flush_on(spdlog::level::info);
   spdlog::set_default_logger(logger);
 }
 
+void
+StartBoundedLog(const std::string& aProcess, log_level aLevel)
+{
+  BoundedSink() = std::make_shared<bounded_sink>();
+  const std::shared_ptr<spdlog::logger> logger =
+    std::make_shared<spdlog::logger>(aProcess, BoundedSink());
+  logger->set_pattern(kPattern);
+  logger->set_level(LibraryLevel(aLevel));
+  spdlog::set_default_logger(logger);
+}
+
+void
+FlushLog()
+{
+  spdlog::default_logger_raw()->flush();
+}
+
+std::uint64_t
+DroppedLogLines()
+{
+  return BoundedSink() == nullptr ? 0 : BoundedSink()->Dropped();
+}
+
 void
 Log(log_level aLevel,
     std::string_view aEvent,
--- a/Libraries/LibObserve/Log.h
+++ b/Libraries/LibObserve/Log.h
@@ -1,7 +1,9 @@
 #pragma once
 
-/// Logs: one line of key=value pairs for each event, on standard error.
+/// Logs: one line of key=value pairs for each event, on standard error or, for
+/// daemons whose output somebody collects, on standard output.
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -40,6 +42,20 @@
 void
 StartLog(const std::string& aProcess, log_level aLevel);
 
+/// The same on standard output, without ever waiting for its reader and within
+/// budgets: routine lines (below warning) and failures have one each, so that
+/// a flood of the first never costs one of the second.
+void
+StartBoundedLog(const std::string& aProcess, log_level aLevel);
+
+/// Hands over what is gathered; a bounded log gathers routine lines.
+void
+FlushLog();
+
+/// Lines that a bounded log has left out, for want of budget or of a reader.
+std::uint64_t
+DroppedLogLines();
+
 /// Writes `time=… level=… by=… event=NAME key=value …`.
 void
 Log(log_level aLevel,
