--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -408,8 +408,8 @@
 void
 exchange::OnSilence()
 {
-  if (mAttempt == nullptr || !Repeatable() ||
-      mTried.size() >= mRoute->mMaxAttempts || !MayRepeat()) {
+  // An endpoint that is slow is still better than none at all.
+  if (mAttempt == nullptr || !HasAlternative() || !MayRepeat()) {
     return;
   }
   Sign(*mAttempt, endpoint_sign::Silent);
@@ -418,6 +418,22 @@
   Retry("silent");
 }
 
+bool
+exchange::HasAlternative() const
+{
+  if (!Repeatable() || mTried.size() >= mRoute->mMaxAttempts) {
+    return false;
+  }
+  for (const auto& [id, known] : mContext.mBoard.mEndpoints.mEndpoints) {
+    if (Usable(known, mService->mName) &&
+        std::find(mPassedOver.begin(), mPassedOver.end(), id) ==
+          mPassedOver.end()) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool
 exchange::MayRepeat()
 {
@@ -561,9 +577,7 @@
   const unsigned status = aAttempt.Head().mStatus;
   if (status >= kFirstServerError) {
     Sign(aAttempt, endpoint_sign::Failed);
-    const bool again = Repeatable() && mTried.size() < mRoute->mMaxAttempts &&
-                       MayRepeat();
-    if (again) {
+    if (HasAlternative() && MayRepeat()) {
       mMayHaveRun = true;
       LeaveEndpoint();
       Retry("status_" + std::to_string(status));
@@ -686,8 +700,7 @@
       Sign(aAttempt, endpoint_sign::Broke);
       mMayHaveRun = true;
       LeaveEndpoint();
-      if (Repeatable() && mTried.size() < mRoute->mMaxAttempts &&
-          MayRepeat()) {
+      if (HasAlternative() && MayRepeat()) {
         Retry(aWhy);
         return;
       }
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -82,6 +82,8 @@
   void OnSilence();
   void OnDeadline();
   bool MayRepeat();
+  /// True if the request may go to another endpoint and there is one.
+  bool HasAlternative() const;
   bool Repeatable() const;
   void Retry(const std::string& aWhy);
   void GiveUp(error_kind aKind, const std::string& aWhy);
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -122,6 +122,18 @@
   return {};
 }
 
+std::uint16_t
+gateway::CallersPort() const
+{
+  return mCallers == nullptr ? 0 : mCallers->Port();
+}
+
+std::uint16_t
+gateway::ReadinessPort() const
+{
+  return mReadiness->Port();
+}
+
 bool
 gateway::Ready() const
 {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -21,6 +21,10 @@
   /// Says "not ready", lets what is in flight end, and then quits the loop.
   void Drain();
   const gateway_board& Board() const { return mBoard; }
+  /// Where callers connect, also where the system chose the port; 0 once a
+  /// draining gateway has stopped listening.
+  std::uint16_t CallersPort() const;
+  std::uint16_t ReadinessPort() const;
 
 private:
   bool Ready() const;
--- a/Libraries/LibNet/EventLoop.cpp
+++ b/Libraries/LibNet/EventLoop.cpp
@@ -140,6 +140,12 @@
   g_main_loop_run(mLoop);
 }
 
+void
+event_loop::Turn()
+{
+  g_main_context_iteration(nullptr, TRUE);
+}
+
 void
 event_loop::Quit()
 {
--- a/Libraries/LibNet/EventLoop.h
+++ b/Libraries/LibNet/EventLoop.h
@@ -51,6 +51,8 @@
   void OnSignal(int aSignal, std::function<void()> aAction);
   void Run();
   void Quit();
+  /// Waits for the next events or timers and handles them.
+  void Turn();
 
   time_point Now() const override;
   wall_time Wall() const override;
--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -1,5 +1,7 @@
 #include "LibNet/HttpReader.h"
 
+#include <algorithm>
+
 namespace primrose {
 
 namespace {
@@ -10,6 +12,21 @@
 constexpr int kSkipBody = 1;
 constexpr unsigned kFirstFinalStatus = 200;
 
+/// True for what may name a field. A name with a blank in it, or one before the
+/// colon, is read differently by different parties.
+bool
+IsToken(const std::string& aName)
+{
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return !aName.empty() &&
+         std::all_of(aName.begin(), aName.end(), [](char aLetter) {
+           return (aLetter >= 'a' && aLetter <= 'z') ||
+                  (aLetter >= 'A' && aLetter <= 'Z') ||
+                  (aLetter >= '0' && aLetter <= '9') ||
+                  kMarks.find(aLetter) != std::string_view::npos;
+         });
+}
+
 bool
 MayHaveBody(unsigned aStatus)
 {
@@ -121,7 +138,7 @@
     }
   }
   for (const http_field& field : mHead.mFields) {
-    if (field.mName.empty() ||
+    if (!IsToken(field.mName) ||
         field.mValue.find_first_of(std::string_view("\r\n\0", 3)) !=
           std::string::npos) {
       return false;
--- /dev/null
+++ b/Tests/Gateway/GatewayTest.cpp
@@ -0,0 +1,788 @@
+#include "Standin.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace primrose;
+using namespace primrose::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+using connection = standin_server::connection;
+
+/// An endpoint that keeps what it was sent and answers as it is told.
+struct endpoint_fixture
+{
+  explicit endpoint_fixture(event_loop& aLoop)
+    : mServer(aLoop,
+              [this](connection& aConnection,
+                     const http_head& aHead,
+                     const std::string& aBody) {
+                mHeads.push_back(aHead);
+                mBodies.push_back(aBody);
+                mLast = &aConnection;
+                if (mAnswer) {
+                  mAnswer(aConnection, aHead);
+                }
+              })
+  {
+  }
+
+  std::string Field(std::size_t aIndex, std::string_view aName) const
+  {
+    return std::string(
+      FieldValue(mHeads.at(aIndex).mFields, aName).value_or("(none)"));
+  }
+
+  std::vector<http_head> mHeads;
+  std::vector<std::string> mBodies;
+  connection* mLast = nullptr;
+  std::function<void(connection&, const http_head&)> mAnswer;
+  standin_server mServer;
+};
+
+void
+AnswerOk(connection& aConnection, const http_head& aHead)
+{
+  aConnection.mChannel->Write(GoodHead(aHead, "Content-Length: 2\r\n") + "ok");
+  aConnection.Next();
+}
+
+void
+AnswerRefused(connection& aConnection, const http_head& aHead)
+{
+  aConnection.mChannel->Write(
+    "HTTP/1.1 503 X\r\nRequest-Id: " +
+    std::string(*FieldValue(aHead.mFields, "request-id")) +
+    "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+  aConnection.Next();
+}
+
+struct world : gateway_world
+{
+  world()
+    : mDesk(mLoop)
+    , mSecond(mLoop)
+    , mModel(mLoop)
+  {
+    mDesk.mAnswer = &AnswerOk;
+    mSecond.mAnswer = &AnswerOk;
+    PutManifest(3);
+    List("i-desk", "desk", mDesk.mServer.Address());
+  }
+
+  standin_caller& Ask(const std::string& aBytes)
+  {
+    mCallers.push_back(
+      std::make_unique<standin_caller>(mLoop, mGateway->CallersPort()));
+    mCallers.back()->Send(aBytes);
+    return *mCallers.back();
+  }
+
+  standin_caller& Answered(const std::string& aBytes)
+  {
+    standin_caller& caller = Ask(aBytes);
+    Until([&caller]() { return caller.Answered() || caller.Ended(); },
+          "an answer");
+    return caller;
+  }
+
+  endpoint_fixture mDesk;
+  endpoint_fixture mSecond;
+  endpoint_fixture mModel;
+  std::vector<std::unique_ptr<standin_caller>> mCallers;
+};
+
+} // namespace
+
+class forwarding_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(forwarding_test);
+  CPPUNIT_TEST(ForwardsUnchangedAndAddsItsOwn);
+  CPPUNIT_TEST(UnknownRouteAndKey);
+  CPPUNIT_TEST(NothingIsServedBeforeAManifest);
+  CPPUNIT_TEST(KeptConnectionServesManyRequests);
+  CPPUNIT_TEST(SecondAnswerBelongsToNobody);
+  CPPUNIT_TEST(ForeignAnswerIsNotPassedOn);
+  CPPUNIT_TEST(UnprovenAnswerIsNoSuccess);
+  CPPUNIT_TEST(ShortAnswerIsNoSuccess);
+  CPPUNIT_TEST(AnswerWithoutLengthIsWhole);
+  CPPUNIT_TEST(SmuggledRequestIsRefused);
+  CPPUNIT_TEST(RequestsAheadAreAnsweredInOrder);
+  CPPUNIT_TEST(GuardedCallRunsOnce);
+  CPPUNIT_TEST(RefusedByEndpointIsTold);
+  CPPUNIT_TEST(AddressOfAnotherIsTriedElsewhere);
+  CPPUNIT_TEST(RepeatsOnlyWithinAttempts);
+  CPPUNIT_TEST(SlowEndpointIsBetterThanNone);
+  CPPUNIT_TEST(FailureIsForwardedWhereNobodyElseIs);
+  CPPUNIT_TEST(DeadlineEndsARequest);
+  CPPUNIT_TEST(CallerThatLeavesIsNotWorkedFor);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void ForwardsUnchangedAndAddsItsOwn()
+  {
+    world w;
+    w.Start();
+    const standin_caller& caller = w.Answered(
+      w.Request("r1",
+                "safe",
+                "X-Custom: kept\r\nTenant: forged\r\nDeadline-Ms: 4000\r\n"
+                "Connection: x-hop\r\nX-Hop: dropped\r\n"
+                "Expect-Instance: forged\r\n"));
+    CPPUNIT_ASSERT_EQUAL(200U, caller.Status());
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), caller.Body());
+    CPPUNIT_ASSERT_EQUAL(std::string("proof"),
+                         *caller.Field("response-seal"));
+    CPPUNIT_ASSERT_EQUAL(std::string("/safe/x"),
+                         w.mDesk.mHeads.at(0).mTarget);
+    CPPUNIT_ASSERT_EQUAL(std::string("hello"), w.mDesk.mBodies.at(0));
+    CPPUNIT_ASSERT_EQUAL(std::string("kept"), w.mDesk.Field(0, "x-custom"));
+    CPPUNIT_ASSERT_EQUAL(std::string("hanbit"), w.mDesk.Field(0, "tenant"));
+    CPPUNIT_ASSERT_EQUAL(std::string("i-desk"),
+                         w.mDesk.Field(0, "expect-instance"));
+    CPPUNIT_ASSERT_EQUAL(std::string("(none)"),
+                         w.mDesk.Field(0, "authorization"));
+    CPPUNIT_ASSERT_EQUAL(std::string("(none)"), w.mDesk.Field(0, "x-hop"));
+    const int left = std::stoi(w.mDesk.Field(0, "deadline-ms"));
+    CPPUNIT_ASSERT(left > 0 && left <= 4000);
+  }
+
+  void UnknownRouteAndKey()
+  {
+    world w;
+    w.Start();
+    CPPUNIT_ASSERT_EQUAL(404U, w.Answered(w.Request("r1", "none")).Status());
+    std::string other = w.Request("r2", "safe");
+    other.replace(other.find("key-1"), 5, "key-2");
+    CPPUNIT_ASSERT_EQUAL(401U, w.Answered(other).Status());
+    CPPUNIT_ASSERT(w.mDesk.mHeads.empty());
+  }
+
+  void NothingIsServedBeforeAManifest()
+  {
+    world w;
+    w.mStore.SetMood(standin_store::mood::Refusing);
+    w.mGateway = std::make_unique<gateway>(
+      w.mLoop, w.mSettings, platform::Adapter());
+    CPPUNIT_ASSERT(Capture<int>([&w]() -> result<int> {
+      BOOST_LEAF_CHECK(w.mGateway->Start());
+      return 0;
+    }));
+    const standin_caller& caller = w.Answered(w.Request("r1", "safe"));
+    CPPUNIT_ASSERT_EQUAL(503U, caller.Status());
+    CPPUNIT_ASSERT(caller.Field("retry-after").has_value());
+    standin_caller probe(w.mLoop, w.mGateway->ReadinessPort());
+    probe.Send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    w.Until([&probe]() { return probe.Answered(); }, "a probe");
+    CPPUNIT_ASSERT_EQUAL(503U, probe.Status());
+    w.mStore.SetMood(standin_store::mood::Good);
+    w.Until([&w]() { return w.mGateway->Board().mEndpointsKnown; }, "lists");
+    CPPUNIT_ASSERT_EQUAL(200U, w.Answered(w.Request("r2", "safe")).Status());
+  }
+
+  void KeptConnectionServesManyRequests()
+  {
+    world w;
+    w.Start();
+    for (int i = 0; i < 5; ++i) {
+      CPPUNIT_ASSERT_EQUAL(
+        200U,
+        w.Answered(w.Request("r" + std::to_string(i), "safe")).Status());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), w.mDesk.mServer.Connections().size());
+  }
+
+  /// Symptom: a caller gets the answer to somebody else's request.
+  /// Sequence: an endpoint answers twice on a kept connection; the next request
+  /// goes out on it and the second answer is taken for its own.
+  /// Cause: a connection with bytes that nobody asked for was used again.
+  void SecondAnswerBelongsToNobody()
+  {
+    world w;
+    w.mDesk.mAnswer = [](connection& aConnection, const http_head& aHead) {
+      const std::string one =
+        GoodHead(aHead, "Content-Length: 2\r\n") + "ok";
+      aConnection.mChannel->Write(one + one);
+      aConnection.Next();
+    };
+    w.Start();
+    for (int i = 0; i < 4; ++i) {
+      const std::string id = "r" + std::to_string(i);
+      const standin_caller& caller = w.Answered(w.Request(id, "safe"));
+      CPPUNIT_ASSERT_EQUAL(200U, caller.Status());
+      CPPUNIT_ASSERT_EQUAL(id, *caller.Field("request-id"));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), w.mDesk.mServer.Connections().size());
+  }
+
+  void ForeignAnswerIsNotPassedOn()
+  {
+    world w;
+    w.mDesk.mAnswer = [](connection& aConnection, const http_head&) {
+      aConnection.mChannel->Write(
+        "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Seal: p\r\n"
+        "Content-Length: 6\r\n\r\nsecret");
+    };
+    w.Start();
+    const standin_caller& caller = w.Answered(w.Request("r1", "unsafe"));
+    CPPUNIT_ASSERT_EQUAL(502U, caller.Status());
+    CPPUNIT_ASSERT(caller.Seen().find("secret") == std::string::npos);
+  }
+
+  void UnprovenAnswerIsNoSuccess()
+  {
+    world w;
+    w.mDesk.mAnswer = [](connection& aConnection, const http_head& aHead) {
+      aConnection.mChannel->Write(
+        "HTTP/1.1 200 OK\r\nRequest-Id: " +
+        std::string(*FieldValue(aHead.mFields, "request-id")) +
+        "\r\nContent-Length: 2\r\n\r\nno");
+    };
+    w.Start();
+    CPPUNIT_ASSERT_EQUAL(502U, w.Answered(w.Request("r1", "unsafe")).Status());
+  }
+
+  void ShortAnswerIsNoSuccess()
+  {
+    world w;
+    w.mDesk.mAnswer = [](connection& aConnection, const http_head& aHead) {
+      aConnection.mChannel->Write(GoodHead(aHead, "Content-Length: 9\r\n") +
+                                  "half");
+      aConnection.mChannel->CloseWhenDrained();
+    };
+    w.Start();
+    CPPUNIT_ASSERT_EQUAL(502U, w.Answered(w.Request("r1", "unsafe")).Status());
+  }
+
+  void AnswerWithoutLengthIsWhole()
+  {
+    world w;
+    w.mDesk.mAnswer = [](connection& aConnection, const http_head& aHead) {
+      aConnection.mChannel->Write(GoodHead(aHead, "") + "to the end");
+      aConnection.mChannel->CloseWhenDrained();
+    };
+    w.Start();
+    const standin_caller& caller = w.Answered(w.Request("r1", "unsafe"));
+    CPPUNIT_ASSERT_EQUAL(200U, caller.Status());
+    CPPUNIT_ASSERT_EQUAL(std::string("to the end"), caller.Body());
+  }
+
+  void SmuggledRequestIsRefused()
+  {
+    world w;
+    w.Start();
+    const std::string inner = w.Request("inner", "unsafe");
+    const standin_caller& caller = w.Answered(
+      "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: outer\r\n"
+      "Authorization: Token key-1\r\nContent-Length: " +
+      std::to_string(inner.size()) +
+      "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner);
+    CPPUNIT_ASSERT_EQUAL(400U, caller.Status());
+    w.For(milliseconds(50));
+    CPPUNIT_ASSERT(w.mDesk.mHeads.empty());
+  }
+
+  void RequestsAheadAreAnsweredInOrder()
+  {
+    world w;
+    w.Start();
+    standin_caller& caller =
+      w.Ask(w.Request("r1", "safe") + w.Request("r2", "safe"));
+    w.Until(
+      [&caller]() {
+        return caller.Seen().find("Request-Id: r2") != std::string::npos;
+      },
+      "both answers");
+    CPPUNIT_ASSERT(caller.Seen().find("Request-Id: r1") <
+                   caller.Seen().find("Request-Id: r2"));
+  }
+
+  /// Symptom: a rights holder is billed twice.
+  /// Sequence: a call that may not be repeated is sent; the endpoint runs it
+  /// and its connection breaks before the answer.
+  /// Cause: the entry sends it again, or tells the caller that it did not run,
+  /// so that the caller does.
+  void GuardedCallRunsOnce()
+  {
+    world w;
+    w.List("i-second", "desk", w.mSecond.mServer.Address());
+    w.mDesk.mAnswer = [](connection& aConnection, const http_head&) {
+      aConnection.mChannel->Abort();
+    };
+    w.mSecond.mAnswer = w.mDesk.mAnswer;
+    w.Start();
+    const standin_caller& caller = w.Answered(w.Request("r1", "unsafe"));
+    CPPUNIT_ASSERT_EQUAL(502U, caller.Status());
+    CPPUNIT_ASSERT(!caller.Field("retry-after").has_value());
+    w.For(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         w.mDesk.mHeads.size() + w.mSecond.mHeads.size());
+  }
+
+  void RefusedByEndpointIsTold()
+  {
+    world w;
+    w.mDesk.mAnswer = &AnswerRefused;
+    w.Start();
+    const standin_caller& caller = w.Answered(w.Request("r1", "unsafe"));
+    CPPUNIT_ASSERT_EQUAL(503U, caller.Status());
+    CPPUNIT_ASSERT(caller.Field("retry-after").has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), w.mDesk.mHeads.size());
+  }
+
+  void AddressOfAnotherIsTriedElsewhere()
+  {
+    world w;
+    w.List("i-second", "desk", w.mSecond.mServer.Address());
+    w.mDesk.mAnswer = [](connection& aConnection, const http_head&) {
+      aConnection.mChannel->Write("HTTP/1.1 421 X\r\nInstance-Id: i-new\r\n"
+                                  "Content-Length: 0\r\n\r\n");
+      aConnection.Next();
+    };
+    w.Start();
+    for (int i = 0; i < 6; ++i) {
+      CPPUNIT_ASSERT_EQUAL(
+        200U,
+        w.Answered(w.Request("r" + std::to_string(i), "safe")).Status());
+    }
+    // It is avoided after the first such answer.
+    CPPUNIT_ASSERT(w.mDesk.mHeads.size() <= 1);
+  }
+
+  void RepeatsOnlyWithinAttempts()
+  {
+    world w;
+    w.List("i-second", "desk", w.mSecond.mServer.Address());
+    endpoint_fixture third(w.mLoop);
+    w.List("i-third", "desk", third.mServer.Address());
+    const auto fail = [](connection& aConnection, const http_head& aHead) {
+      aConnection.mChannel->Write(
+        "HTTP/1.1 500 X\r\nRequest-Id: " +
+        std::string(*FieldValue(aHead.mFields, "request-id")) +
+        "\r\nResponse-Seal: p\r\nContent-Length: 0\r\n\r\n");
+      aConnection.Next();
+    };
+    w.mDesk.mAnswer = fail;
+    w.mSecond.mAnswer = fail;
+    third.mAnswer = fail;
+    w.Start();
+    CPPUNIT_ASSERT_EQUAL(500U, w.Answered(w.Request("r1", "safe")).Status());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2),
+                         w.mDesk.mHeads.size() + w.mSecond.mHeads.size() +
+                           third.mHeads.size());
+  }
+
+  /// Symptom: a call fails though its endpoint would have answered. Sequence:
+  /// the only endpoint is silent for a while; the attempt is given up to ask
+  /// another. Cause: nobody looked whether there is another.
+  void SlowEndpointIsBetterThanNone()
+  {
+    world w;
+    w.mDesk.mAnswer = nullptr;
+    w.Start();
+    standin_caller& caller = w.Ask(w.Request("r1", "safe"));
+    w.For(milliseconds(1400));
+    CPPUNIT_ASSERT(!caller.Answered());
+    AnswerOk(*w.mDesk.mLast, w.mDesk.mHeads.at(0));
+    w.Until([&caller]() { return caller.Answered() || caller.Ended(); },
+            "the answer");
+    CPPUNIT_ASSERT_EQUAL(200U, caller.Status());
+  }
+
+  void FailureIsForwardedWhereNobodyElseIs()
+  {
+    world w;
+    w.mDesk.mAnswer = [](connection& aConnection, const http_head& aHead) {
+      aConnection.mChannel->Write(
+        "HTTP/1.1 500 X\r\nRequest-Id: " +
+        std::string(*FieldValue(aHead.mFields, "request-id")) +
+        "\r\nResponse-Seal: p\r\nContent-Length: 3\r\n\r\nbad");
+      aConnection.Next();
+    };
+    w.Start();
+    const standin_caller& caller = w.Answered(w.Request("r1", "safe"));
+    CPPUNIT_ASSERT_EQUAL(500U, caller.Status());
+    CPPUNIT_ASSERT_EQUAL(std::string("bad"), caller.Body());
+  }
+
+  void DeadlineEndsARequest()
+  {
+    world w;
+    w.mDesk.mAnswer = nullptr;
+    w.Start();
+    const standin_caller& caller =
+      w.Answered(w.Request("r1", "unsafe", "Deadline-Ms: 120\r\n"));
+    CPPUNIT_ASSERT_EQUAL(504U, caller.Status());
+    w.Until([&w]() { return w.mDesk.mServer.Ended() == 1; },
+            "the endpoint's connection is closed");
+  }
+
+  /// Symptom: engines work for callers that are gone. Sequence: a caller
+  /// closes its connection while an endpoint works. Cause: the entry notices
+  /// only when it writes the answer.
+  void CallerThatLeavesIsNotWorkedFor()
+  {
+    world w;
+    w.mDesk.mAnswer = nullptr;
+    w.Start();
+    standin_caller& caller = w.Ask(w.Request("r1", "safe"));
+    w.Until([&w]() { return w.mDesk.mHeads.size() == 1; }, "it is sent");
+    caller.Leave();
+    w.Until([&w]() { return w.mDesk.mServer.Ended() == 1; },
+            "the endpoint's connection is closed");
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), w.mGateway->Board().mOpenRequests);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(forwarding_test, "forwarding");
+
+class stream_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(stream_test);
+  CPPUNIT_TEST(EventsAreForwardedAsTheyArrive);
+  CPPUNIT_TEST(BrokenStreamGoesOnElsewhere);
+  CPPUNIT_TEST(StreamThatCannotGoOnIsCut);
+  CPPUNIT_TEST(CallerThatDoesNotReadHoldsTheEndpointBack);
+  CPPUNIT_TEST(GiantPromptSetsMemoryAsideAndFreesIt);
+  CPPUNIT_TEST(PartOfTheMemoryIsGivenBack);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::string Event(int aId)
+  {
+    return "id: " + std::to_string(aId) + "\ndata: x\n\n";
+  }
+
+public:
+  void EventsAreForwardedAsTheyArrive()
+  {
+    world w;
+    w.List("i-model", "model", w.mModel.mServer.Address());
+    w.mModel.mAnswer = [](connection& aConnection, const http_head& aHead) {
+      std::string bytes = GoodHead(aHead, "Transfer-Encoding: chunked\r\n");
+      AppendChunk(bytes, Event(1) + "id: 2\nhalf");
+      aConnection.mChannel->Write(bytes);
+    };
+    w.Start();
+    standin_caller& caller =
+      w.Ask(w.Request("r1", "stream", "Token-Usage: 1000,50\r\n"));
+    w.Until(
+      [&caller]() {
+        return caller.Seen().find(Event(1)) != std::string::npos;
+      },
+      "the first event, before the second is whole");
+    CPPUNIT_ASSERT(caller.Seen().find("half") == std::string::npos);
+    std::string rest;
+    AppendChunk(rest, "\n\n");
+    rest.append(kLastChunk);
+    w.mModel.mLast->mChannel->Write(rest);
+    w.Until([&caller]() { return caller.Answered(); }, "the whole stream");
+    CPPUNIT_ASSERT_EQUAL(Event(1) + "id: 2\nhalf\n\n", caller.Body());
+  }
+
+  /// Symptom: a review disappears in mid-stream. Sequence: the engine that
+  /// writes it dies between two events. Cause: nobody asks another engine to
+  /// go on after the last event that the caller has.
+  void BrokenStreamGoesOnElsewhere()
+  {
+    world w;
+    w.List("i-model", "model", w.mModel.mServer.Address());
+    endpoint_fixture other(w.mLoop);
+    const auto answer = [](connection& aConnection, const http_head& aHead) {
+      std::string bytes = GoodHead(aHead, "Transfer-Encoding: chunked\r\n");
+      if (!FieldValue(aHead.mFields, "last-event-id").has_value()) {
+        AppendChunk(bytes, Event(1) + Event(2) + "id: 3\nda");
+        aConnection.mChannel->Write(bytes);
+        aConnection.mChannel->CloseWhenDrained();
+        return;
+      }
+      AppendChunk(bytes, Event(3) + Event(4));
+      bytes.append(kLastChunk);
+      aConnection.mChannel->Write(bytes);
+    };
+    w.mModel.mAnswer = answer;
+    other.mAnswer = answer;
+    w.List("i-other", "model", other.mServer.Address());
+    w.Start();
+    const standin_caller& caller =
+      w.Answered(w.Request("r1", "stream", "Token-Usage: 1000,50\r\n"));
+    CPPUNIT_ASSERT(caller.Answered());
+    CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2) + Event(3) + Event(4),
+                         caller.Body());
+    const endpoint_fixture& second =
+      w.mModel.Field(0, "last-event-id") == "2" ? w.mModel : other;
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), second.Field(0, "last-event-id"));
+  }
+
+  void StreamThatCannotGoOnIsCut()
+  {
+    world w;
+    w.List("i-model", "model", w.mModel.mServer.Address());
+    w.mModel.mAnswer = [](connection& aConnection, const http_head& aHead) {
+      std::string bytes = GoodHead(aHead, "Transfer-Encoding: chunked\r\n");
+      AppendChunk(bytes, Event(1));
+      aConnection.mChannel->Write(bytes);
+      aConnection.mChannel->CloseWhenDrained();
+    };
+    w.Start();
+    standin_caller& caller =
+      w.Ask(w.Request("r1", "stream", "Token-Usage: 1000,50\r\n"));
+    w.Until([&caller]() { return caller.Ended(); }, "the cut");
+    // What broke off does not look whole.
+    CPPUNIT_ASSERT(!caller.Answered());
+  }
+
+  void CallerThatDoesNotReadHoldsTheEndpointBack()
+  {
+    world w;
+    w.List("i-model", "model", w.mModel.mServer.Address());
+    constexpr std::size_t kMost = std::size_t{ 64 } * 1024 * 1024;
+    w.mModel.mAnswer = [](connection& aConnection, const http_head& aHead) {
+      std::string bytes = GoodHead(aHead, "Transfer-Encoding: chunked\r\n");
+      const std::string filler(60000, 'x');
+      for (int id = 1; bytes.size() < kMost; ++id) {
+        AppendChunk(bytes,
+                    "id: " + std::to_string(id) + "\ndata: " + filler +
+                      "\n\n");
+      }
+      aConnection.mChannel->Write(bytes);
+    };
+    w.Start();
+    standin_caller& caller =
+      w.Ask(w.Request("r1", "stream", "Token-Usage: 1000,50\r\n"));
+    caller.StopReading(true);
+    w.Until([&w]() { return w.mModel.mLast != nullptr; }, "it is sent");
+    w.For(milliseconds(400));
+    // The endpoint keeps most of its answer: it cannot hand it over.
+    CPPUNIT_ASSERT(w.mModel.mLast->mChannel->Pending() > kMost / 2);
+  }
+
+  /// An endpoint that grants memory and streams two events for a request.
+  static void Engine(endpoint_fixture& aEngine, unsigned aOrderStatus)
+  {
+    aEngine.mAnswer = [aOrderStatus](connection& aConnection,
+                                     const http_head& aHead) {
+      if (aHead.mTarget == "/order") {
+        aConnection.mChannel->Write(
+          "HTTP/1.1 " + std::to_string(aOrderStatus) +
+          " X\r\nContent-Length: 2\r\n\r\n{}");
+        aConnection.Next();
+        return;
+      }
+      std::string bytes = GoodHead(aHead, "Transfer-Encoding: chunked\r\n");
+      AppendChunk(bytes, Event(1));
+      bytes.append(kLastChunk);
+      aConnection.mChannel->Write(bytes);
+      aConnection.Next();
+    };
+  }
+
+  static std::size_t Orders(const endpoint_fixture& aEngine,
+                            const std::string& aOperation)
+  {
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < aEngine.mHeads.size(); ++i) {
+      if (aEngine.mHeads[i].mTarget == "/order" &&
+          aEngine.mBodies[i].find(aOperation) != std::string::npos) {
+        ++count;
+      }
+    }
+    return count;
+  }
+
+  void GiantPromptSetsMemoryAsideAndFreesIt()
+  {
+    world w;
+    std::vector<std::unique_ptr<endpoint_fixture>> engines;
+    for (int i = 0; i < 4; ++i) {
+      engines.push_back(std::make_unique<endpoint_fixture>(w.mLoop));
+      Engine(*engines.back(), 200);
+      w.List("i-" + std::to_string(i),
+             "model",
+             engines.back()->mServer.Address());
+    }
+    w.Start();
+    const standin_caller& caller =
+      w.Answered(w.Request("r1", "stream", "Token-Usage: 400000,50\r\n"));
+    CPPUNIT_ASSERT_EQUAL(200U, caller.Status());
+    std::size_t reserved = 0;
+    std::size_t released = 0;
+    w.Until(
+      [&]() {
+        reserved = 0;
+        released = 0;
+        for (const std::unique_ptr<endpoint_fixture>& engine : engines) {
+          reserved += Orders(*engine, "reserve");
+          released += Orders(*engine, "release");
+        }
+        return released > 0 && released >= reserved;
+      },
+      "the memory is freed");
+    CPPUNIT_ASSERT(reserved >= 1);
+    bool named = false;
+    for (const std::unique_ptr<endpoint_fixture>& engine : engines) {
+      for (std::size_t i = 0; i < engine->mHeads.size(); ++i) {
+        named = named ||
+                engine->Field(i, "helpers").find('/') != std::string::npos;
+      }
+    }
+    CPPUNIT_ASSERT(named);
+  }
+
+  /// Symptom: two giant prompts wait for each other for ever. Sequence: each
+  /// holds memory on some engines and is refused on others. Cause: what was
+  /// granted is kept while the rest is waited for.
+  void PartOfTheMemoryIsGivenBack()
+  {
+    world w;
+    std::vector<std::unique_ptr<endpoint_fixture>> engines;
+    for (int i = 0; i < 4; ++i) {
+      engines.push_back(std::make_unique<endpoint_fixture>(w.mLoop));
+      Engine(*engines.back(), 409);
+      w.List("i-" + std::to_string(i),
+             "model",
+             engines.back()->mServer.Address());
+    }
+    w.Start();
+    const standin_caller& caller =
+      w.Answered(w.Request("r1", "stream", "Token-Usage: 400000,50\r\n"));
+    CPPUNIT_ASSERT_EQUAL(503U, caller.Status());
+    CPPUNIT_ASSERT(caller.Field("retry-after").has_value());
+    for (const std::unique_ptr<endpoint_fixture>& engine : engines) {
+      for (const http_head& head : engine->mHeads) {
+        CPPUNIT_ASSERT_EQUAL(std::string("/order"), head.mTarget);
+      }
+    }
+    w.Until(
+      [&]() {
+        std::size_t reserved = 0;
+        std::size_t released = 0;
+        for (const std::unique_ptr<endpoint_fixture>& engine : engines) {
+          reserved += Orders(*engine, "reserve");
+          released += Orders(*engine, "release");
+        }
+        return reserved > 0 && reserved == released;
+      },
+      "all is given back");
+    CPPUNIT_ASSERT(w.mGateway->Board().mLedger.mPlacements.empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(stream_test, "gateway-streams");
+
+class gateway_belief_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(gateway_belief_test);
+  CPPUNIT_TEST(NewManifestIsInForce);
+  CPPUNIT_TEST(LostHistoryIsReadAgain);
+  CPPUNIT_TEST(SilentStoreIsAskedAgain);
+  CPPUNIT_TEST(LeavingEndpointGetsNothingNew);
+  CPPUNIT_TEST(EntryLeavesItsAddress);
+  CPPUNIT_TEST(DrainingEntryFinishesAndTakesNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void NewManifestIsInForce()
+  {
+    world w;
+    w.Start();
+    CPPUNIT_ASSERT_EQUAL(404U, w.Answered(w.Request("r1", "added")).Status());
+    w.PutManifest(9, "added");
+    w.Until(
+      [&w]() { return w.mGateway->Board().mManifest->Manifest().mVersion == 9; },
+      "the new version");
+    CPPUNIT_ASSERT_EQUAL(200U, w.Answered(w.Request("r2", "added")).Status());
+    // An older one that comes late changes nothing.
+    w.PutManifest(5);
+    w.For(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(200U, w.Answered(w.Request("r3", "added")).Status());
+  }
+
+  /// Symptom: an entry serves by a manifest that is minutes old. Sequence: the
+  /// platform forgets its history; the question about changes fails from then
+  /// on. Cause: the entry asks for changes again instead of the whole.
+  void LostHistoryIsReadAgain()
+  {
+    world w;
+    w.Start();
+    w.PutManifest(9, "added");
+    w.mStore.LoseHistory();
+    w.PutManifest(11, "more");
+    w.Until(
+      [&w]() {
+        return w.mGateway->Board().mManifest->Manifest().mVersion == 11;
+      },
+      "the newest version");
+  }
+
+  /// Symptom: the same. Sequence: the platform's answer is lost and its
+  /// connection stays open, silent for ever. Cause: the entry waits for it.
+  void SilentStoreIsAskedAgain()
+  {
+    world w;
+    w.Start();
+    w.mStore.SetMood(standin_store::mood::Silent);
+    w.PutManifest(9, "added");
+    w.For(milliseconds(200));
+    w.mStore.SetMood(standin_store::mood::Good);
+    w.Until(
+      [&w]() { return w.mGateway->Board().mManifest->Manifest().mVersion == 9; },
+      "the newest version");
+  }
+
+  void LeavingEndpointGetsNothingNew()
+  {
+    world w;
+    w.List("i-second", "desk", w.mSecond.mServer.Address());
+    w.Start();
+    w.List("i-desk", "desk", w.mDesk.mServer.Address(), "draining");
+    w.Until(
+      [&w]() {
+        return w.mGateway->Board().mEndpoints.mEndpoints.at("i-desk")
+          .mListed.mLeaving;
+      },
+      "the change of the list");
+    for (int i = 0; i < 10; ++i) {
+      CPPUNIT_ASSERT_EQUAL(
+        200U,
+        w.Answered(w.Request("r" + std::to_string(i), "safe")).Status());
+    }
+    CPPUNIT_ASSERT(w.mDesk.mHeads.empty());
+  }
+
+  void EntryLeavesItsAddress()
+  {
+    world w;
+    w.Start();
+    w.Until([&w]() { return w.mStore.Has("entries", "127.0.0.1"); },
+            "the entry's row");
+  }
+
+  /// Symptom: a request is cut six seconds after the entry was told to stop.
+  /// Sequence: SIGTERM; the last request in flight ends late, so the entry
+  /// still listens; a new request comes and is cut at the end of the grace.
+  /// Cause: a draining entry took requests as long as it had any.
+  void DrainingEntryFinishesAndTakesNothing()
+  {
+    world w;
+    w.mDesk.mAnswer = nullptr;
+    w.Start();
+    standin_caller& flying = w.Ask(w.Request("r1", "safe"));
+    w.Until([&w]() { return w.mDesk.mHeads.size() == 1; }, "it is sent");
+    w.mGateway->Drain();
+    standin_caller probe(w.mLoop, w.mGateway->ReadinessPort());
+    probe.Send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    w.Until([&probe]() { return probe.Answered(); }, "a probe");
+    CPPUNIT_ASSERT_EQUAL(503U, probe.Status());
+    // With a request in flight the listener closes all the same.
+    w.Until([&w]() { return w.mGateway->CallersPort() == 0; },
+            "the listener is closed");
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), w.mGateway->Board().mOpenRequests);
+    AnswerOk(*w.mDesk.mLast, w.mDesk.mHeads.at(0));
+    w.Until([&flying]() { return flying.Ended(); }, "the answer");
+    CPPUNIT_ASSERT_EQUAL(200U, flying.Status());
+    CPPUNIT_ASSERT_EQUAL(std::string("close"), *flying.Field("connection"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(gateway_belief_test, "gateway-beliefs");
--- /dev/null
+++ b/Tests/Gateway/Standin.cpp
@@ -0,0 +1,445 @@
+#include "Standin.h"
+
+#include <cppunit/TestAssert.h>
+#include <glib.h>
+#include <nlohmann/json.hpp>
+
+namespace primrose::test {
+
+using json = nlohmann::json;
+
+namespace {
+
+constexpr channel_limits kNoLimits{};
+
+std::string
+Encoded(const std::string& aText)
+{
+  gchar* const text = g_base64_encode(
+    reinterpret_cast<const guchar*>(aText.data()), aText.size());
+  const std::string encoded = text;
+  g_free(text);
+  return encoded;
+}
+
+std::string
+Parameter(const std::string& aTarget, const std::string& aName)
+{
+  const std::size_t at = aTarget.find(aName + "=");
+  if (at == std::string::npos) {
+    return "";
+  }
+  const std::size_t begin = at + aName.size() + 1;
+  return aTarget.substr(begin, aTarget.find('&', begin) - begin);
+}
+
+} // namespace
+
+standin_server::connection::connection(standin_server& aServer,
+                                       event_loop& aLoop,
+                                       int aSocket)
+  : mServer(aServer)
+  , mChannel(std::make_shared<tcp_channel>(aLoop, aSocket, kNoLimits))
+  , mReader(http_role::Request, http_limits{})
+{
+  mChannel->SetOwner(this);
+}
+
+void
+standin_server::connection::OnInput(tcp_channel& aChannel)
+{
+  if (mReader.State() == read_state::Complete) {
+    return;
+  }
+  if (mReader.Read(aChannel.Input()) == read_state::Complete) {
+    mServer.mHandler(*this, mReader.Head(), mReader.Body());
+  }
+}
+
+void
+standin_server::connection::OnEnd(tcp_channel&, channel_end)
+{
+  mEnded = true;
+}
+
+void
+standin_server::connection::Next()
+{
+  mReader.Restart();
+}
+
+standin_server::standin_server(event_loop& aLoop, handler aHandler)
+  : mLoop(aLoop)
+  , mHandler(std::move(aHandler))
+{
+  outcome<std::unique_ptr<tcp_listener>> opened =
+    Capture<std::unique_ptr<tcp_listener>>([this]() {
+      return tcp_listener::Open(
+        mLoop, { "127.0.0.1", 0 }, [this](int aSocket) {
+          mConnections.push_back(
+            std::make_shared<connection>(*this, mLoop, aSocket));
+        });
+    });
+  CPPUNIT_ASSERT(opened);
+  mListener = std::move(*opened.mValue);
+}
+
+ip_address
+standin_server::Address() const
+{
+  return { "127.0.0.1", mListener->Port() };
+}
+
+std::size_t
+standin_server::Ended() const
+{
+  std::size_t ended = 0;
+  for (const std::shared_ptr<connection>& one : mConnections) {
+    ended += one->mEnded ? 1 : 0;
+  }
+  return ended;
+}
+
+standin_store::standin_store(event_loop& aLoop)
+  : mServer(aLoop,
+            [this](standin_server::connection& aConnection,
+                   const http_head& aHead,
+                   const std::string& aBody) {
+              Handle(aConnection, aHead, aBody);
+            })
+{
+}
+
+void
+standin_store::Put(const std::string& aTable,
+                   const std::string& aKey,
+                   const std::string& aValue)
+{
+  mRows[{ aTable, aKey }] = { aValue, ++mRevision, false };
+  AnswerPolls();
+}
+
+void
+standin_store::Remove(const std::string& aTable, const std::string& aKey)
+{
+  mRows[{ aTable, aKey }] = { "", ++mRevision, true };
+  AnswerPolls();
+}
+
+void
+standin_store::LoseHistory()
+{
+  mOldest = ++mRevision;
+  std::vector<poll> waiting;
+  waiting.swap(mPolls);
+  for (const poll& one : waiting) {
+    one.mConnection->mChannel->Close();
+  }
+}
+
+bool
+standin_store::Has(const std::string& aTable, const std::string& aKey) const
+{
+  const auto found = mRows.find({ aTable, aKey });
+  return found != mRows.end() && !found->second.mGone;
+}
+
+std::string
+standin_store::Rows(const std::string& aTable, std::uint64_t aAfter) const
+{
+  json rows = json::array();
+  for (const auto& [name, held] : mRows) {
+    if (name.first != aTable || held.mRevision <= aAfter ||
+        (held.mGone && aAfter == 0)) {
+      continue;
+    }
+    json one = { { "table", aTable },
+                 { "part", "" },
+                 { "key", name.second },
+                 { "schema_ver", held.mRevision } };
+    if (held.mGone) {
+      one["deleted"] = true;
+    } else {
+      one["value"] = Encoded(held.mValue);
+    }
+    rows.push_back(one);
+  }
+  const json body = { { "rows", rows },
+                      { "truncated", false },
+                      { "schema_ver", mRevision },
+                      { "now_ms", 1 } };
+  return body.dump();
+}
+
+void
+standin_store::Answer(standin_server::connection& aConnection,
+                      unsigned aStatus,
+                      const std::string& aBody)
+{
+  std::string text =
+    "HTTP/1.1 " + std::to_string(aStatus) + " X\r\nContent-Length: " +
+    std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+  aConnection.mChannel->Write(text);
+  aConnection.Next();
+}
+
+void
+standin_store::Handle(standin_server::connection& aConnection,
+                      const http_head& aHead,
+                      const std::string& aBody)
+{
+  ++mCalls;
+  if (mMood == mood::Silent) {
+    return;
+  }
+  if (mMood == mood::Refusing) {
+    Answer(aConnection, 503, "{}");
+    return;
+  }
+  const std::string path = aHead.mTarget.substr(0, aHead.mTarget.find('?'));
+  const std::string table = Parameter(aHead.mTarget, "table");
+  if (path == "/rows-get") {
+    Answer(aConnection, 200, Rows(table, 0));
+    return;
+  }
+  if (path == "/rows-tx") {
+    const json put = json::parse(aBody).at("puts").at(0);
+    mRows[{ put.at("table"), put.at("key") }] = { "x", ++mRevision, false };
+    Answer(aConnection, 200, R"({"schema_ver":1,"now_ms":1})");
+    return;
+  }
+  const std::uint64_t after = std::stoull(Parameter(aHead.mTarget, "after"));
+  if (after < mOldest) {
+    Answer(aConnection, 410, "{}");
+    return;
+  }
+  for (const std::shared_ptr<standin_server::connection>& one :
+       mServer.Connections()) {
+    if (one.get() == &aConnection) {
+      mPolls.push_back({ one, table, after });
+    }
+  }
+  AnswerPolls();
+}
+
+void
+standin_store::AnswerPolls()
+{
+  if (mMood != mood::Good) {
+    return;
+  }
+  std::vector<poll> waiting;
+  waiting.swap(mPolls);
+  for (const poll& one : waiting) {
+    if (one.mConnection->mEnded) {
+      continue;
+    }
+    const json changes = json::parse(Rows(one.mTable, one.mAfter));
+    if (changes.at("rows").empty()) {
+      mPolls.push_back(one);
+    } else {
+      Answer(*one.mConnection, 200, changes.dump());
+    }
+  }
+}
+
+standin_caller::standin_caller(event_loop& aLoop, std::uint16_t aPort)
+  : mChannel(std::make_shared<tcp_channel>(
+      aLoop,
+      ip_address{ "127.0.0.1", aPort },
+      kNoLimits))
+{
+  mChannel->SetOwner(this);
+}
+
+namespace {
+
+struct parsed
+{
+  read_state mState = read_state::Head;
+  http_head mHead;
+  std::string mBody;
+};
+
+parsed
+Parse(std::string aBytes, bool aEnded)
+{
+  http_reader reader(http_role::Answer, http_limits{});
+  (void)reader.Read(aBytes);
+  if (aEnded && reader.State() != read_state::Complete) {
+    (void)reader.Finish();
+  }
+  return { reader.State(), reader.Head(), reader.Body() };
+}
+
+} // namespace
+
+bool
+standin_caller::Answered() const
+{
+  return Parse(Seen(), mEnded).mState == read_state::Complete;
+}
+
+unsigned
+standin_caller::Status() const
+{
+  return Parse(Seen(), mEnded).mHead.mStatus;
+}
+
+std::string
+standin_caller::Body() const
+{
+  return Parse(Seen(), mEnded).mBody;
+}
+
+std::optional<std::string>
+standin_caller::Field(std::string_view aName) const
+{
+  const parsed answer = Parse(Seen(), mEnded);
+  const std::optional<std::string_view> value =
+    FieldValue(answer.mHead.mFields, aName);
+  if (!value.has_value()) {
+    return std::nullopt;
+  }
+  return std::string(*value);
+}
+
+gateway_world::gateway_world()
+  : mStore(mLoop)
+{
+  mSettings.mName = "entry-1";
+  mSettings.mDataCentre = "a";
+  mSettings.mCallers = { "127.0.0.1", 0 };
+  mSettings.mReadiness = { "127.0.0.1", 0 };
+  mSettings.mMetrics = { "127.0.0.1", 0 };
+  mSettings.mPeers = { "127.0.0.1", 0 };
+  mSettings.mStore = mStore.Address();
+  mSettings.mGrace = std::chrono::seconds(8);
+  mSettings.mRepeats = { 0.2, 100, std::chrono::seconds(10) };
+}
+
+void
+gateway_world::Until(const std::function<bool()>& aCondition,
+                     const std::string& aWhat)
+{
+  constexpr duration kGenerous = std::chrono::seconds(60);
+  const time_point end = mLoop.Now() + kGenerous;
+  while (!aCondition()) {
+    CPPUNIT_ASSERT_MESSAGE(aWhat, mLoop.Now() < end);
+    timer_id wake = mLoop.After(std::chrono::milliseconds(5), []() {});
+    mLoop.Turn();
+    mLoop.Cancel(wake);
+  }
+}
+
+void
+gateway_world::For(duration aTime)
+{
+  const time_point end = mLoop.Now() + aTime;
+  Until([this, end]() { return mLoop.Now() >= end; }, "time passes");
+}
+
+void
+gateway_world::List(const std::string& aId,
+                    const std::string& aService,
+                    const ip_address& aAddress,
+                    const std::string& aState)
+{
+  const json row = { { "service", aService },   { "addr", aAddress.Text() },
+                     { "zone", "a" },           { "version", "v1" },
+                     { "slots", 16 },           { "state", aState },
+                     { "cold_left_ms", 0 },     { "seq", 1 } };
+  mStore.Put("servers", aId, row.dump());
+}
+
+void
+gateway_world::PutManifest(std::uint64_t aVersion, const std::string& aExtra)
+{
+  json routes = json::array();
+  const auto add = [&routes](const std::string& aPath,
+                             const std::string& aKind,
+                             const std::string& aService,
+                             unsigned aAttempts,
+                             bool aResumable) {
+    json one = { { "name", aPath },          { "host", "h.example" },
+                 { "prefix", "/" + aPath + "/" },
+                 { "kind", aKind },          { "timeout_ms", 5000 },
+                 { "target_latency_ms", 2000 },
+                 { "priority", 1 },          { "service", aService },
+                 { "max_attempts", aAttempts },
+                 { "auth_exempt", false },   { "resumable", aResumable } };
+    if (aKind == "stream") {
+      one["gap_aim_ms"] = 250;
+    }
+    routes.push_back(one);
+  };
+  add("safe", "safe", "desk", 2, false);
+  add("unsafe", "unsafe", "desk", 1, false);
+  add("stream", "stream", "model", 2, true);
+  if (!aExtra.empty()) {
+    add(aExtra, "safe", "desk", 2, false);
+  }
+  const json engine = { { "slots", 16 },          { "kv_cache_tokens", 315000 },
+                        { "stride", 51 },         { "step_ms", 0.85 },
+                        { "per_seq_ms", 0.00425 },
+                        { "context_per_k", 0.00285 },
+                        { "read_per_s", 177000.0 },
+                        { "pairs_per_m", 0.184 },
+                        { "usual", { { "answer", 1600 } } } };
+  const json whole = {
+    { "version", aVersion },
+    { "routes", routes },
+    { "services",
+      json::array({ json{ { "name", "desk" }, { "max_conns", 100 } },
+                    json{ { "name", "model" },
+                          { "max_conns", 300 },
+                          { "engine", engine } } }) },
+    { "limits",
+      { { "max_header_bytes", 16384 },
+        { "max_body_bytes", 4194304 },
+        { "header_timeout_ms", 3000 },
+        { "idle_timeout_ms", 15000 } } },
+    { "tenants",
+      json::array({ json{ { "name", "hanbit" },
+                          { "api_keys", json::array({ "key-1" }) } } }) }
+  };
+  mStore.Put("op", "config", whole.dump());
+}
+
+void
+gateway_world::Start()
+{
+  mGateway =
+    std::make_unique<gateway>(mLoop, mSettings, platform::Adapter());
+  CPPUNIT_ASSERT(Capture<int>([this]() -> result<int> {
+    BOOST_LEAF_CHECK(mGateway->Start());
+    return 0;
+  }));
+  Until(
+    [this]() {
+      return mGateway->Board().mManifest != nullptr &&
+             mGateway->Board().mEndpointsKnown;
+    },
+    "the manifest and the list are read");
+}
+
+std::string
+gateway_world::Request(const std::string& aId,
+                       const std::string& aKind,
+                       const std::string& aFields,
+                       const std::string& aBody) const
+{
+  return "POST /" + aKind + "/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " +
+         aId + "\r\nAuthorization: Token key-1\r\n" + aFields +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+std::string
+GoodHead(const http_head& aRequest, const std::string& aFraming)
+{
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " +
+         std::string(*FieldValue(aRequest.mFields, "request-id")) +
+         "\r\nResponse-Seal: proof\r\n" + aFraming + "\r\n";
+}
+
+} // namespace primrose::test
--- /dev/null
+++ b/Tests/Gateway/Standin.h
@@ -0,0 +1,160 @@
+#pragma once
+
+/// Stand-ins for the users' platform, in the test's own process and on its
+/// loop: a store, endpoints that behave as a test says, and callers.
+
+#include "platform/Platform.h"
+
+#include <set>
+
+namespace primrose::test {
+
+/// A server of HTTP whose every answer is written by the test.
+class standin_server
+{
+public:
+  struct connection final : channel_owner
+  {
+    connection(standin_server& aServer, event_loop& aLoop, int aSocket);
+    void OnInput(tcp_channel& aChannel) override;
+    void OnEnd(tcp_channel& aChannel, channel_end aEnd) override;
+    /// Makes ready for the next request on the connection.
+    void Next();
+
+    standin_server& mServer;
+    std::shared_ptr<tcp_channel> mChannel;
+    http_reader mReader;
+    bool mEnded = false;
+  };
+  using handler = std::function<void(connection&,
+                                     const http_head&,
+                                     const std::string& aBody)>;
+
+  standin_server(event_loop& aLoop, handler aHandler);
+  ip_address Address() const;
+  const std::vector<std::shared_ptr<connection>>& Connections() const
+  {
+    return mConnections;
+  }
+  /// Connections that the other side has closed.
+  std::size_t Ended() const;
+
+  event_loop& mLoop;
+  handler mHandler;
+
+private:
+  std::unique_ptr<tcp_listener> mListener;
+  std::vector<std::shared_ptr<connection>> mConnections;
+};
+
+/// The platform's store: rows with revisions and a feed of changes.
+class standin_store
+{
+public:
+  enum class mood : std::uint8_t
+  {
+    Good,
+    Refusing,
+    Silent,
+  };
+  explicit standin_store(event_loop& aLoop);
+  ip_address Address() const { return mServer.Address(); }
+  void Put(const std::string& aTable,
+           const std::string& aKey,
+           const std::string& aValue);
+  void Remove(const std::string& aTable, const std::string& aKey);
+  /// Forgets which rows changed: the next question about changes fails.
+  void LoseHistory();
+  void SetMood(mood aMood) { mMood = aMood; }
+  std::size_t Calls() const { return mCalls; }
+  bool Has(const std::string& aTable, const std::string& aKey) const;
+
+private:
+  struct row
+  {
+    std::string mValue;
+    std::uint64_t mRevision = 0;
+    bool mGone = false;
+  };
+  struct poll
+  {
+    std::shared_ptr<standin_server::connection> mConnection;
+    std::string mTable;
+    std::uint64_t mAfter = 0;
+  };
+  void Handle(standin_server::connection& aConnection,
+              const http_head& aHead,
+              const std::string& aBody);
+  std::string Rows(const std::string& aTable, std::uint64_t aAfter) const;
+  void Answer(standin_server::connection& aConnection,
+              unsigned aStatus,
+              const std::string& aBody);
+  void AnswerPolls();
+
+  std::map<std::pair<std::string, std::string>, row> mRows;
+  std::uint64_t mRevision = 10;
+  std::uint64_t mOldest = 0;
+  std::vector<poll> mPolls;
+  mood mMood = mood::Good;
+  std::size_t mCalls = 0;
+  standin_server mServer;
+};
+
+/// A caller's connection: what it was sent, and how it ended.
+class standin_caller final : public channel_owner
+{
+public:
+  standin_caller(event_loop& aLoop, std::uint16_t aPort);
+  void Send(const std::string& aBytes) { mChannel->Write(aBytes); }
+  void Leave() { mChannel->Close(); }
+  void StopReading(bool aStopped) { mChannel->PauseReading(aStopped); }
+  const std::string& Seen() const { return mChannel->Input(); }
+  bool Ended() const { return mEnded; }
+  /// True once a whole answer stands in what was seen.
+  bool Answered() const;
+  unsigned Status() const;
+  std::string Body() const;
+  std::optional<std::string> Field(std::string_view aName) const;
+
+  void OnInput(tcp_channel&) override {}
+  void OnEnd(tcp_channel&, channel_end) override { mEnded = true; }
+
+private:
+  std::shared_ptr<tcp_channel> mChannel;
+  bool mEnded = false;
+};
+
+/// One gateway with its platform.
+struct gateway_world
+{
+  gateway_world();
+  /// Turns the loop until the condition holds; fails the test if it does not
+  /// within a generous time.
+  void Until(const std::function<bool()>& aCondition,
+             const std::string& aWhat);
+  /// Turns the loop for a while in which something must not happen.
+  void For(duration aTime);
+  /// Registers an endpoint of a service under an id.
+  void List(const std::string& aId,
+            const std::string& aService,
+            const ip_address& aAddress,
+            const std::string& aState = "ready");
+  void PutManifest(std::uint64_t aVersion, const std::string& aExtra = "");
+  void Start();
+  /// A request's bytes; `aKind` is the path's first part.
+  std::string Request(const std::string& aId,
+                      const std::string& aKind,
+                      const std::string& aFields = "",
+                      const std::string& aBody = "hello") const;
+
+  event_loop mLoop;
+  standin_store mStore;
+  gateway_settings mSettings;
+  std::unique_ptr<gateway> mGateway;
+};
+
+/// The head of an endpoint's good answer to a request.
+std::string
+GoodHead(const http_head& aRequest, const std::string& aFraming);
+
+} // namespace primrose::test
--- /dev/null
+++ b/Tests/Unit/PlacementTest.cpp
@@ -0,0 +1,440 @@
+#include "LibFleet/LibFleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace primrose;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr time_point kStart{ std::chrono::hours(1) };
+constexpr std::size_t kEngines = 21;
+
+/// The engine of both deployments.
+engine_timing
+Timing()
+{
+  engine_timing timing;
+  timing.mSlots = 16;
+  timing.mMemoryTokens = 315000;
+  timing.mTokensReadPerMs = 177;
+  timing.mMsPerMillionPairs = 0.184;
+  timing.mStepMs = 0.85;
+  timing.mStepMsPerRequest = 0.00425;
+  timing.mStepMsPerThousand = 0.00285;
+  timing.mStepsPerPass = 51;
+  timing.mUsualAnswerTokens = 1600;
+  return timing;
+}
+
+engine_work
+Clip()
+{
+  return { "model",           5000, 1600, milliseconds(250), milliseconds(300),
+           WorthOfWork(5000) };
+}
+
+engine_work
+Review(double aTokens)
+{
+  return { "model",        aTokens,
+           800,            milliseconds(1000),
+           milliseconds(3000), WorthOfWork(aTokens) };
+}
+
+struct fleet
+{
+  endpoint_board mBoard;
+  engine_ledger mLedger;
+  placement_key mLast = 0;
+
+  fleet()
+  {
+    for (std::size_t i = 0; i < kEngines; ++i) {
+      endpoint listed;
+      listed.mId = "engine-" + std::to_string(i);
+      listed.mService = "model";
+      listed.mDataCentre = i % 2 == 0 ? "a" : "b";
+      (void)ApplyRow(mBoard, { listed.mId, 1, listed });
+    }
+  }
+
+  engine_choice Choose(const engine_work& aWork, time_point aNow = kStart)
+  {
+    return *PlaceOnEngines(
+      mBoard, mLedger, Timing(), aWork, {}, "a", aNow);
+  }
+
+  placement_key Place(const engine_work& aWork, time_point aNow = kStart)
+  {
+    const engine_choice choice = Choose(aWork, aNow);
+    placement placed;
+    placed.mKey = ++mLast;
+    placed.mOwner = 1;
+    placed.mEngines.push_back(Hash(choice.mWriter->mListed.mId));
+    for (const known_endpoint* const reader : choice.mReaders) {
+      placed.mEngines.push_back(Hash(reader->mListed.mId));
+    }
+    placed.mPartMs = choice.mPartMs;
+    placed.mLongestPause = aWork.mLongestPause;
+    placed.mWorth = aWork.mWorth;
+    placed.mTokens = aWork.mPromptTokens + aWork.mAnswerTokens;
+    placed.mExpires = kStart + std::chrono::hours(1);
+    NotePlaced(mLedger, placed, aNow);
+    return placed.mKey;
+  }
+
+  /// A clip that writes on a given engine and has been read.
+  void PutClip(std::size_t aEngine)
+  {
+    placement placed;
+    placed.mKey = ++mLast;
+    placed.mEngines.push_back(Hash("engine-" + std::to_string(aEngine)));
+    placed.mLongestPause = milliseconds(250);
+    placed.mWorth = Clip().mWorth;
+    placed.mTokens = 6600;
+    placed.mExpires = kStart + std::chrono::hours(1);
+    NotePlaced(mLedger, placed, kStart);
+  }
+
+  std::size_t EnginesWriting() const
+  {
+    std::size_t count = 0;
+    for (const auto& [key, load] : mLedger.mEngines) {
+      count += load.mWriting.empty() ? 0 : 1;
+    }
+    return count;
+  }
+};
+
+} // namespace
+
+class placement_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(placement_test);
+  CPPUNIT_TEST(ReadingTimeIsTheEngines);
+  CPPUNIT_TEST(RefusedPromptLeavesNoBacklog);
+  CPPUNIT_TEST(ShortStreamsGather);
+  CPPUNIT_TEST(LongPromptAvoidsTightStreams);
+  CPPUNIT_TEST(LongPromptHarmsFewEnginesMuch);
+  CPPUNIT_TEST(BusyFleetTurnsGiantAway);
+  CPPUNIT_TEST(IdleFleetReadsGiantWithHolders);
+  CPPUNIT_TEST(LeavingEngineGetsNothing);
+  CPPUNIT_TEST(AvoidedEnginesAreLeftOutWhileOthersAre);
+  CPPUNIT_TEST(DeadEntryLeavesNoWriters);
+  CPPUNIT_TEST(LedgerReturnsToNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void ReadingTimeIsTheEngines()
+  {
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(30.5, ReadingMs(Timing(), 5000), 1);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(3050, ReadingMs(Timing(), 154000), 10);
+  }
+
+  /// Symptom: nine of ten clips are placed by sums that say "ten seconds of
+  /// reading wait everywhere", while the engines are idle.
+  /// Sequence: a prompt is placed on engines that refuse it at once; its
+  /// attempt ends; the entry places the next prompts.
+  /// Cause: the refused prompt's reading stayed in the engines' backlogs.
+  void RefusedPromptLeavesNoBacklog()
+  {
+    fleet f;
+    const placement_key key = f.Place(Review(700000));
+    double before = 0;
+    for (const auto& [engine, load] : f.mLedger.mEngines) {
+      before += BacklogMs(load, kStart);
+    }
+    CPPUNIT_ASSERT(before > 10000);
+    NoteEnded(f.mLedger, key, placement_end::Unread, kStart);
+    for (const auto& [engine, load] : f.mLedger.mEngines) {
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(0, BacklogMs(load, kStart), 0.001);
+      CPPUNIT_ASSERT(load.mWriting.empty());
+    }
+  }
+
+  void ShortStreamsGather()
+  {
+    fleet f;
+    for (int i = 0; i < 24; ++i) {
+      f.Place(Clip(), kStart + milliseconds(60 * i));
+    }
+    // Two dozen streams are gathered on few engines; the others stay free for
+    // long prompts.
+    CPPUNIT_ASSERT(f.EnginesWriting() <= 4);
+  }
+
+  void LongPromptAvoidsTightStreams()
+  {
+    fleet f;
+    for (std::size_t engine = 0; engine < 5; ++engine) {
+      for (int i = 0; i < 10; ++i) {
+        f.PutClip(engine);
+      }
+    }
+    const engine_choice choice = f.Choose(Review(250000));
+    CPPUNIT_ASSERT_EQUAL(0.0, choice.mHarm);
+    CPPUNIT_ASSERT(choice.mReaders.size() >= 10);
+    CPPUNIT_ASSERT(choice.mWorthReading);
+  }
+
+  /// Symptom: when reviews burst right after clips, 187 of 190 clips are late.
+  /// Sequence: clips write on every engine; a review arrives whose parts fit
+  /// into nobody's pause, over however many engines it is cut.
+  /// Cause: it was spread over all engines and made every stream a little too
+  /// late, where two or three engines would have done.
+  void LongPromptHarmsFewEnginesMuch()
+  {
+    fleet f;
+    for (std::size_t engine = 0; engine < kEngines; ++engine) {
+      for (int i = 0; i < 10; ++i) {
+        f.PutClip(engine);
+      }
+    }
+    const engine_choice choice = f.Choose(Review(200000));
+    const double all =
+      0.75 * Clip().mWorth * 10 * static_cast<double>(kEngines);
+    CPPUNIT_ASSERT(choice.mHarm > 0);
+    CPPUNIT_ASSERT(choice.mHarm < all / 4);
+    // The next one is read where the harm is done already.
+    f.Place(Review(200000));
+    const engine_choice next = f.Choose(Review(120000));
+    CPPUNIT_ASSERT(next.mHarm < choice.mHarm);
+  }
+
+  /// Symptom: with memory of several engines at hand, half of the clips of a
+  /// burst are late. Sequence: a prompt of 450,000 tokens is admitted while
+  /// clips write on all engines; its parts take seconds on each. Cause: what it
+  /// gains was not weighed against what it takes.
+  void BusyFleetTurnsGiantAway()
+  {
+    fleet f;
+    for (std::size_t engine = 0; engine < kEngines; ++engine) {
+      for (int i = 0; i < 10; ++i) {
+        f.PutClip(engine);
+      }
+    }
+    CPPUNIT_ASSERT(!f.Choose(Review(450000)).mWorthReading);
+    CPPUNIT_ASSERT(f.Choose(Review(60000)).mWorthReading);
+  }
+
+  void IdleFleetReadsGiantWithHolders()
+  {
+    fleet f;
+    const engine_choice choice = f.Choose(Review(500000));
+    CPPUNIT_ASSERT(choice.mFits);
+    CPPUNIT_ASSERT(choice.mWorthReading);
+    CPPUNIT_ASSERT(choice.mHolders >= 1);
+    CPPUNIT_ASSERT(choice.mHolders <= choice.mReaders.size());
+    CPPUNIT_ASSERT(
+      static_cast<double>(choice.mHolders) * choice.mHolderTokens + 315000 >=
+      500000);
+  }
+
+  void LeavingEngineGetsNothing()
+  {
+    fleet f;
+    endpoint leaving = f.mBoard.mEndpoints.at("engine-3").mListed;
+    leaving.mLeaving = true;
+    CPPUNIT_ASSERT(ApplyRow(f.mBoard, { "engine-3", 2, leaving }) ==
+                   listing::Leaving);
+    for (int i = 0; i < 100; ++i) {
+      const engine_choice choice =
+        f.Choose(i % 2 == 0 ? Clip() : Review(300000));
+      CPPUNIT_ASSERT(choice.mWriter->mListed.mId != "engine-3");
+      for (const known_endpoint* const reader : choice.mReaders) {
+        CPPUNIT_ASSERT(reader->mListed.mId != "engine-3");
+      }
+      f.Place(Clip());
+    }
+  }
+
+  void AvoidedEnginesAreLeftOutWhileOthersAre()
+  {
+    fleet f;
+    const std::string first = f.Choose(Clip()).mWriter->mListed.mId;
+    NoteSign(f.mBoard.mEndpoints.at(first).mHealth,
+             endpoint_sign::Unreachable,
+             kStart);
+    CPPUNIT_ASSERT(f.Choose(Clip()).mWriter->mListed.mId != first);
+    // If all have bad signs, one of them is still tried.
+    for (auto& [id, known] : f.mBoard.mEndpoints) {
+      NoteSign(known.mHealth, endpoint_sign::Silent, kStart);
+    }
+    CPPUNIT_ASSERT(
+      PlaceOnEngines(
+        f.mBoard, f.mLedger, Timing(), Clip(), {}, "a", kStart)
+        .has_value());
+  }
+
+  void DeadEntryLeavesNoWriters()
+  {
+    fleet f;
+    for (int i = 0; i < 10; ++i) {
+      f.Place(Clip());
+    }
+    ForgetOwner(f.mLedger, 1, kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), f.EnginesWriting());
+    CPPUNIT_ASSERT(f.mLedger.mPlacements.empty());
+  }
+
+  void LedgerReturnsToNothing()
+  {
+    const bool held = rc::check([]() {
+      fleet f;
+      std::vector<placement_key> open;
+      time_point now = kStart;
+      const std::vector<bool> steps =
+        *rc::gen::container<std::vector<bool>>(rc::gen::arbitrary<bool>());
+      for (const bool place : steps) {
+        now += milliseconds(*rc::gen::inRange(0, 50));
+        if (place || open.empty()) {
+          open.push_back(
+            f.Place(Review(*rc::gen::inRange(1000, 700000)), now));
+          continue;
+        }
+        NoteEnded(f.mLedger, open.back(), placement_end::Unread, now);
+        // The end of a placement may be heard twice.
+        NoteEnded(f.mLedger, open.back(), placement_end::Read, now);
+        open.pop_back();
+      }
+      for (const placement_key key : open) {
+        NoteEnded(f.mLedger, key, placement_end::Read, now);
+      }
+      for (const auto& [engine, load] : f.mLedger.mEngines) {
+        RC_ASSERT(load.mWriting.empty());
+        RC_ASSERT(load.mTokens < 1);
+        RC_ASSERT(BacklogMs(load, now + std::chrono::hours(1)) == 0);
+      }
+    });
+    CPPUNIT_ASSERT(held);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(placement_test, "placement");
+
+class belief_test : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(belief_test);
+  CPPUNIT_TEST(StaleRowBringsNothingBack);
+  CPPUNIT_TEST(WholeListRemovesWhatIsGone);
+  CPPUNIT_TEST(ManifestOnlyGoesForward);
+  CPPUNIT_TEST(LongestPrefixWins);
+  CPPUNIT_TEST(WeightsAreKept);
+  CPPUNIT_TEST(EntriesShareTheBudget);
+  CPPUNIT_TEST(FailingEndpointIsAvoidedForAWhile);
+  CPPUNIT_TEST_SUITE_END();
+
+  static endpoint Listed(const std::string& aId)
+  {
+    endpoint listed;
+    listed.mId = aId;
+    listed.mService = "model";
+    return listed;
+  }
+
+public:
+  /// Symptom: requests reach an endpoint that left seconds ago.
+  /// Sequence: the row is removed; the platform loses its history; the whole
+  /// list is read again, some seconds stale, with the row still in it.
+  /// Cause: an older revision replaced a newer one.
+  void StaleRowBringsNothingBack()
+  {
+    endpoint_board board;
+    (void)ApplyRow(board, { "e", 5, Listed("e") });
+    CPPUNIT_ASSERT(ApplyRow(board, { "e", 9, std::nullopt }) == listing::Left);
+    (void)ApplyWholeList(board, { { "e", 5, Listed("e") } }, 7);
+    CPPUNIT_ASSERT(board.mEndpoints.empty());
+    // A new report of the same id is newer than its removal.
+    CPPUNIT_ASSERT(ApplyRow(board, { "e", 12, Listed("e") }) ==
+                   listing::Joined);
+  }
+
+  void WholeListRemovesWhatIsGone()
+  {
+    endpoint_board board;
+    (void)ApplyRow(board, { "a", 5, Listed("a") });
+    (void)ApplyRow(board, { "b", 6, Listed("b") });
+    // "c" was seen after the moment that the list shows.
+    (void)ApplyRow(board, { "c", 20, Listed("c") });
+    const std::vector<std::string> left =
+      ApplyWholeList(board, { { "b", 6, Listed("b") } }, 10);
+    CPPUNIT_ASSERT(left == std::vector<std::string>{ "a" });
+    CPPUNIT_ASSERT(board.mEndpoints.contains("b"));
+    CPPUNIT_ASSERT(board.mEndpoints.contains("c"));
+  }
+
+  void ManifestOnlyGoesForward()
+  {
+    manifest newer;
+    newer.mVersion = 7;
+    const manifest_pointer held = std::make_shared<manifest_index>(newer);
+    manifest older;
+    older.mVersion = 6;
+    CPPUNIT_ASSERT(!IsNewer(held, older));
+    CPPUNIT_ASSERT(!IsNewer(held, newer));
+    older.mVersion = 8;
+    CPPUNIT_ASSERT(IsNewer(held, older));
+    CPPUNIT_ASSERT(IsNewer(nullptr, older));
+  }
+
+  void LongestPrefixWins()
+  {
+    manifest m;
+    for (const char* const prefix : { "/", "/a/", "/a/b/" }) {
+      route r;
+      r.mName = prefix;
+      r.mHost = "Host.example";
+      r.mPrefix = prefix;
+      m.mRoutes.push_back(r);
+    }
+    const manifest_index index(m);
+    CPPUNIT_ASSERT_EQUAL(std::string("/a/b/"),
+                         index.FindRoute("host.example", "/a/b/c?x=/z/")->mName);
+    CPPUNIT_ASSERT_EQUAL(std::string("/a/"),
+                         index.FindRoute("host.example:80", "/a/b")->mName);
+    CPPUNIT_ASSERT_EQUAL(std::string("/"),
+                         index.FindRoute("host.example", "/ab/")->mName);
+    CPPUNIT_ASSERT(index.FindRoute("other.example", "/a/") == nullptr);
+  }
+
+  void WeightsAreKept()
+  {
+    route r;
+    r.mServices = { { "x", 90 }, { "y", 10 } };
+    CPPUNIT_ASSERT_EQUAL(std::string("x"), ChooseService(r, 0.0));
+    CPPUNIT_ASSERT_EQUAL(std::string("x"), ChooseService(r, 0.89));
+    CPPUNIT_ASSERT_EQUAL(std::string("y"), ChooseService(r, 0.91));
+  }
+
+  void EntriesShareTheBudget()
+  {
+    const repeat_bound bound{ 0.2, 100, std::chrono::seconds(10) };
+    unsigned granted = 0;
+    constexpr std::size_t kEntries = 4;
+    for (std::size_t entry = 0; entry < kEntries; ++entry) {
+      repeat_record record;
+      for (int i = 0; i < 100; ++i) {
+        NoteRequest(record, bound, kStart);
+        granted += TakeRepeat(record, bound, kEntries, kStart) ? 1U : 0U;
+      }
+    }
+    CPPUNIT_ASSERT(granted > 50);
+    CPPUNIT_ASSERT(granted <= 100 + 0.2 * 400);
+  }
+
+  void FailingEndpointIsAvoidedForAWhile()
+  {
+    known_endpoint known;
+    for (int i = 0; i < 10; ++i) {
+      NoteSign(known.mHealth, endpoint_sign::Failed, kStart);
+    }
+    CPPUNIT_ASSERT(Avoided(known, kStart));
+    CPPUNIT_ASSERT(!Avoided(known, kStart + std::chrono::seconds(10)));
+    NoteSign(known.mHealth, endpoint_sign::Answered, kStart);
+    CPPUNIT_ASSERT_EQUAL(0U, known.mHealth.mStrikes);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(belief_test, "belief");
