--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -12,12 +12,14 @@
 constexpr int kSkipBody = 1;
 constexpr unsigned kFirstFinalStatus = 200;
 
+/// Besides letters and digits, what may stand in a field's name.
+constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+
 /// True for what may name a field. A name with a blank in it, or one before the
 /// colon, is read differently by different parties.
 bool
 IsToken(const std::string& aName)
 {
-  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
   return !aName.empty() &&
          std::all_of(aName.begin(), aName.end(), [](char aLetter) {
            return (aLetter >= 'a' && aLetter <= 'z') ||
