Entries greet each other, share the right to repeat, ask the store less often, heed what engines say

Change: an entry that knows of nobody counts 64 entries, then the platform's rows of them; a new peer is greeted with what is placed; what an engine says of its load counts for 400 ms; the wait for changes grows with the number of peers (450 ms for each) since a peer that knows more makes an entry ask anew; after a change the next question waits 200 ms.

--- a/Libraries/LibFleet/Endpoints.cpp
+++ b/Libraries/LibFleet/Endpoints.cpp
@@ -33,6 +33,7 @@
 listing
 ApplyRow(endpoint_board& aBoard, const row_change<endpoint>& aChange)
 {
+  aBoard.mNewestRevision = std::max(aBoard.mNewestRevision, aChange.mRevision);
   const auto gone = aBoard.mGone.find(aChange.mKey);
   if (gone != aBoard.mGone.end() && gone->second >= aChange.mRevision) {
     return listing::Unchanged;
@@ -79,7 +80,10 @@
     }
   }
   for (const std::string& id : left) {
-    (void)ApplyRow(aBoard, { id, aRevision + 1, std::nullopt });
+    // Gone by the moment that the list shows; which revision removed it is
+    // not known.
+    aBoard.mGone[id] = aRevision;
+    aBoard.mEndpoints.erase(id);
   }
   return left;
 }
--- a/Libraries/LibFleet/Endpoints.h
+++ b/Libraries/LibFleet/Endpoints.h
@@ -73,6 +73,7 @@
   /// Revisions of removed rows, so that a stale read does not bring back an
   /// endpoint that this process knows to be gone.
   std::unordered_map<std::string, std::uint64_t> mGone;
+  std::uint64_t mNewestRevision = 0; ///< Of all rows taken so far.
 };
 
 /// What a change of the list did to an endpoint.
--- a/Libraries/LibFleet/EngineLedger.cpp
+++ b/Libraries/LibFleet/EngineLedger.cpp
@@ -20,6 +20,9 @@
 /// The writing part of a pass with a usual number of writers; what is read in
 /// one pass comes on top of it.
 constexpr double kUsualPassMs = 50;
+/// What an engine said of itself counts for this long: a fifth of the life of a
+/// short stream, after which its own sums know more.
+constexpr duration kSaidHolds = std::chrono::milliseconds(400);
 constexpr double kMsPerSecond = 1e3;
 
 /// Marks the streams that a backlog makes pause for longer than they may.
@@ -68,6 +71,24 @@
                   aLoad.mBacklogMs - rate * ElapsedMs(aLoad.mBacklogAt, aNow));
 }
 
+void
+NoteSaid(engine_ledger& aLedger,
+         engine_key aEngine,
+         std::size_t aRequests,
+         time_point aNow)
+{
+  engine_load& load = aLedger.mEngines[aEngine];
+  load.mSaid = aRequests;
+  load.mSaidAt = aNow;
+}
+
+std::size_t
+RequestsOn(const engine_load& aLoad, time_point aNow)
+{
+  const bool fresh = aNow - aLoad.mSaidAt < kSaidHolds;
+  return std::max(aLoad.mWriting.size(), fresh ? aLoad.mSaid : 0);
+}
+
 void
 NotePlaced(engine_ledger& aLedger, const placement& aPlaced, time_point aNow)
 {
--- a/Libraries/LibFleet/EngineLedger.h
+++ b/Libraries/LibFleet/EngineLedger.h
@@ -43,6 +43,8 @@
   time_point mBacklogAt{};
   double mTokens = 0; ///< Memory taken by those that write here.
   std::vector<placement_key> mWriting;
+  std::size_t mSaid = 0; ///< Requests there, as the engine said at `mSaidAt`.
+  time_point mSaidAt{};
 
   bool operator==(const engine_load&) const = default;
 };
@@ -80,6 +82,18 @@
 void
 ForgetOwner(engine_ledger& aLedger, std::uint64_t aOwner, time_point aNow);
 
+/// Takes note of how many requests an engine itself said that it has.
+void
+NoteSaid(engine_ledger& aLedger,
+         engine_key aEngine,
+         std::size_t aRequests,
+         time_point aNow);
+
+/// Requests on an engine: those known to be placed there, or what it said a
+/// moment ago where that is more, since other entries' news may be missing.
+std::size_t
+RequestsOn(const engine_load& aLoad, time_point aNow);
+
 /// Reading that is left at a time, in milliseconds.
 double
 BacklogMs(const engine_load& aLoad, time_point aNow);
--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -80,6 +80,7 @@
   double mFreeTokens = 0;
   double mPassMs = 0;
   std::vector<writer> mWriters;
+  std::size_t mRequests = 0; ///< That write or wait there.
   bool mAvoided = false;
   bool mAway = false;
 };
@@ -130,8 +131,9 @@
     one.mBacklogMs = BacklogMs(load, aNow);
     one.mFreeTokens = aTiming.mMemoryTokens * kUsableMemory - load.mTokens;
     one.mWriters = WritersOf(aLedger, load);
+    one.mRequests = RequestsOn(load, aNow);
     one.mPassMs = PassMs(aTiming,
-                         static_cast<double>(one.mWriters.size() + 1),
+                         static_cast<double>(one.mRequests + 1),
                          load.mTokens + aWork.mPromptTokens);
     one.mAvoided = Avoided(known, aNow);
     one.mAway = known.mListed.mDataCentre != aDataCentre;
@@ -185,7 +187,7 @@
         const engine_timing& aTiming,
         const engine_work& aWork)
 {
-  return aCandidate.mWriters.size() < aTiming.mSlots &&
+  return aCandidate.mRequests < aTiming.mSlots &&
          aCandidate.mFreeTokens >= aWork.mPromptTokens + aWork.mAnswerTokens;
 }
 
@@ -210,7 +212,7 @@
   if (alike == 0) {
     return kOpeningPenalty * aWork.mWorth;
   }
-  const std::size_t writers = aCandidate.mWriters.size();
+  const std::size_t writers = aCandidate.mRequests;
   if (writers > kGatheredWriters) {
     return kCrowdPenalty * static_cast<double>(writers - kGatheredWriters);
   }
@@ -389,7 +391,7 @@
   const std::size_t busy = static_cast<std::size_t>(std::count_if(
     aCandidates.begin(), aCandidates.end(), [](const candidate& a) {
       return a.mBacklogMs > kBusyBacklogMs ||
-             a.mWriters.size() >= kBusyWriters;
+             a.mRequests >= kBusyWriters;
     }));
   const double share =
     static_cast<double>(busy) / static_cast<double>(aCandidates.size());
--- a/Libraries/LibGateway/Adapter.h
+++ b/Libraries/LibGateway/Adapter.h
@@ -54,6 +54,8 @@
   bool mElsewhere = false; ///< Another endpoint has this address now.
   bool mEncoded = false;   ///< The body is not as the endpoint made it.
   std::optional<duration> mIdleTimeout; ///< Of the connection.
+  /// Requests that the endpoint works on and that wait there, as it says.
+  std::optional<unsigned> mBusyWith;
   std::string mFaultyAddress; ///< A helper that was the cause of a refusal.
 
   bool operator==(const answer_facts&) const = default;
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -511,9 +511,22 @@
   }
 }
 
+void
+exchange::NoteLoad(const attempt& aAttempt)
+{
+  if (mService->mEngine.has_value() &&
+      aAttempt.Facts().mBusyWith.has_value()) {
+    NoteSaid(mContext.mBoard.mLedger,
+             Hash(aAttempt.Endpoint().mId),
+             *aAttempt.Facts().mBusyWith,
+             mContext.mLoop.Now());
+  }
+}
+
 void
 exchange::OnAnswerHead(attempt& aAttempt)
 {
+  NoteLoad(aAttempt);
   mStreaming =
     mRoute->mKind == call_kind::Stream && IsGood(aAttempt.Head().mStatus);
   if (mStreaming && !mStreamHead.has_value()) {
@@ -686,6 +699,7 @@
       }
       return;
     case attempt_end::NotRun:
+      NoteLoad(aAttempt);
       if (elsewhere) {
         Sign(aAttempt, endpoint_sign::Elsewhere);
       }
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -93,6 +93,7 @@
   void ForwardEvents(attempt& aAttempt);
   void WriteHead(const http_head& aHead, std::optional<std::size_t> aLength);
   void LeaveEndpoint();
+  void NoteLoad(const attempt& aAttempt);
   void Sign(const attempt& aAttempt, endpoint_sign aSign);
   void End(std::string_view aOutcome, const std::string& aWhy);
   bool KeepAlive() const;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -46,7 +46,17 @@
   , mSettings(aSettings)
   , mAdapter(aAdapter)
   , mConnections(aLoop)
-  , mPeers(aLoop, mSettings, mBoard)
+  , mPeers(aLoop,
+           mSettings,
+           mBoard,
+           [this](bool aManifest, bool aList) {
+             if (aManifest && mManifestFollower->Reached()) {
+               mManifestFollower->Refresh();
+             }
+             if (aList && mEndpointFollower->Reached()) {
+               mEndpointFollower->Refresh();
+             }
+           })
   , mContext{ mLoop, mSettings, mAdapter, mBoard, mConnections, mPeers }
 {
   mBoard.mBoot = FreshSeed();
@@ -281,6 +291,8 @@
       for (const row_change<std::string>& row : reading.mRows) {
         hosts.push_back(row.mKey);
       }
+      mBoard.mEntriesListed = hosts.size();
+      mBoard.mEntriesKnown = true;
       mPeers.AddHosts(hosts);
     });
 }
--- a/Libraries/LibGateway/GatewayBoard.h
+++ b/Libraries/LibGateway/GatewayBoard.h
@@ -45,6 +45,8 @@
   engine_ledger mLedger;
   std::map<std::string, repeat_record> mRepeats; ///< By service.
   std::map<std::string, peer_entry> mPeers;      ///< By host.
+  bool mEntriesKnown = false;     ///< The platform's rows of them were read.
+  std::size_t mEntriesListed = 0; ///< Rows of entries, this one's included.
   std::uint64_t mBoot = 0;
   std::uint64_t mLastPlacement = 0;
   std::size_t mOpenRequests = 0;
@@ -53,7 +55,9 @@
   metrics mMetrics;
 };
 
-/// Entries that share the repeat budget: this one and the peers heard of.
+/// Entries that share the repeat budget: this one and the peers heard of, or
+/// those with a row in the platform where that is more. An entry that has just
+/// started and knows of nobody yet must not spend what belongs to all.
 std::size_t
 EntryCount(const gateway_board& aBoard);
 
--- a/Libraries/LibGateway/PeerNews.capnp
+++ b/Libraries/LibGateway/PeerNews.capnp
@@ -23,5 +23,7 @@
   ended @2 :List(UInt64);
   peers @3 :List(Text);         # Hosts of entries heard of lately.
   leaving @4 :Bool;             # The entry is about to end.
+  manifest @6 :UInt64;          # The version in force there.
+  list @7 :UInt64;              # Newest revision of its list of endpoints.
   unread @5 :List(UInt64);      # Ended before their prompts were read.
 }
--- a/Libraries/LibGateway/PeerNews.capnp.h
+++ b/Libraries/LibGateway/PeerNews.capnp.h
@@ -48,7 +48,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(866e2b3eef8a5cbd, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(866e2b3eef8a5cbd, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -218,6 +218,10 @@
   inline bool hasUnread() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getUnread() const;
 
+  inline  ::uint64_t getManifest() const;
+
+  inline  ::uint64_t getList() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -283,6 +287,12 @@
   inline void adoptUnread(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownUnread();
 
+  inline  ::uint64_t getManifest();
+  inline void setManifest( ::uint64_t value);
+
+  inline  ::uint64_t getList();
+  inline void setList( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -661,6 +671,34 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t PeerNews::Reader::getManifest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerNews::Builder::getManifest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PeerNews::Builder::setManifest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerNews::Reader::getList() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerNews::Builder::getList() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PeerNews::Builder::setList( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibGateway/PeerNews.cpp
+++ b/Libraries/LibGateway/PeerNews.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t kPeersPerBeat = 32;
 /// Hosts not heard from are asked every so many beats.
 constexpr unsigned kCandidateBeats = 3;
+/// How long a peer may know more before this entry asks the platform anew.
+constexpr duration kBehindPatience = std::chrono::milliseconds(450);
 /// Placements in one datagram, so that it fits into one packet.
 constexpr std::size_t kMostPlaced = 8;
 /// Hosts named in one datagram.
@@ -95,15 +97,21 @@
 std::size_t
 EntryCount(const gateway_board& aBoard)
 {
-  return aBoard.mPeers.size() + 1;
+  constexpr std::size_t kBeforeAnyIsKnown = 64;
+  if (!aBoard.mEntriesKnown && aBoard.mPeers.empty()) {
+    return kBeforeAnyIsKnown;
+  }
+  return std::max(aBoard.mPeers.size() + 1, aBoard.mEntriesListed);
 }
 
 peer_news::peer_news(event_loop& aLoop,
                      const gateway_settings& aSettings,
-                     gateway_board& aBoard)
+                     gateway_board& aBoard,
+                     behind aBehind)
   : mLoop(aLoop)
   , mSettings(aSettings)
   , mBoard(aBoard)
+  , mBehind(std::move(aBehind))
 {
 }
 
@@ -111,6 +119,7 @@
 {
   mLoop.Cancel(mFlushTimer);
   mLoop.Cancel(mBeatTimer);
+  mLoop.Cancel(mBehindTimer);
 }
 
 result<void>
@@ -133,8 +142,9 @@
 peer_news::AddHosts(const std::vector<std::string>& aHosts)
 {
   for (const std::string& host : aHosts) {
-    if (host != mSettings.mPeers.mHost && !mBoard.mPeers.contains(host)) {
-      mCandidates.insert(host);
+    if (host != mSettings.mPeers.mHost && !mBoard.mPeers.contains(host) &&
+        mCandidates.insert(host).second && mSocket != nullptr) {
+      mSocket->Send(Encode({}, {}, {}), { host, mSettings.mPeers.mPort });
     }
   }
 }
@@ -173,23 +183,28 @@
   }
 }
 
-void
-peer_news::Flush()
+std::string
+peer_news::Encode(const std::vector<placement>& aPlaced,
+                  const std::vector<placement_key>& aEnded,
+                  const std::vector<placement_key>& aUnread)
 {
-  mLoop.Cancel(mFlushTimer);
   capnp::MallocMessageBuilder message;
   wire::PeerNews::Builder news = message.initRoot<wire::PeerNews>();
   news.setBoot(mBoard.mBoot);
   news.setLeaving(mLeaving);
+  news.setManifest(mBoard.mManifest == nullptr
+                     ? 0
+                     : mBoard.mManifest->Manifest().mVersion);
+  news.setList(mBoard.mEndpoints.mNewestRevision);
   const time_point now = mLoop.Now();
   capnp::List<wire::PlacedWork>::Builder placed =
-    news.initPlaced(static_cast<unsigned>(mPlaced.size()));
-  for (unsigned i = 0; i < mPlaced.size(); ++i) {
-    WriteWork(placed[i], mPlaced[i], now);
+    news.initPlaced(static_cast<unsigned>(aPlaced.size()));
+  for (unsigned i = 0; i < aPlaced.size(); ++i) {
+    WriteWork(placed[i], aPlaced[i], now);
   }
-  WriteKeys(news.initEnded(static_cast<unsigned>(mEnded.size())), mEnded);
-  WriteKeys(news.initUnread(static_cast<unsigned>(mUnread.size())), mUnread);
-  if (mPlaced.empty() && mEnded.empty() && mUnread.empty()) {
+  WriteKeys(news.initEnded(static_cast<unsigned>(aEnded.size())), aEnded);
+  WriteKeys(news.initUnread(static_cast<unsigned>(aUnread.size())), aUnread);
+  if (aPlaced.empty() && aEnded.empty() && aUnread.empty()) {
     // A beat: it also says who else is there.
     const std::size_t hosts = std::min(kMostHosts, mBoard.mPeers.size());
     capnp::List<capnp::Text>::Builder peers =
@@ -203,21 +218,43 @@
       peers.set(i, peer->first.c_str());
     }
   }
+  const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
+  const kj::ArrayPtr<const char> bytes = words.asChars();
+  return { bytes.begin(), bytes.size() };
+}
+
+void
+peer_news::Flush()
+{
+  mLoop.Cancel(mFlushTimer);
+  const std::string bytes = Encode(mPlaced, mEnded, mUnread);
   mPlaced.clear();
   mEnded.clear();
   mUnread.clear();
-  const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
-  const kj::ArrayPtr<const char> bytes = words.asChars();
   for (const auto& [host, peer] : mBoard.mPeers) {
-    mSocket->Send({ bytes.begin(), bytes.size() },
-                  { host, mSettings.mPeers.mPort });
+    mSocket->Send(bytes, { host, mSettings.mPeers.mPort });
   }
-  if (mBeats % kCandidateBeats == 0) {
-    for (const std::string& host : mCandidates) {
-      mSocket->Send({ bytes.begin(), bytes.size() },
-                    { host, mSettings.mPeers.mPort });
+}
+
+void
+peer_news::Greet(const std::string& aHost)
+{
+  // A new peer knows nothing of what this entry has placed, and would take
+  // busy engines for idle ones.
+  std::vector<placement> own;
+  for (const auto& [key, placed] : mBoard.mLedger.mPlacements) {
+    if (placed.mOwner != mBoard.mBoot) {
+      continue;
+    }
+    own.push_back(placed);
+    // Reading that was placed a while ago is mostly done.
+    own.back().mPartMs = 0;
+    if (own.size() == kMostPlaced) {
+      mSocket->Send(Encode(own, {}, {}), { aHost, mSettings.mPeers.mPort });
+      own.clear();
     }
   }
+  mSocket->Send(Encode(own, {}, {}), { aHost, mSettings.mPeers.mPort });
 }
 
 void
@@ -225,6 +262,11 @@
 {
   ForgetSilent();
   Flush();
+  if (mBeats % kCandidateBeats == 0) {
+    for (const std::string& host : mCandidates) {
+      mSocket->Send(Encode({}, {}, {}), { host, mSettings.mPeers.mPort });
+    }
+  }
   ++mBeats;
   mBeatTimer = mLoop.After(BeatEvery(mBoard.mPeers.size()), [this]() {
     mBeatTimer = 0;
@@ -232,6 +274,37 @@
   });
 }
 
+bool
+peer_news::ManifestBehind() const
+{
+  return mBoard.mManifest != nullptr &&
+         mBoard.mManifest->Manifest().mVersion < mNewestManifest;
+}
+
+bool
+peer_news::ListBehind() const
+{
+  return mBoard.mEndpoints.mNewestRevision < mNewestList;
+}
+
+void
+peer_news::CompareBeliefs(std::uint64_t aManifest, std::uint64_t aList)
+{
+  mNewestManifest = std::max(mNewestManifest, aManifest);
+  mNewestList = std::max(mNewestList, aList);
+  if (mBehindTimer != 0 || (!ManifestBehind() && !ListBehind())) {
+    return;
+  }
+  // What a peer has just been told is on its way here too; only what does not
+  // come shows that this entry's own question has gone silent.
+  mBehindTimer = mLoop.After(kBehindPatience, [this]() {
+    mBehindTimer = 0;
+    if (ManifestBehind() || ListBehind()) {
+      mBehind(ManifestBehind(), ListBehind());
+    }
+  });
+}
+
 void
 peer_news::ForgetSilent()
 {
@@ -276,12 +349,19 @@
       return;
     }
     const auto known = mBoard.mPeers.find(aFrom.mHost);
-    if (known == mBoard.mPeers.end()) {
-      Log(log_level::Info, "peer_found", { { "host", aFrom.mHost } });
-    } else if (known->second.mBoot != news.getBoot()) {
+    const bool isNew =
+      known == mBoard.mPeers.end() || known->second.mBoot != news.getBoot();
+    if (known != mBoard.mPeers.end() && isNew) {
       ForgetOwner(mBoard.mLedger, known->second.mBoot, now);
     }
     mBoard.mPeers[aFrom.mHost] = { news.getBoot(), now };
+    if (isNew) {
+      Log(log_level::Info,
+          "peer_found",
+          { { "host", aFrom.mHost }, { "peers", mBoard.mPeers.size() } });
+      Greet(aFrom.mHost);
+    }
+    CompareBeliefs(news.getManifest(), news.getList());
     for (const wire::PlacedWork::Reader work : news.getPlaced()) {
       NotePlaced(mBoard.mLedger, ReadWork(work, news.getBoot(), now), now);
     }
--- a/Libraries/LibGateway/PeerNews.h
+++ b/Libraries/LibGateway/PeerNews.h
@@ -9,9 +9,13 @@
 class peer_news
 {
 public:
+  /// Called when a peer has had a newer manifest or list for a while.
+  using behind = std::function<void(bool aManifest, bool aList)>;
+
   peer_news(event_loop& aLoop,
             const gateway_settings& aSettings,
-            gateway_board& aBoard);
+            gateway_board& aBoard,
+            behind aBehind);
   ~peer_news();
   peer_news(const peer_news&) = delete;
   peer_news& operator=(const peer_news&) = delete;
@@ -29,6 +33,13 @@
   void Beat();
   void OnNews(std::string_view aBytes, const ip_address& aFrom);
   void ForgetSilent();
+  void Greet(const std::string& aHost);
+  void CompareBeliefs(std::uint64_t aManifest, std::uint64_t aList);
+  bool ManifestBehind() const;
+  bool ListBehind() const;
+  std::string Encode(const std::vector<placement>& aPlaced,
+                     const std::vector<placement_key>& aEnded,
+                     const std::vector<placement_key>& aUnread);
 
   event_loop& mLoop;
   const gateway_settings& mSettings;
@@ -38,6 +49,10 @@
   std::vector<placement> mPlaced;
   std::vector<placement_key> mEnded;
   std::vector<placement_key> mUnread;
+  behind mBehind;
+  std::uint64_t mNewestManifest = 0; ///< That a peer has told of.
+  std::uint64_t mNewestList = 0;
+  timer_id mBehindTimer = 0;
   bool mLeaving = false;
   unsigned mBeats = 0;
   timer_id mFlushTimer = 0;
--- a/Libraries/LibGateway/TableFollower.cpp
+++ b/Libraries/LibGateway/TableFollower.cpp
@@ -1,13 +1,21 @@
 #include "LibGateway/TableFollower.h"
 
+#include <algorithm>
+
 namespace primrose {
 
 namespace {
 
 /// How long the platform may hold a question about changes. A connection that
 /// went silent, or an answer that was lost, shows only when the answer is
-/// overdue; this and the slack together bound how old the copy can be.
-constexpr duration kWait = std::chrono::milliseconds(1800);
+/// overdue, so this bounds how old the copy of a lone entry can be. With peers
+/// each may ask less often: the first to hear of a change tells the others.
+constexpr duration kWaitForEachEntry = std::chrono::milliseconds(450);
+constexpr duration kShortestWait = std::chrono::milliseconds(1800);
+constexpr duration kLongestWait = std::chrono::seconds(10);
+/// After changes the next question waits this long, so that a storm of them
+/// comes in few answers; short against the bounds on changes.
+constexpr duration kGatherChanges = std::chrono::milliseconds(200);
 constexpr duration kWaitSlack = std::chrono::milliseconds(500);
 /// A whole reading takes some milliseconds; a slow platform up to 250.
 constexpr duration kReadTimeout = std::chrono::milliseconds(900);
@@ -45,6 +53,21 @@
   ReadWhole("");
 }
 
+void
+table_follower::Refresh()
+{
+  Log(log_level::Warning,
+      "store_asked_anew",
+      { { "table", mTable }, { "revision", mRevision.value_or(0) } });
+  mCaller.Abandon();
+  mLoop.Cancel(mTimer);
+  if (mRevision.has_value()) {
+    ReadChanges();
+  } else {
+    ReadWhole("");
+  }
+}
+
 void
 table_follower::ReadWhole(const std::string& aFromKey)
 {
@@ -86,8 +109,11 @@
 void
 table_follower::ReadChanges()
 {
-  mCaller.Call(mAdapter.mReadChanges(mTable, *mRevision, kWait),
-               kWait + kWaitSlack,
+  const duration shared =
+    kWaitForEachEntry * static_cast<int>(mBoard.mPeers.size() + 1);
+  const duration wait = std::clamp(shared, kShortestWait, kLongestWait);
+  mCaller.Call(mAdapter.mReadChanges(mTable, *mRevision, wait),
+               wait + kWaitSlack,
                [this](const http_answer& aAnswer) {
                  OnChanges(mAdapter.mDecodeTable(aAnswer));
                });
@@ -102,10 +128,15 @@
   }
   NoteReached();
   mRevision = std::max(*mRevision, aReading.mRevision);
-  if (!aReading.mRows.empty()) {
-    mListener.mChanges(aReading);
+  if (aReading.mRows.empty()) {
+    ReadChanges();
+    return;
   }
-  ReadChanges();
+  mListener.mChanges(aReading);
+  mTimer = mLoop.After(kGatherChanges, [this]() {
+    mTimer = 0;
+    ReadChanges();
+  });
 }
 
 void
--- a/Libraries/LibGateway/TableFollower.h
+++ b/Libraries/LibGateway/TableFollower.h
@@ -28,6 +28,9 @@
   table_follower& operator=(const table_follower&) = delete;
 
   void Start();
+  /// Asks anew at once: somebody else knows of a change that was not heard of
+  /// here, so the question that is open may have gone silent.
+  void Refresh();
   /// False while the last call failed.
   bool Reached() const { return mReached; }
 
--- a/Libraries/LibNet/HttpClientCall.cpp
+++ b/Libraries/LibNet/HttpClientCall.cpp
@@ -56,6 +56,15 @@
   });
 }
 
+void
+http_caller::Abandon()
+{
+  mLoop.Cancel(mTimer);
+  DropChannel();
+  mWaiting.clear();
+  mBusy = false;
+}
+
 void
 http_caller::DropChannel()
 {
--- a/Libraries/LibNet/HttpClientCall.h
+++ b/Libraries/LibNet/HttpClientCall.h
@@ -42,6 +42,8 @@
 
   /// `aAnswered` is called exactly once, never from within `Call`.
   void Call(const http_call& aCall, duration aTimeout, answered aAnswered);
+  /// Drops the connection and all calls; none of them is answered any more.
+  void Abandon();
 
   void OnInput(tcp_channel& aChannel) override;
   void OnEnd(tcp_channel& aChannel, channel_end aEnd) override;
