A dark engine is noticed by its silence

Change: beyond the reading that its engine is known to have, a short stream may be silent for 0.6 s, a divided prompt for its objective and twice what was expected.

--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -380,7 +380,7 @@
       return;
     }
   }
-  aChoice.mFits = false;
+  aChoice.mVerdict = engine_verdict::NoMemory;
 }
 
 /// What a second of reading takes from other requests, by how busy the engines
@@ -399,18 +399,19 @@
          std::clamp((share - kFreeShare) / (kBusyShare - kFreeShare), 0.0, 1.0);
 }
 
-/// True if reading this prompt gains its caller more than it takes from the
+/// Whether reading this prompt gains its caller more than it takes from the
 /// callers of others.
-bool
-IsWorthReading(const engine_choice& aChoice,
-               const engine_work& aWork,
-               double aReadingMs,
-               double aPriceOfSecond)
+engine_verdict
+Judge(const engine_choice& aChoice, const engine_work& aWork, double aReadingMs)
 {
+  if (aChoice.mVerdict == engine_verdict::NoMemory) {
+    return aChoice.mVerdict;
+  }
   const double gain = (1 + kLostWhenRefused) * aWork.mWorth -
                       LateCost(aChoice.mFirstEventMs, aWork);
-  return gain >=
-         aChoice.mHarm + aPriceOfSecond * aReadingMs / kMsPerSecond;
+  const double taken =
+    aChoice.mHarm + aChoice.mPriceOfSecond * aReadingMs / kMsPerSecond;
+  return gain >= taken ? engine_verdict::Send : engine_verdict::TurnAway;
 }
 
 engine_choice
@@ -439,8 +440,7 @@
     chosen.mReadMs + kPassesToFirstEvent * writing->mPassMs;
   choice.mHarm = chosen.mHarm;
   choice.mPriceOfSecond = PriceOfSecond(aCandidates);
-  choice.mWorthReading =
-    IsWorthReading(choice, aWork, aReadingMs, choice.mPriceOfSecond);
+  choice.mVerdict = Judge(choice, aWork, aReadingMs);
   return choice;
 }
 
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -30,8 +30,19 @@
   bool operator==(const engine_work&) const = default;
 };
 
+/// What is to be done with a request.
+enum class engine_verdict : std::uint8_t
+{
+  Send,
+  /// It takes more from the callers of others than it gains its own.
+  TurnAway,
+  /// The fleet has no memory for it.
+  NoMemory,
+};
+
 struct engine_choice
 {
+  engine_verdict mVerdict = engine_verdict::Send;
   known_endpoint* mWriter = nullptr;
   std::vector<known_endpoint*> mReaders; ///< Besides the writer.
   /// Of the readers, the first so many are to hold memory for the prompt.
@@ -40,9 +51,6 @@
   double mPartMs = 0;        ///< Reading of each.
   double mFirstEventMs = 0;  ///< Expected until the first event.
   double mHarm = 0;          ///< Worth of the streams that it stretches.
-  bool mFits = true;         ///< The fleet has memory for it.
-  /// It gains its caller more than it takes from the callers of others.
-  bool mWorthReading = true;
   double mPriceOfSecond = 0; ///< What a second of one engine counted for.
 
   bool operator==(const engine_choice&) const = default;
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -14,14 +14,19 @@
 /// How many times its objective an answer of a plain service may be silent
 /// before it is asked for elsewhere; enough is left to be answered in time.
 constexpr double kSilenceOfObjective = 0.6;
-/// The same for the first event of a stream, and for a pause between events as
-/// a multiple of the allowed one: the caller itself leaves at four and eight.
-constexpr double kStreamSilenceOfObjective = 3;
-constexpr double kStallOfPause = 6;
-/// No pause is given up sooner: an engine waits this long for a helper.
-constexpr duration kShortestStall = std::chrono::milliseconds(1700);
+/// The same for a stream: beyond what its engines are known to have to read, a
+/// first event may take half as long again as expected and this much more, and
+/// a pause so many times the allowed one, but no less than this. A caller leaves
+/// a short stream after two seconds of silence, so an engine that went dark has
+/// to be noticed in a part of that.
+constexpr double kFirstEventOfExpected = 1.5;
+constexpr double kDividedOfExpected = 2;
+constexpr double kStallOfPause = 2.5;
+constexpr duration kShortestStall = std::chrono::milliseconds(600);
 /// Times that engines may refuse to set memory aside for one request.
 constexpr std::size_t kMostMemoryRefusals = 3;
+/// Reading that explains a silence.
+constexpr duration kWorthWaitingFor = std::chrono::milliseconds(100);
 /// What the final answer needs to reach the caller in its time.
 constexpr duration kAnswerTime = std::chrono::milliseconds(15);
 /// When a refused caller may come back, in seconds.
@@ -209,19 +214,20 @@
   if (!choice.has_value()) {
     return false;
   }
-  if (!choice->mFits || !choice->mWorthReading) {
+  if (choice->mVerdict != engine_verdict::Send) {
+    const bool fits = choice->mVerdict != engine_verdict::NoMemory;
     Log(log_level::Info,
         "turned_away",
         { { "request", mFacts.mId },
           { "prompt_tokens", mFacts.mPromptTokens },
-          { "fits", static_cast<int>(choice->mFits) },
+          { "fits", static_cast<int>(fits) },
           { "helpers", choice->mReaders.size() },
           { "part_ms", choice->mPartMs },
           { "expected_ms", choice->mFirstEventMs },
           { "harm", choice->mHarm },
           { "price_of_second", choice->mPriceOfSecond } });
     GiveUp(error_kind::Overloaded,
-           choice->mFits ? "costs_others_more" : "no_memory");
+           fits ? "costs_others_more" : "no_memory");
     return true;
   }
   placement placed;
@@ -322,10 +328,15 @@
                         i < aHolders ? mMemory->Reservation() : "" });
   }
   SendTo(aWriter, helpers);
-  const double silence =
-    std::max(kStreamSilenceOfObjective * Seconds(mRoute->mObjective),
-             2 * mExpectedMs / kMsPerSecond);
-  WatchSilence(std::max(FromSeconds(silence), kShortestStall));
+  // To read a short prompt again elsewhere costs little; to read a long one
+  // again costs as much as it did, so there an engine that is merely slower
+  // than expected must not be given up.
+  WatchSilence(
+    aReaders.empty()
+      ? FromSeconds(kFirstEventOfExpected * mExpectedMs / kMsPerSecond) +
+          kShortestStall
+      : FromSeconds(kDividedOfExpected * mExpectedMs / kMsPerSecond) +
+          mRoute->mObjective);
 }
 
 bool
@@ -412,6 +423,12 @@
   if (mAttempt == nullptr || !HasAlternative() || !MayRepeat()) {
     return;
   }
+  const duration reading = KnownReading(*mAttempt);
+  if (reading > kWorthWaitingFor) {
+    // Placed there since: the engine is busy, not dark.
+    WatchSilence(reading + kWorthWaitingFor);
+    return;
+  }
   Sign(*mAttempt, endpoint_sign::Silent);
   mMayHaveRun = mMayHaveRun || mAttempt->Sent();
   LeaveEndpoint();
@@ -570,10 +587,22 @@
   if (mRoute->mLongestPause > duration::zero()) {
     WatchSilence(
       std::max(FromSeconds(kStallOfPause * Seconds(mRoute->mLongestPause)),
-               kShortestStall));
+               kShortestStall) +
+      KnownReading(aAttempt));
   }
 }
 
+duration
+exchange::KnownReading(const attempt& aAttempt) const
+{
+  const engine_ledger& ledger = mContext.mBoard.mLedger;
+  const auto load = ledger.mEngines.find(Hash(aAttempt.Endpoint().mId));
+  return load == ledger.mEngines.end()
+           ? duration::zero()
+           : FromSeconds(BacklogMs(load->second, mContext.mLoop.Now()) /
+                         kMsPerSecond);
+}
+
 void
 exchange::PortDrained()
 {
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -80,6 +80,8 @@
               const std::vector<reading_helper>& aHelpers);
   void WatchSilence(duration aLimit);
   void OnSilence();
+  /// What the endpoint is known to have to read before it writes again.
+  duration KnownReading(const attempt& aAttempt) const;
   void OnDeadline();
   bool MayRepeat();
   /// True if the request may go to another endpoint and there is one.
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -176,7 +176,7 @@
     const engine_choice choice = f.Choose(Review(250000));
     CPPUNIT_ASSERT_EQUAL(0.0, choice.mHarm);
     CPPUNIT_ASSERT(choice.mReaders.size() >= 10);
-    CPPUNIT_ASSERT(choice.mWorthReading);
+    CPPUNIT_ASSERT(choice.mVerdict == engine_verdict::Send);
   }
 
   /// Symptom: when reviews burst right after clips, 187 of 190 clips are late.
@@ -215,16 +215,17 @@
         f.PutClip(engine);
       }
     }
-    CPPUNIT_ASSERT(!f.Choose(Review(450000)).mWorthReading);
-    CPPUNIT_ASSERT(f.Choose(Review(60000)).mWorthReading);
+    CPPUNIT_ASSERT(f.Choose(Review(450000)).mVerdict ==
+                   engine_verdict::TurnAway);
+    CPPUNIT_ASSERT(f.Choose(Review(60000)).mVerdict !=
+                   engine_verdict::TurnAway);
   }
 
   void IdleFleetReadsGiantWithHolders()
   {
     fleet f;
     const engine_choice choice = f.Choose(Review(500000));
-    CPPUNIT_ASSERT(choice.mFits);
-    CPPUNIT_ASSERT(choice.mWorthReading);
+    CPPUNIT_ASSERT(choice.mVerdict == engine_verdict::Send);
     CPPUNIT_ASSERT(choice.mHolders >= 1);
     CPPUNIT_ASSERT(choice.mHolders <= choice.mReaders.size());
     CPPUNIT_ASSERT(
