Test: wait for both tables, which are read independently

NothingIsServedBeforeAManifest waited for the list only and then asked while the manifest's follower was still in its pause after a refusal; the entry rightly answered 503. It now waits for both; what it asserts is unchanged.

--- a/Tests/Gateway/GatewayTest.cpp
+++ b/Tests/Gateway/GatewayTest.cpp
@@ -177,7 +177,13 @@
     w.Until([&probe]() { return probe.Answered(); }, "a probe");
     CPPUNIT_ASSERT_EQUAL(503U, probe.Status());
     w.mStore.SetMood(standin_store::mood::Good);
-    w.Until([&w]() { return w.mGateway->Board().mEndpointsKnown; }, "lists");
+    // The two tables are read independently of each other.
+    w.Until(
+      [&w]() {
+        return w.mGateway->Board().mManifest != nullptr &&
+               w.mGateway->Board().mEndpointsKnown;
+      },
+      "the manifest and the list");
     CPPUNIT_ASSERT_EQUAL(200U, w.Answered(w.Request("r2", "safe")).Status());
   }
 
