--- a/Libraries/LibFleet/Budget.cpp
+++ b/Libraries/LibFleet/Budget.cpp
@@ -38,9 +38,8 @@
   const double share =
     aBound.mFixed / static_cast<double>(std::max<std::size_t>(aEntries, 1));
   const double allowed =
-    kSpendable *
-    (share +
-     aBound.mPerRequest * static_cast<double>(aRecord.mRequests.size()));
+    kSpendable * (share + aBound.mPerRequest *
+                            static_cast<double>(aRecord.mRequests.size()));
   if (static_cast<double>(aRecord.mRepeats.size()) + 1 > allowed) {
     return false;
   }
--- a/Libraries/LibFleet/Budget.h
+++ b/Libraries/LibFleet/Budget.h
@@ -13,8 +13,8 @@
 /// The operator's bound on repeats, for all entries together.
 struct repeat_bound
 {
-  double mPerRequest = 0;  ///< Repeats allowed for each request.
-  double mFixed = 0;       ///< Besides, in each window.
+  double mPerRequest = 0; ///< Repeats allowed for each request.
+  double mFixed = 0;      ///< Besides, in each window.
   duration mWindow{};
 
   bool operator==(const repeat_bound&) const = default;
@@ -28,7 +28,9 @@
 };
 
 void
-NoteRequest(repeat_record& aRecord, const repeat_bound& aBound, time_point aNow);
+NoteRequest(repeat_record& aRecord,
+            const repeat_bound& aBound,
+            time_point aNow);
 
 /// Takes one repeat if the share of one of `aEntries` entries allows it.
 bool
--- a/Libraries/LibFleet/Endpoints.cpp
+++ b/Libraries/LibFleet/Endpoints.cpp
@@ -1,6 +1,7 @@
 #include "LibFleet/Endpoints.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace primrose {
 
@@ -23,7 +24,8 @@
 Strike(endpoint_health& aHealth, time_point aNow)
 {
   const unsigned doublings = std::min(aHealth.mStrikes, kMostDoublings);
-  const duration pause = std::min(kFirstPause * (1U << doublings), kLongestPause);
+  const duration pause =
+    std::min(kFirstPause * (1U << doublings), kLongestPause);
   ++aHealth.mStrikes;
   aHealth.mAvoidUntil = aNow + pause;
 }
@@ -138,7 +140,10 @@
     unsigned mOutstanding = 0;
     bool mAway = false;
     std::uint64_t mDraw = 0;
-    auto operator<=>(const rank&) const = default;
+    std::tuple<bool, unsigned, bool, std::uint64_t> Key() const
+    {
+      return { mAvoided, mOutstanding, mAway, mDraw };
+    }
   };
   constexpr double kDrawSteps = 1e6;
   known_endpoint* best = nullptr;
@@ -148,12 +153,13 @@
         std::find(aTried.begin(), aTried.end(), id) != aTried.end()) {
       continue;
     }
-    const rank candidate{ Avoided(known, aNow),
-                          known.mOutstanding,
-                          known.mListed.mDataCentre != aDataCentre,
-                          Hash(id, static_cast<std::uint64_t>(
-                                     aDraw * kDrawSteps)) };
-    if (best == nullptr || candidate < bestRank) {
+    const rank candidate{
+      Avoided(known, aNow),
+      known.mOutstanding,
+      known.mListed.mDataCentre != aDataCentre,
+      Hash(id, static_cast<std::uint64_t>(aDraw * kDrawSteps))
+    };
+    if (best == nullptr || candidate.Key() < bestRank.Key()) {
       best = &known;
       bestRank = candidate;
     }
--- a/Libraries/LibFleet/Endpoints.h
+++ b/Libraries/LibFleet/Endpoints.h
@@ -50,9 +50,9 @@
 
 struct endpoint_health
 {
-  unsigned mStrikes = 0;      ///< Bad signs since the last good ones.
-  double mFailures = 0;       ///< Recent share of attempts that failed.
-  time_point mAvoidUntil{};   ///< Not chosen before, if there are others.
+  unsigned mStrikes = 0;    ///< Bad signs since the last good ones.
+  double mFailures = 0;     ///< Recent share of attempts that failed.
+  time_point mAvoidUntil{}; ///< Not chosen before, if there are others.
 
   bool operator==(const endpoint_health&) const = default;
 };
--- a/Libraries/LibFleet/EngineCost.h
+++ b/Libraries/LibFleet/EngineCost.h
@@ -9,15 +9,15 @@
 /// The engine's arithmetic, as its operator declares it.
 struct engine_timing
 {
-  unsigned mSlots = 1;             ///< Requests that it works on at once.
-  double mMemoryTokens = 0;        ///< Prompt and answer tokens that fit.
-  double mTokensReadPerMs = 1;     ///< Reading without the cost of pairs.
-  double mMsPerMillionPairs = 0;   ///< For each token and any earlier token.
-  double mStepMs = 0;              ///< One token step.
-  double mStepMsPerRequest = 0;    ///< Added for each request that writes.
-  double mStepMsPerThousand = 0;   ///< Added per 1,000 tokens of context.
-  double mStepsPerPass = 1;        ///< Steps of one pass that has writers.
-  double mUsualAnswerTokens = 0;   ///< Mean size of an answer.
+  unsigned mSlots = 1;           ///< Requests that it works on at once.
+  double mMemoryTokens = 0;      ///< Prompt and answer tokens that fit.
+  double mTokensReadPerMs = 1;   ///< Reading without the cost of pairs.
+  double mMsPerMillionPairs = 0; ///< For each token and any earlier token.
+  double mStepMs = 0;            ///< One token step.
+  double mStepMsPerRequest = 0;  ///< Added for each request that writes.
+  double mStepMsPerThousand = 0; ///< Added per 1,000 tokens of context.
+  double mStepsPerPass = 1;      ///< Steps of one pass that has writers.
+  double mUsualAnswerTokens = 0; ///< Mean size of an answer.
 
   bool operator==(const engine_timing&) const = default;
 };
--- a/Libraries/LibFleet/EngineLedger.h
+++ b/Libraries/LibFleet/EngineLedger.h
@@ -21,7 +21,7 @@
 struct placement
 {
   placement_key mKey = 0;
-  std::uint64_t mOwner = 0; ///< The start of the entry that placed it.
+  std::uint64_t mOwner = 0;         ///< The start of the entry that placed it.
   std::vector<engine_key> mEngines; ///< The first one writes; all read.
   double mPartMs = 0;               ///< Reading that each of them does.
   duration mLongestPause{};         ///< That its events may have.
--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -140,12 +140,13 @@
     candidates.push_back(std::move(one));
   }
   // Engines with bad signs are left out while enough others are there.
-  const std::size_t sound = static_cast<std::size_t>(
-    std::count_if(candidates.begin(),
-                  candidates.end(),
-                  [](const candidate& a) { return !a.mAvoided; }));
+  const std::size_t sound = static_cast<std::size_t>(std::count_if(
+    candidates.begin(), candidates.end(), [](const candidate& aOne) {
+      return !aOne.mAvoided;
+    }));
   if (sound > 0 && sound * 2 >= candidates.size()) {
-    std::erase_if(candidates, [](const candidate& a) { return a.mAvoided; });
+    std::erase_if(candidates,
+                  [](const candidate& aOne) { return aOne.mAvoided; });
   }
   return candidates;
 }
@@ -154,8 +155,8 @@
 double
 HarmOf(const candidate& aCandidate, double aReadingMs)
 {
-  const double pause = aCandidate.mBacklogMs + aReadingMs +
-                       aCandidate.mPassMs + kPauseMarginMs;
+  const double pause =
+    aCandidate.mBacklogMs + aReadingMs + aCandidate.mPassMs + kPauseMarginMs;
   double harm = 0;
   for (const writer& one : aCandidate.mWriters) {
     if (!one.mStretched && one.mPauseMs < pause) {
@@ -176,9 +177,8 @@
   if (share <= kLateFrom) {
     return 0;
   }
-  const double likely =
-    share < 1 ? (share - kLateFrom) / (1 - kLateFrom)
-              : 1 + kLaterPenalty * (share - 1);
+  const double likely = share < 1 ? (share - kLateFrom) / (1 - kLateFrom)
+                                  : 1 + kLaterPenalty * (share - 1);
   return kLostWhenLate * aWork.mWorth * likely;
 }
 
@@ -201,14 +201,14 @@
     aCandidate.mBacklogMs + aCandidate.mPassMs + kPauseMarginMs > own ||
     std::any_of(aCandidate.mWriters.begin(),
                 aCandidate.mWriters.end(),
-                [](const writer& a) { return a.mStretched; });
+                [](const writer& aOne) { return aOne.mStretched; });
   if (longReading) {
     return kMixingPenalty * aWork.mWorth;
   }
   const std::size_t alike = static_cast<std::size_t>(
     std::count_if(aCandidate.mWriters.begin(),
                   aCandidate.mWriters.end(),
-                  [own](const writer& a) { return a.mPauseMs <= own; }));
+                  [own](const writer& aOne) { return aOne.mPauseMs <= own; }));
   if (alike == 0) {
     return kOpeningPenalty * aWork.mWorth;
   }
@@ -231,11 +231,10 @@
   for (const candidate& one : aCandidates) {
     const double first =
       one.mBacklogMs + aReadingMs + kPassesToFirstEvent * one.mPassMs;
-    const double cost =
-      LateCost(first, aWork) + HarmOf(one, aReadingMs) +
-      GatheringCost(one, aWork) +
-      (HasRoom(one, aTiming, aWork) ? 0 : aWork.mWorth) +
-      (one.mAway ? kAwayPenalty : 0);
+    const double cost = LateCost(first, aWork) + HarmOf(one, aReadingMs) +
+                        GatheringCost(one, aWork) +
+                        (HasRoom(one, aTiming, aWork) ? 0 : aWork.mWorth) +
+                        (one.mAway ? kAwayPenalty : 0);
     // Of equals, the same one for all entries.
     const std::pair<double, std::uint64_t> ranked(
       cost, Hash(one.mEndpoint->mListed.mId));
@@ -285,8 +284,7 @@
   for (const candidate& one : aCandidates) {
     const double harm = HarmOf(one, made.mPartMs);
     const double delay = (one.mBacklogMs + one.mPassMs) / objective;
-    order.push_back(
-      { harm + aDelayWeight * aWork.mWorth * delay, harm, &one });
+    order.push_back({ harm + aDelayWeight * aWork.mWorth * delay, harm, &one });
   }
   std::partial_sort(order.begin(),
                     order.begin() + static_cast<std::ptrdiff_t>(aParts),
@@ -341,10 +339,10 @@
   std::tuple<bool, std::size_t, double> bestRank;
   const double own = ToMs(aWork.mLongestPause);
   for (const candidate* const one : aEngines) {
-    const std::size_t tight = static_cast<std::size_t>(
-      std::count_if(one->mWriters.begin(),
-                    one->mWriters.end(),
-                    [own](const writer& a) { return a.mPauseMs < own; }));
+    const std::size_t tight = static_cast<std::size_t>(std::count_if(
+      one->mWriters.begin(), one->mWriters.end(), [own](const writer& aOne) {
+        return aOne.mPauseMs < own;
+      }));
     const std::tuple<bool, std::size_t, double> rank(
       !HasRoom(*one, aTiming, aWork), tight, -one->mFreeTokens);
     if (best == nullptr || rank < bestRank) {
@@ -389,9 +387,8 @@
 PriceOfSecond(const std::vector<candidate>& aCandidates)
 {
   const std::size_t busy = static_cast<std::size_t>(std::count_if(
-    aCandidates.begin(), aCandidates.end(), [](const candidate& a) {
-      return a.mBacklogMs > kBusyBacklogMs ||
-             a.mRequests >= kBusyWriters;
+    aCandidates.begin(), aCandidates.end(), [](const candidate& aOne) {
+      return aOne.mBacklogMs > kBusyBacklogMs || aOne.mRequests >= kBusyWriters;
     }));
   const double share =
     static_cast<double>(busy) / static_cast<double>(aCandidates.size());
@@ -461,8 +458,8 @@
                std::string_view aDataCentre,
                time_point aNow)
 {
-  const std::vector<candidate> candidates = Candidates(
-    aBoard, aLedger, aTiming, aWork, aTried, aDataCentre, aNow);
+  const std::vector<candidate> candidates =
+    Candidates(aBoard, aLedger, aTiming, aWork, aTried, aDataCentre, aNow);
   if (candidates.empty()) {
     return std::nullopt;
   }
--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -6,8 +6,8 @@
 /// No I/O, no clock, no thread.
 
 #include "LibFleet/Budget.h"
+#include "LibFleet/Endpoints.h"
 #include "LibFleet/EngineCost.h"
 #include "LibFleet/EngineLedger.h"
 #include "LibFleet/EnginePlacement.h"
-#include "LibFleet/Endpoints.h"
 #include "LibFleet/Manifest.h"
--- a/Libraries/LibFleet/Manifest.h
+++ b/Libraries/LibFleet/Manifest.h
@@ -35,10 +35,10 @@
   std::string mHost;
   std::string mPrefix; ///< Begins and ends with a slash.
   call_kind mKind = call_kind::AtMostOnce;
-  duration mTimeout{};       ///< A caller gets its final answer within it.
-  duration mObjective{};     ///< An answer within it is in time.
-  duration mLongestPause{};  ///< Between two events; 0 if not declared.
-  int mPriority = 0;         ///< 0 is the most urgent.
+  duration mTimeout{};      ///< A caller gets its final answer within it.
+  duration mObjective{};    ///< An answer within it is in time.
+  duration mLongestPause{}; ///< Between two events; 0 if not declared.
+  int mPriority = 0;        ///< 0 is the most urgent.
   std::vector<service_share> mServices;
   unsigned mMaxAttempts = 1; ///< Endpoints that one request may be sent to.
   bool mWithoutKey = false;  ///< Serves callers that show no key.
@@ -97,7 +97,8 @@
 
   const manifest& Manifest() const { return mManifest; }
   /// The route of this host with the longest prefix that begins the path.
-  const route* FindRoute(std::string_view aHost, std::string_view aTarget) const;
+  const route* FindRoute(std::string_view aHost,
+                         std::string_view aTarget) const;
   const service* FindService(std::string_view aName) const;
   const organisation* OwnerOfKey(std::string_view aKey) const;
 
--- a/Libraries/LibGateway/Adapter.h
+++ b/Libraries/LibGateway/Adapter.h
@@ -35,7 +35,7 @@
 /// What the gateway adds to a request for one endpoint.
 struct forwarding
 {
-  std::string mEndpointId;  ///< Only this endpoint may run it.
+  std::string mEndpointId; ///< Only this endpoint may run it.
   ip_address mAddress;
   duration mTimeLeft{};
   std::string mOrganisation; ///< Empty if the route asks for no key.
--- a/Libraries/LibGateway/CallerConnection.cpp
+++ b/Libraries/LibGateway/CallerConnection.cpp
@@ -33,8 +33,7 @@
                                      closed aClosed)
   : mContext(aContext)
   , mClosed(std::move(aClosed))
-  , mChannel(
-      std::make_shared<tcp_channel>(aContext.mLoop, aSocket, kLimits))
+  , mChannel(std::make_shared<tcp_channel>(aContext.mLoop, aSocket, kLimits))
   , mReader(http_role::Request, LimitsOf(aContext.mBoard.mManifest))
 {
   mChannel->SetOwner(this);
--- a/Libraries/LibGateway/CallerConnection.h
+++ b/Libraries/LibGateway/CallerConnection.h
@@ -46,7 +46,6 @@
   std::shared_ptr<tcp_channel> mChannel;
   http_reader mReader;
   std::shared_ptr<exchange> mExchange;
-  bool mStarting = false; ///< Within `exchange::Start`.
   timer_id mTimer = 0;
 };
 
--- a/Libraries/LibGateway/EndpointConnections.cpp
+++ b/Libraries/LibGateway/EndpointConnections.cpp
@@ -62,8 +62,8 @@
     return;
   }
   aChannel->SetOwner(this);
-  mIdle[aId].push_back({ std::move(aChannel),
-                         mLoop.Now() + aIdleTimeout - kSafetyBeforeTimeout });
+  mIdle[aId].push_back(
+    { std::move(aChannel), mLoop.Now() + aIdleTimeout - kSafetyBeforeTimeout });
 }
 
 void
@@ -91,7 +91,8 @@
       channels.pop_front();
     }
   }
-  std::erase_if(mIdle, [](const auto& aEntry) { return aEntry.second.empty(); });
+  std::erase_if(mIdle,
+                [](const auto& aEntry) { return aEntry.second.empty(); });
 }
 
 void
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -16,9 +16,9 @@
 constexpr double kSilenceOfObjective = 0.6;
 /// The same for a stream: beyond what its engines are known to have to read, a
 /// first event may take half as long again as expected and this much more, and
-/// a pause so many times the allowed one, but no less than this. A caller leaves
-/// a short stream after two seconds of silence, so an engine that went dark has
-/// to be noticed in a part of that.
+/// a pause so many times the allowed one, but no less than this. A caller
+/// leaves a short stream after two seconds of silence, so an engine that went
+/// dark has to be noticed in a part of that.
 constexpr double kFirstEventOfExpected = 1.5;
 constexpr double kDividedOfExpected = 2;
 constexpr double kStallOfPause = 2.5;
@@ -131,8 +131,8 @@
   if (!Authenticate()) {
     return false;
   }
-  mService =
-    mManifest->FindService(ChooseService(*mRoute, Uniform(mContext.mBoard.mRandom)));
+  mService = mManifest->FindService(
+    ChooseService(*mRoute, Uniform(mContext.mBoard.mRandom)));
   if (mService == nullptr) {
     Answer({ error_kind::NotFound, "no service", ran_state::No, std::nullopt });
     return false;
@@ -226,8 +226,7 @@
           { "expected_ms", choice->mFirstEventMs },
           { "harm", choice->mHarm },
           { "price_of_second", choice->mPriceOfSecond } });
-    GiveUp(error_kind::Overloaded,
-           fits ? "costs_others_more" : "no_memory");
+    GiveUp(error_kind::Overloaded, fits ? "costs_others_more" : "no_memory");
     return true;
   }
   placement placed;
@@ -244,8 +243,9 @@
   for (std::size_t i = 0; i < choice->mHolders; ++i) {
     placed.mHolders.push_back(placed.mEngines[i + 1]);
   }
-  placed.mTokens = work.mPromptTokens + work.mAnswerTokens -
-                   static_cast<double>(choice->mHolders) * choice->mHolderTokens;
+  placed.mTokens =
+    work.mPromptTokens + work.mAnswerTokens -
+    static_cast<double>(choice->mHolders) * choice->mHolderTokens;
   placed.mExpires = mDeadline;
   NotePlaced(board.mLedger, placed, now);
   mContext.mPeers.TellPlaced(placed);
@@ -291,9 +291,8 @@
     mContext.mAdapter,
     mContext.mBoard,
     mContext.mSettings.mName + '-' + std::to_string(*mPlacement),
-    std::vector<endpoint>(readers.begin(),
-                          readers.begin() +
-                            static_cast<std::ptrdiff_t>(holders)),
+    std::vector<endpoint>(
+      readers.begin(), readers.begin() + static_cast<std::ptrdiff_t>(holders)),
     aChoice.mHolderTokens);
   mMemory->Acquire(
     [weak = weak_from_this(), writer, readers, holders](bool aGranted) {
@@ -324,8 +323,8 @@
 {
   std::vector<reading_helper> helpers;
   for (std::size_t i = 0; i < aReaders.size(); ++i) {
-    helpers.push_back({ aReaders[i].mAddress,
-                        i < aHolders ? mMemory->Reservation() : "" });
+    helpers.push_back(
+      { aReaders[i].mAddress, i < aHolders ? mMemory->Reservation() : "" });
   }
   SendTo(aWriter, helpers);
   // To read a short prompt again elsewhere costs little; to read a long one
@@ -380,8 +379,8 @@
   to.mTimeLeft = Left();
   to.mOrganisation = mOrganisation;
   to.mHelpers = aHelpers;
-  to.mLastEvent = mCursor.LastId().has_value() ? mCursor.LastId()
-                                               : mFacts.mLastEvent;
+  to.mLastEvent =
+    mCursor.LastId().has_value() ? mCursor.LastId() : mFacts.mLastEvent;
   mHelpers = aHelpers.size();
   mEventsHere = false;
   mTried.push_back(aEndpoint.mId);
@@ -481,8 +480,8 @@
 {
   mContext.mLoop.Cancel(mSilenceTimer);
   if (mAttempt != nullptr) {
-    const auto known = mContext.mBoard.mEndpoints.mEndpoints.find(
-      mAttempt->Endpoint().mId);
+    const auto known =
+      mContext.mBoard.mEndpoints.mEndpoints.find(mAttempt->Endpoint().mId);
     if (known != mContext.mBoard.mEndpoints.mEndpoints.end() &&
         known->second.mOutstanding > 0) {
       --known->second.mOutstanding;
@@ -498,8 +497,7 @@
   if (mPlacement.has_value()) {
     const placement_end end =
       mEventsHere ? placement_end::Read : placement_end::Unread;
-    NoteEnded(
-      mContext.mBoard.mLedger, *mPlacement, end, mContext.mLoop.Now());
+    NoteEnded(mContext.mBoard.mLedger, *mPlacement, end, mContext.mLoop.Now());
     mContext.mPeers.TellEnded(*mPlacement, end);
     mPlacement.reset();
   }
@@ -517,22 +515,21 @@
   const bool was = Avoided(known->second, now);
   NoteSign(known->second.mHealth, aSign, now);
   if (!was && Avoided(known->second, now)) {
-    Log(log_level::Warning,
-        "endpoint_avoided",
-        { { "endpoint", known->first },
-          { "address", known->second.mListed.mAddress.Text() },
-          { "request", mFacts.mId },
-          { "strikes", known->second.mHealth.mStrikes },
-          { "for_ms",
-            Milliseconds(known->second.mHealth.mAvoidUntil - now) } });
+    Log(
+      log_level::Warning,
+      "endpoint_avoided",
+      { { "endpoint", known->first },
+        { "address", known->second.mListed.mAddress.Text() },
+        { "request", mFacts.mId },
+        { "strikes", known->second.mHealth.mStrikes },
+        { "for_ms", Milliseconds(known->second.mHealth.mAvoidUntil - now) } });
   }
 }
 
 void
 exchange::NoteLoad(const attempt& aAttempt)
 {
-  if (mService->mEngine.has_value() &&
-      aAttempt.Facts().mBusyWith.has_value()) {
+  if (mService->mEngine.has_value() && aAttempt.Facts().mBusyWith.has_value()) {
     NoteSaid(mContext.mBoard.mLedger,
              Hash(aAttempt.Endpoint().mId),
              *aAttempt.Facts().mBusyWith,
@@ -775,12 +772,11 @@
     return;
   }
   if (!mMayHaveRun) {
-    const bool promises = AnswerFor(aKind).mStatus != 502 &&
-                          AnswerFor(aKind).mStatus != 504;
+    const bool promises =
+      AnswerFor(aKind).mStatus != 502 && AnswerFor(aKind).mStatus != 504;
     Refuse(promises ? aKind : error_kind::Overloaded,
            aWhy,
-           aKind == error_kind::NoEndpoint ? kRetryWhenListed
-                                           : kRetryWhenRoom);
+           aKind == error_kind::NoEndpoint ? kRetryWhenListed : kRetryWhenRoom);
     return;
   }
   // It may have run: no answer that promises the opposite may be given.
@@ -832,32 +828,30 @@
     Labelled("gateway_requests_total", "outcome", aOutcome));
   mContext.mBoard.mMetrics.Observe("gateway_request_seconds",
                                    Seconds(now - mBegan));
-  Log(aOutcome == "answered" || aOutcome == "caller_left"
-        ? log_level::Info
-        : log_level::Warning,
-      "request",
-      { { "request", mFacts.mId },
-        { "route", mRoute == nullptr ? "" : mRoute->mName },
-        { "kind", mRoute == nullptr ? "" : KindName(mRoute->mKind) },
-        { "organisation", mOrganisation },
-        { "outcome", aOutcome },
-        { "why", aWhy },
-        { "endpoint", mTried.empty() ? "" : mTried.back() },
-        { "sent_to", mTried.size() },
-        { "helpers", mHelpers },
-        { "prompt_tokens", mFacts.mPromptTokens },
-        { "expected_ms", mExpectedMs },
-        { "first_ms",
-          mHeadWritten ? Milliseconds(mFirstEventAt - mBegan) : -1 },
-        { "longest_pause_ms", Milliseconds(mLongestPause) },
-        { "events", mCursor.Count() },
-        { "total_ms", Milliseconds(now - mBegan) },
-        { "manifest",
-          mManifest == nullptr ? 0 : mManifest->Manifest().mVersion },
-        { "manifest_age_ms",
-          mManifest == nullptr
-            ? -1
-            : Milliseconds(now - mContext.mBoard.mManifestSince) } });
+  Log(
+    aOutcome == "answered" || aOutcome == "caller_left" ? log_level::Info
+                                                        : log_level::Warning,
+    "request",
+    { { "request", mFacts.mId },
+      { "route", mRoute == nullptr ? "" : mRoute->mName },
+      { "kind", mRoute == nullptr ? "" : KindName(mRoute->mKind) },
+      { "organisation", mOrganisation },
+      { "outcome", aOutcome },
+      { "why", aWhy },
+      { "endpoint", mTried.empty() ? "" : mTried.back() },
+      { "sent_to", mTried.size() },
+      { "helpers", mHelpers },
+      { "prompt_tokens", mFacts.mPromptTokens },
+      { "expected_ms", mExpectedMs },
+      { "first_ms", mHeadWritten ? Milliseconds(mFirstEventAt - mBegan) : -1 },
+      { "longest_pause_ms", Milliseconds(mLongestPause) },
+      { "events", mCursor.Count() },
+      { "total_ms", Milliseconds(now - mBegan) },
+      { "manifest", mManifest == nullptr ? 0 : mManifest->Manifest().mVersion },
+      { "manifest_age_ms",
+        mManifest == nullptr
+          ? -1
+          : Milliseconds(now - mContext.mBoard.mManifestSince) } });
   caller_port* const port = mPort;
   mPort = nullptr;
   if (port != nullptr) {
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -113,12 +113,12 @@
   time_point mBegan{};
   time_point mDeadline{};
   std::shared_ptr<attempt> mAttempt;
-  std::vector<std::string> mTried; ///< Endpoints that it was sent to.
+  std::vector<std::string> mTried;      ///< Endpoints that it was sent to.
   std::vector<std::string> mPassedOver; ///< Tried or unreachable.
   std::optional<placement_key> mPlacement;
   std::shared_ptr<memory_hold> mMemory;
   std::size_t mMemoryRefusals = 0;
-  double mExpectedMs = 0;   ///< Until the first event, by this entry's sums.
+  double mExpectedMs = 0; ///< Until the first event, by this entry's sums.
   std::size_t mHelpers = 0;
   bool mMayHaveRun = false; ///< An endpoint got it and promised nothing.
   bool mFreshNext = false;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -185,10 +185,10 @@
   const outcome<manifest> decoded = Capture<manifest>(
     [this, &aRow]() { return mAdapter.mDecodeManifest(*aRow.mValue); });
   if (!decoded) {
-    Log(log_level::Error,
-        "manifest_malformed",
-        { { "revision", aRow.mRevision },
-          { "why", decoded.mFailure.mMessage } });
+    Log(
+      log_level::Error,
+      "manifest_malformed",
+      { { "revision", aRow.mRevision }, { "why", decoded.mFailure.mMessage } });
     return;
   }
   if (!IsNewer(mBoard.mManifest, *decoded.mValue)) {
@@ -198,9 +198,8 @@
       "manifest_in_force",
       { { "version", decoded.mValue->mVersion },
         { "before",
-          mBoard.mManifest == nullptr
-            ? 0
-            : mBoard.mManifest->Manifest().mVersion },
+          mBoard.mManifest == nullptr ? 0
+                                      : mBoard.mManifest->Manifest().mVersion },
         { "routes", decoded.mValue->mRoutes.size() },
         { "organisations", decoded.mValue->mOrganisations.size() } });
   mBoard.mMetrics.Set("gateway_manifest_version",
@@ -232,10 +231,9 @@
   for (const row_change<std::string>& row : aReading.mRows) {
     row_change<endpoint> change{ row.mKey, row.mRevision, std::nullopt };
     if (row.mValue.has_value()) {
-      const outcome<endpoint> decoded =
-        Capture<endpoint>([this, &row]() {
-          return mAdapter.mDecodeEndpoint(row.mKey, *row.mValue);
-        });
+      const outcome<endpoint> decoded = Capture<endpoint>([this, &row]() {
+        return mAdapter.mDecodeEndpoint(row.mKey, *row.mValue);
+      });
       if (!decoded) {
         Log(log_level::Error,
             "endpoint_malformed",
@@ -261,18 +259,17 @@
 void
 gateway::Register()
 {
-  mRegistrar->Call(mAdapter.mWriteRow(mAdapter.mEntryTable,
-                                      mSettings.mPeers.mHost,
-                                      mSettings.mName),
-                   kRegisterTimeout,
-                   [this](const http_answer& aAnswer) {
-                     if (aAnswer.mStatus == kGood) {
-                       LearnEntries();
-                       return;
-                     }
-                     (void)mLoop.After(kRegisterPause,
-                                       [this]() { Register(); });
-                   });
+  mRegistrar->Call(
+    mAdapter.mWriteRow(
+      mAdapter.mEntryTable, mSettings.mPeers.mHost, mSettings.mName),
+    kRegisterTimeout,
+    [this](const http_answer& aAnswer) {
+      if (aAnswer.mStatus == kGood) {
+        LearnEntries();
+        return;
+      }
+      (void)mLoop.After(kRegisterPause, [this]() { Register(); });
+    });
 }
 
 void
--- a/Libraries/LibGateway/GatewayBoard.h
+++ b/Libraries/LibGateway/GatewayBoard.h
@@ -21,7 +21,7 @@
   ip_address mPeers;     ///< Where other entries' datagrams arrive.
   ip_address mStore;
   std::vector<std::string> mSeeds; ///< Hosts of entries to ask first.
-  duration mGrace{};     ///< Between the signal to end and the forced end.
+  duration mGrace{}; ///< Between the signal to end and the forced end.
   repeat_bound mRepeats;
 
   bool operator==(const gateway_settings&) const = default;
--- a/Libraries/LibGateway/PeerNews.cpp
+++ b/Libraries/LibGateway/PeerNews.cpp
@@ -125,14 +125,13 @@
 result<void>
 peer_news::Open()
 {
-  BOOST_LEAF_ASSIGN(
-    mSocket,
-    datagram_socket::Open(
-      mLoop,
-      mSettings.mPeers,
-      [this](std::string_view aBytes, const ip_address& aFrom) {
-        OnNews(aBytes, aFrom);
-      }));
+  BOOST_LEAF_ASSIGN(mSocket,
+                    datagram_socket::Open(
+                      mLoop,
+                      mSettings.mPeers,
+                      [this](std::string_view aBytes, const ip_address& aFrom) {
+                        OnNews(aBytes, aFrom);
+                      }));
   AddHosts(mSettings.mSeeds);
   Beat();
   return {};
@@ -192,9 +191,8 @@
   wire::PeerNews::Builder news = message.initRoot<wire::PeerNews>();
   news.setBoot(mBoard.mBoot);
   news.setLeaving(mLeaving);
-  news.setManifest(mBoard.mManifest == nullptr
-                     ? 0
-                     : mBoard.mManifest->Manifest().mVersion);
+  news.setManifest(
+    mBoard.mManifest == nullptr ? 0 : mBoard.mManifest->Manifest().mVersion);
   news.setList(mBoard.mEndpoints.mNewestRevision);
   const time_point now = mLoop.Now();
   capnp::List<wire::PlacedWork>::Builder placed =
@@ -379,8 +377,7 @@
   } catch (const kj::Exception& aError) {
     Log(log_level::Warning,
         "peer_news_malformed",
-        { { "host", aFrom.mHost },
-          { "why", aError.getDescription().cStr() } });
+        { { "host", aFrom.mHost }, { "why", aError.getDescription().cStr() } });
   }
 }
 
--- a/Libraries/LibGateway/Probe.cpp
+++ b/Libraries/LibGateway/Probe.cpp
@@ -9,9 +9,7 @@
 
 } // namespace
 
-probe_connection::probe_connection(event_loop& aLoop,
-                                   int aSocket,
-                                   asked aAsked)
+probe_connection::probe_connection(event_loop& aLoop, int aSocket, asked aAsked)
   : mLoop(aLoop)
   , mAsked(std::move(aAsked))
   , mChannel(std::make_shared<tcp_channel>(aLoop, aSocket, kLimits))
--- a/Libraries/LibGateway/TableFollower.cpp
+++ b/Libraries/LibGateway/TableFollower.cpp
@@ -92,9 +92,8 @@
   const bool first = mGathered.mRows.empty();
   // A table in several answers is as old as the first of them.
   mGathered.mRevision = first ? aReading.mRevision : mGathered.mRevision;
-  mGathered.mRows.insert(mGathered.mRows.end(),
-                         aReading.mRows.begin(),
-                         aReading.mRows.end());
+  mGathered.mRows.insert(
+    mGathered.mRows.end(), aReading.mRows.begin(), aReading.mRows.end());
   if (aReading.mTruncated && !aReading.mRows.empty()) {
     // The first key that sorts behind the last one given.
     ReadWhole(aReading.mRows.back().mKey + '\x01');
@@ -158,8 +157,7 @@
 void
 table_follower::OnTrouble(const table_reading& aReading)
 {
-  const bool lost =
-    aReading.mOutcome == table_reading::outcome::HistoryLost;
+  const bool lost = aReading.mOutcome == table_reading::outcome::HistoryLost;
   if (lost) {
     Log(log_level::Warning,
         "store_history_lost",
@@ -168,14 +166,14 @@
   } else if (!mTroubled) {
     mTroubled = true;
     mTroubledSince = mLoop.Now();
-    Log(log_level::Warning,
-        "store_lost",
-        { { "table", mTable },
-          { "outcome",
-            aReading.mOutcome == table_reading::outcome::Refused
-              ? "refused"
-              : "no_answer" },
-          { "revision", mRevision.value_or(0) } });
+    Log(
+      log_level::Warning,
+      "store_lost",
+      { { "table", mTable },
+        { "outcome",
+          aReading.mOutcome == table_reading::outcome::Refused ? "refused"
+                                                               : "no_answer" },
+        { "revision", mRevision.value_or(0) } });
   }
   mReached = mReached && lost;
   mBoard.mMetrics.Count("gateway_store_failures_total");
--- a/Libraries/LibNet/Datagram.cpp
+++ b/Libraries/LibNet/Datagram.cpp
@@ -1,8 +1,8 @@
 #include "LibNet/Datagram.h"
 #include "LibNet/SystemAddress.h"
 
-#include <array>
 #include <arpa/inet.h>
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <sys/epoll.h>
--- a/Libraries/LibNet/Datagram.h
+++ b/Libraries/LibNet/Datagram.h
@@ -14,10 +14,8 @@
   using received =
     std::function<void(std::string_view aBytes, const ip_address& aFrom)>;
 
-  static result<std::unique_ptr<datagram_socket>> Open(
-    event_loop& aLoop,
-    const ip_address& aAddress,
-    received aReceived);
+  static result<std::unique_ptr<datagram_socket>>
+  Open(event_loop& aLoop, const ip_address& aAddress, received aReceived);
   ~datagram_socket() override;
   datagram_socket(const datagram_socket&) = delete;
   datagram_socket& operator=(const datagram_socket&) = delete;
--- a/Libraries/LibNet/EventLoop.cpp
+++ b/Libraries/LibNet/EventLoop.cpp
@@ -36,10 +36,12 @@
   // write, not the end of the process.
   (void)std::signal(SIGPIPE, SIG_IGN);
   tLoop = this;
-  static GSourceFuncs functions = {
-    &event_loop::Prepare, &event_loop::Check, &event_loop::Dispatch,
-    nullptr,              nullptr,            nullptr
-  };
+  static GSourceFuncs functions = { &event_loop::Prepare,
+                                    &event_loop::Check,
+                                    &event_loop::Dispatch,
+                                    nullptr,
+                                    nullptr,
+                                    nullptr };
   mSource = g_source_new(&functions, sizeof(loop_source));
   reinterpret_cast<loop_source*>(mSource)->mLoop = this;
   g_source_attach(mSource, nullptr);
@@ -188,8 +190,7 @@
     aPolled[i].revents = 0;
   }
   std::array<epoll_event, kEventsPerTurn> events{};
-  const int count =
-    epoll_wait(mEpoll, events.data(), kEventsPerTurn, aTimeout);
+  const int count = epoll_wait(mEpoll, events.data(), kEventsPerTurn, aTimeout);
   gint forGlib = 0;
   for (int i = 0; i < count; ++i) {
     const epoll_event& event = events[static_cast<std::size_t>(i)];
--- a/Libraries/LibNet/HttpClientCall.cpp
+++ b/Libraries/LibNet/HttpClientCall.cpp
@@ -15,9 +15,7 @@
 }
 
 void
-http_caller::Call(const http_call& aCall,
-                  duration aTimeout,
-                  answered aAnswered)
+http_caller::Call(const http_call& aCall, duration aTimeout, answered aAnswered)
 {
   std::string bytes = aCall.mMethod + ' ' + aCall.mTarget + " HTTP/1.1\r\n";
   AppendField(bytes, "Host", mServer.Text());
@@ -103,8 +101,7 @@
     Settle({});
     return;
   }
-  const http_answer answer{ mReader.Head().mStatus,
-                            std::move(mReader.Body()) };
+  const http_answer answer{ mReader.Head().mStatus, std::move(mReader.Body()) };
   if (!mReader.Head().mKeepAlive) {
     DropChannel();
   }
--- a/Libraries/LibNet/HttpMessage.cpp
+++ b/Libraries/LibNet/HttpMessage.cpp
@@ -10,9 +10,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kOneConnection = {
-  "connection", "keep-alive", "transfer-encoding", "content-length",
-  "te",         "trailer",    "upgrade",           "proxy-connection",
-  "expect"
+  "connection", "keep-alive", "transfer-encoding", "content-length", "te",
+  "trailer",    "upgrade",    "proxy-connection",  "expect"
 };
 
 char
@@ -49,9 +48,11 @@
 SameFieldName(std::string_view aOne, std::string_view aOther)
 {
   return std::equal(
-    aOne.begin(), aOne.end(), aOther.begin(), aOther.end(), [](char a, char b) {
-      return Lower(a) == Lower(b);
-    });
+    aOne.begin(),
+    aOne.end(),
+    aOther.begin(),
+    aOther.end(),
+    [](char aLeft, char aRight) { return Lower(aLeft) == Lower(aRight); });
 }
 
 std::optional<std::string_view>
--- a/Libraries/LibNet/HttpMessage.h
+++ b/Libraries/LibNet/HttpMessage.h
@@ -23,8 +23,8 @@
 /// The head of a request or of an answer.
 struct http_head
 {
-  std::string mMethod; ///< Requests only.
-  std::string mTarget; ///< Requests only: path and query as they were sent.
+  std::string mMethod;  ///< Requests only.
+  std::string mTarget;  ///< Requests only: path and query as they were sent.
   unsigned mStatus = 0; ///< Answers only.
   http_fields mFields;
   bool mKeepAlive = false; ///< The connection may serve another message.
@@ -50,7 +50,9 @@
 
 /// `name: value\r\n` at the end of a head that is being written.
 void
-AppendField(std::string& aHead, std::string_view aName, std::string_view aValue);
+AppendField(std::string& aHead,
+            std::string_view aName,
+            std::string_view aValue);
 
 /// The usual reason phrase of a status.
 std::string_view
--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -140,9 +140,8 @@
     }
   }
   for (const http_field& field : mHead.mFields) {
-    if (!IsToken(field.mName) ||
-        field.mValue.find_first_of(std::string_view("\r\n\0", 3)) !=
-          std::string::npos) {
+    if (!IsToken(field.mName) || field.mValue.find_first_of(std::string_view(
+                                   "\r\n\0", 3)) != std::string::npos) {
       return false;
     }
   }
--- a/Libraries/LibNet/TcpChannel.cpp
+++ b/Libraries/LibNet/TcpChannel.cpp
@@ -2,8 +2,8 @@
 #include "LibNet/SystemAddress.h"
 
 #include <algorithm>
-#include <array>
 #include <arpa/inet.h>
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <netinet/tcp.h>
@@ -154,8 +154,7 @@
     return;
   }
   const linger immediately{ 1, 0 };
-  setsockopt(
-    mSocket, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+  setsockopt(mSocket, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
   Close();
 }
 
--- a/Libraries/LibObserve/BoundedOutput.cpp
+++ b/Libraries/LibObserve/BoundedOutput.cpp
@@ -51,9 +51,8 @@
 bool
 TakeLine(line_budget& aBudget, double aNow)
 {
-  aBudget.mLeft = std::min(aBudget.mMost,
-                           aBudget.mLeft +
-                             (aNow - aBudget.mAt) * aBudget.mPerSecond);
+  aBudget.mLeft = std::min(
+    aBudget.mMost, aBudget.mLeft + (aNow - aBudget.mAt) * aBudget.mPerSecond);
   aBudget.mAt = aNow;
   if (aBudget.mLeft < 1) {
     return false;
--- a/Libraries/LibObserve/Log.cpp
+++ b/Libraries/LibObserve/Log.cpp
@@ -61,7 +61,8 @@
 /// Gathered routine lines go out at this size, or with the next `FlushLog`.
 constexpr std::size_t kFlushBytes = std::size_t{ 8 } * 1024;
 
-class bounded_sink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
+class bounded_sink final
+  : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
 {
 public:
   bounded_sink()
--- a/Tests/Gateway/GatewayTest.cpp
+++ b/Tests/Gateway/GatewayTest.cpp
@@ -132,10 +132,8 @@
                 "Expect-Instance: forged\r\n"));
     CPPUNIT_ASSERT_EQUAL(200U, caller.Status());
     CPPUNIT_ASSERT_EQUAL(std::string("ok"), caller.Body());
-    CPPUNIT_ASSERT_EQUAL(std::string("proof"),
-                         *caller.Field("response-seal"));
-    CPPUNIT_ASSERT_EQUAL(std::string("/safe/x"),
-                         w.mDesk.mHeads.at(0).mTarget);
+    CPPUNIT_ASSERT_EQUAL(std::string("proof"), *caller.Field("response-seal"));
+    CPPUNIT_ASSERT_EQUAL(std::string("/safe/x"), w.mDesk.mHeads.at(0).mTarget);
     CPPUNIT_ASSERT_EQUAL(std::string("hello"), w.mDesk.mBodies.at(0));
     CPPUNIT_ASSERT_EQUAL(std::string("kept"), w.mDesk.Field(0, "x-custom"));
     CPPUNIT_ASSERT_EQUAL(std::string("hanbit"), w.mDesk.Field(0, "tenant"));
@@ -163,8 +161,8 @@
   {
     world w;
     w.mStore.SetMood(standin_store::mood::Refusing);
-    w.mGateway = std::make_unique<gateway>(
-      w.mLoop, w.mSettings, platform::Adapter());
+    w.mGateway =
+      std::make_unique<gateway>(w.mLoop, w.mSettings, platform::Adapter());
     CPPUNIT_ASSERT(Capture<int>([&w]() -> result<int> {
       BOOST_LEAF_CHECK(w.mGateway->Start());
       return 0;
@@ -193,8 +191,7 @@
     w.Start();
     for (int i = 0; i < 5; ++i) {
       CPPUNIT_ASSERT_EQUAL(
-        200U,
-        w.Answered(w.Request("r" + std::to_string(i), "safe")).Status());
+        200U, w.Answered(w.Request("r" + std::to_string(i), "safe")).Status());
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), w.mDesk.mServer.Connections().size());
   }
@@ -207,8 +204,7 @@
   {
     world w;
     w.mDesk.mAnswer = [](connection& aConnection, const http_head& aHead) {
-      const std::string one =
-        GoodHead(aHead, "Content-Length: 2\r\n") + "ok";
+      const std::string one = GoodHead(aHead, "Content-Length: 2\r\n") + "ok";
       aConnection.mChannel->Write(one + one);
       aConnection.Next();
     };
@@ -349,8 +345,7 @@
     w.Start();
     for (int i = 0; i < 6; ++i) {
       CPPUNIT_ASSERT_EQUAL(
-        200U,
-        w.Answered(w.Request("r" + std::to_string(i), "safe")).Status());
+        200U, w.Answered(w.Request("r" + std::to_string(i), "safe")).Status());
     }
     // It is avoided after the first such answer.
     CPPUNIT_ASSERT(w.mDesk.mHeads.size() <= 1);
@@ -473,9 +468,7 @@
     standin_caller& caller =
       w.Ask(w.Request("r1", "stream", "Token-Usage: 1000,50\r\n"));
     w.Until(
-      [&caller]() {
-        return caller.Seen().find(Event(1)) != std::string::npos;
-      },
+      [&caller]() { return caller.Seen().find(Event(1)) != std::string::npos; },
       "the first event, before the second is whole");
     CPPUNIT_ASSERT(caller.Seen().find("half") == std::string::npos);
     std::string rest;
@@ -548,8 +541,7 @@
       const std::string filler(60000, 'x');
       for (int id = 1; bytes.size() < kMost; ++id) {
         AppendChunk(bytes,
-                    "id: " + std::to_string(id) + "\ndata: " + filler +
-                      "\n\n");
+                    "id: " + std::to_string(id) + "\ndata: " + filler + "\n\n");
       }
       aConnection.mChannel->Write(bytes);
     };
@@ -569,9 +561,8 @@
     aEngine.mAnswer = [aOrderStatus](connection& aConnection,
                                      const http_head& aHead) {
       if (aHead.mTarget == "/order") {
-        aConnection.mChannel->Write(
-          "HTTP/1.1 " + std::to_string(aOrderStatus) +
-          " X\r\nContent-Length: 2\r\n\r\n{}");
+        aConnection.mChannel->Write("HTTP/1.1 " + std::to_string(aOrderStatus) +
+                                    " X\r\nContent-Length: 2\r\n\r\n{}");
         aConnection.Next();
         return;
       }
@@ -603,9 +594,8 @@
     for (int i = 0; i < 4; ++i) {
       engines.push_back(std::make_unique<endpoint_fixture>(w.mLoop));
       Engine(*engines.back(), 200);
-      w.List("i-" + std::to_string(i),
-             "model",
-             engines.back()->mServer.Address());
+      w.List(
+        "i-" + std::to_string(i), "model", engines.back()->mServer.Address());
     }
     w.Start();
     const standin_caller& caller =
@@ -628,8 +618,8 @@
     bool named = false;
     for (const std::unique_ptr<endpoint_fixture>& engine : engines) {
       for (std::size_t i = 0; i < engine->mHeads.size(); ++i) {
-        named = named ||
-                engine->Field(i, "helpers").find('/') != std::string::npos;
+        named =
+          named || engine->Field(i, "helpers").find('/') != std::string::npos;
       }
     }
     CPPUNIT_ASSERT(named);
@@ -645,9 +635,8 @@
     for (int i = 0; i < 4; ++i) {
       engines.push_back(std::make_unique<endpoint_fixture>(w.mLoop));
       Engine(*engines.back(), 409);
-      w.List("i-" + std::to_string(i),
-             "model",
-             engines.back()->mServer.Address());
+      w.List(
+        "i-" + std::to_string(i), "model", engines.back()->mServer.Address());
     }
     w.Start();
     const standin_caller& caller =
@@ -695,7 +684,9 @@
     CPPUNIT_ASSERT_EQUAL(404U, w.Answered(w.Request("r1", "added")).Status());
     w.PutManifest(9, "added");
     w.Until(
-      [&w]() { return w.mGateway->Board().mManifest->Manifest().mVersion == 9; },
+      [&w]() {
+        return w.mGateway->Board().mManifest->Manifest().mVersion == 9;
+      },
       "the new version");
     CPPUNIT_ASSERT_EQUAL(200U, w.Answered(w.Request("r2", "added")).Status());
     // An older one that comes late changes nothing.
@@ -732,7 +723,9 @@
     w.For(milliseconds(200));
     w.mStore.SetMood(standin_store::mood::Good);
     w.Until(
-      [&w]() { return w.mGateway->Board().mManifest->Manifest().mVersion == 9; },
+      [&w]() {
+        return w.mGateway->Board().mManifest->Manifest().mVersion == 9;
+      },
       "the newest version");
   }
 
@@ -744,14 +737,14 @@
     w.List("i-desk", "desk", w.mDesk.mServer.Address(), "draining");
     w.Until(
       [&w]() {
-        return w.mGateway->Board().mEndpoints.mEndpoints.at("i-desk")
+        return w.mGateway->Board()
+          .mEndpoints.mEndpoints.at("i-desk")
           .mListed.mLeaving;
       },
       "the change of the list");
     for (int i = 0; i < 10; ++i) {
       CPPUNIT_ASSERT_EQUAL(
-        200U,
-        w.Answered(w.Request("r" + std::to_string(i), "safe")).Status());
+        200U, w.Answered(w.Request("r" + std::to_string(i), "safe")).Status());
     }
     CPPUNIT_ASSERT(w.mDesk.mHeads.empty());
   }
--- a/Tests/Gateway/Standin.cpp
+++ b/Tests/Gateway/Standin.cpp
@@ -17,7 +17,7 @@
 {
   gchar* const text = g_base64_encode(
     reinterpret_cast<const guchar*>(aText.data()), aText.size());
-  const std::string encoded = text;
+  std::string encoded = text;
   g_free(text);
   return encoded;
 }
@@ -74,11 +74,10 @@
 {
   outcome<std::unique_ptr<tcp_listener>> opened =
     Capture<std::unique_ptr<tcp_listener>>([this]() {
-      return tcp_listener::Open(
-        mLoop, { "127.0.0.1", 0 }, [this](int aSocket) {
-          mConnections.push_back(
-            std::make_shared<connection>(*this, mLoop, aSocket));
-        });
+      return tcp_listener::Open(mLoop, { "127.0.0.1", 0 }, [this](int aSocket) {
+        mConnections.push_back(
+          std::make_shared<connection>(*this, mLoop, aSocket));
+      });
     });
   CPPUNIT_ASSERT(opened);
   mListener = std::move(*opened.mValue);
@@ -101,12 +100,11 @@
 }
 
 standin_store::standin_store(event_loop& aLoop)
-  : mServer(aLoop,
-            [this](standin_server::connection& aConnection,
-                   const http_head& aHead,
-                   const std::string& aBody) {
-              Handle(aConnection, aHead, aBody);
-            })
+  : mServer(
+      aLoop,
+      [this](standin_server::connection& aConnection,
+             const http_head& aHead,
+             const std::string& aBody) { Handle(aConnection, aHead, aBody); })
 {
 }
 
@@ -176,9 +174,9 @@
                       unsigned aStatus,
                       const std::string& aBody)
 {
-  std::string text =
-    "HTTP/1.1 " + std::to_string(aStatus) + " X\r\nContent-Length: " +
-    std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+  std::string text = "HTTP/1.1 " + std::to_string(aStatus) +
+                     " X\r\nContent-Length: " + std::to_string(aBody.size()) +
+                     "\r\n\r\n" + aBody;
   aConnection.mChannel->Write(text);
   aConnection.Next();
 }
@@ -244,10 +242,9 @@
 }
 
 standin_caller::standin_caller(event_loop& aLoop, std::uint16_t aPort)
-  : mChannel(std::make_shared<tcp_channel>(
-      aLoop,
-      ip_address{ "127.0.0.1", aPort },
-      kNoLimits))
+  : mChannel(std::make_shared<tcp_channel>(aLoop,
+                                           ip_address{ "127.0.0.1", aPort },
+                                           kNoLimits))
 {
   mChannel->SetOwner(this);
 }
@@ -345,10 +342,10 @@
                     const ip_address& aAddress,
                     const std::string& aState)
 {
-  const json row = { { "service", aService },   { "addr", aAddress.Text() },
-                     { "zone", "a" },           { "version", "v1" },
-                     { "slots", 16 },           { "state", aState },
-                     { "cold_left_ms", 0 },     { "seq", 1 } };
+  const json row = { { "service", aService }, { "addr", aAddress.Text() },
+                     { "zone", "a" },         { "version", "v1" },
+                     { "slots", 16 },         { "state", aState },
+                     { "cold_left_ms", 0 },   { "seq", 1 } };
   mStore.Put("servers", aId, row.dump());
 }
 
@@ -361,13 +358,17 @@
                              const std::string& aService,
                              unsigned aAttempts,
                              bool aResumable) {
-    json one = { { "name", aPath },          { "host", "h.example" },
+    json one = { { "name", aPath },
+                 { "host", "h.example" },
                  { "prefix", "/" + aPath + "/" },
-                 { "kind", aKind },          { "timeout_ms", 5000 },
+                 { "kind", aKind },
+                 { "timeout_ms", 5000 },
                  { "target_latency_ms", 2000 },
-                 { "priority", 1 },          { "service", aService },
+                 { "priority", 1 },
+                 { "service", aService },
                  { "max_attempts", aAttempts },
-                 { "auth_exempt", false },   { "resumable", aResumable } };
+                 { "auth_exempt", false },
+                 { "resumable", aResumable } };
     if (aKind == "stream") {
       one["gap_aim_ms"] = 250;
     }
@@ -379,8 +380,10 @@
   if (!aExtra.empty()) {
     add(aExtra, "safe", "desk", 2, false);
   }
-  const json engine = { { "slots", 16 },          { "kv_cache_tokens", 315000 },
-                        { "stride", 51 },         { "step_ms", 0.85 },
+  const json engine = { { "slots", 16 },
+                        { "kv_cache_tokens", 315000 },
+                        { "stride", 51 },
+                        { "step_ms", 0.85 },
                         { "per_seq_ms", 0.00425 },
                         { "context_per_k", 0.00285 },
                         { "read_per_s", 177000.0 },
@@ -409,8 +412,7 @@
 void
 gateway_world::Start()
 {
-  mGateway =
-    std::make_unique<gateway>(mLoop, mSettings, platform::Adapter());
+  mGateway = std::make_unique<gateway>(mLoop, mSettings, platform::Adapter());
   CPPUNIT_ASSERT(Capture<int>([this]() -> result<int> {
     BOOST_LEAF_CHECK(mGateway->Start());
     return 0;
@@ -429,8 +431,9 @@
                        const std::string& aFields,
                        const std::string& aBody) const
 {
-  return "POST /" + aKind + "/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " +
-         aId + "\r\nAuthorization: Token key-1\r\n" + aFields +
+  return "POST /" + aKind +
+         "/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + aId +
+         "\r\nAuthorization: Token key-1\r\n" + aFields +
          "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
 }
 
--- a/Tests/Gateway/Standin.h
+++ b/Tests/Gateway/Standin.h
@@ -26,9 +26,8 @@
     http_reader mReader;
     bool mEnded = false;
   };
-  using handler = std::function<void(connection&,
-                                     const http_head&,
-                                     const std::string& aBody)>;
+  using handler = std::function<
+    void(connection&, const http_head&, const std::string& aBody)>;
 
   standin_server(event_loop& aLoop, handler aHandler);
   ip_address Address() const;
@@ -130,8 +129,7 @@
   gateway_world();
   /// Turns the loop until the condition holds; fails the test if it does not
   /// within a generous time.
-  void Until(const std::function<bool()>& aCondition,
-             const std::string& aWhat);
+  void Until(const std::function<bool()>& aCondition, const std::string& aWhat);
   /// Turns the loop for a while in which something must not happen.
   void For(duration aTime);
   /// Registers an endpoint of a service under an id.
--- a/Tests/Unit/HttpReaderTest.cpp
+++ b/Tests/Unit/HttpReaderTest.cpp
@@ -1,5 +1,5 @@
-#include "LibNet/EventCursor.h"
 #include "LibNet/HttpReader.h"
+#include "LibNet/EventCursor.h"
 #include "LibObserve/LibObserve.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -49,9 +49,9 @@
     http_reader reader(http_role::Request, http_limits{});
     std::string rest;
     const std::string next = Request("Content-Length: 0\r\n");
-    CPPUNIT_ASSERT(
-      ReadOne(reader, Request("Content-Length: 3\r\n", "abc") + next, &rest) ==
-      read_state::Complete);
+    CPPUNIT_ASSERT(ReadOne(reader,
+                           Request("Content-Length: 3\r\n", "abc") + next,
+                           &rest) == read_state::Complete);
     CPPUNIT_ASSERT_EQUAL(std::string("abc"), reader.Body());
     CPPUNIT_ASSERT_EQUAL(next, rest);
     CPPUNIT_ASSERT_EQUAL(std::string("/a/b?c"), reader.Head().mTarget);
@@ -74,9 +74,9 @@
       std::string second = whole.substr(cut);
       CPPUNIT_ASSERT(reader.Read(second) == read_state::Complete);
       CPPUNIT_ASSERT_EQUAL(std::string("abcdefg"), reader.Body());
-      CPPUNIT_ASSERT_EQUAL(std::string("1"),
-                           std::string(*FieldValue(reader.Head().mFields,
-                                                   "x-one")));
+      CPPUNIT_ASSERT_EQUAL(
+        std::string("1"),
+        std::string(*FieldValue(reader.Head().mFields, "x-one")));
     }
   }
 
@@ -97,9 +97,9 @@
            "Content-Length: -1\r\n",
            "Content-Length: 3, 4\r\n" }) {
       http_reader reader(http_role::Request, http_limits{});
-      CPPUNIT_ASSERT_MESSAGE(
-        fields,
-        ReadOne(reader, Request(fields, "abcd")) == read_state::Malformed);
+      CPPUNIT_ASSERT_MESSAGE(fields,
+                             ReadOne(reader, Request(fields, "abcd")) ==
+                               read_state::Malformed);
     }
     http_reader reader(http_role::Request, http_limits{});
     CPPUNIT_ASSERT(ReadOne(reader, "not a request\r\n\r\n") ==
@@ -109,13 +109,13 @@
   void LimitsHold()
   {
     http_reader reader(http_role::Request, http_limits{ 200, 10 });
-    CPPUNIT_ASSERT(ReadOne(reader,
-                           Request("Content-Length: 11\r\n", "12345678901")) ==
-                   read_state::BodyTooBig);
+    CPPUNIT_ASSERT(
+      ReadOne(reader, Request("Content-Length: 11\r\n", "12345678901")) ==
+      read_state::BodyTooBig);
     reader.Restart();
-    CPPUNIT_ASSERT(ReadOne(reader,
-                           "GET / HTTP/1.1\r\nX: " + std::string(300, 'x')) ==
-                   read_state::HeadTooBig);
+    CPPUNIT_ASSERT(
+      ReadOne(reader, "GET / HTTP/1.1\r\nX: " + std::string(300, 'x')) ==
+      read_state::HeadTooBig);
   }
 
   void AnswerWithoutLengthEndsWithConnection()
@@ -140,11 +140,10 @@
   void InterimAnswersArePassedOver()
   {
     http_reader reader(http_role::Answer, http_limits{});
-    CPPUNIT_ASSERT(
-      ReadOne(reader,
-              "HTTP/1.1 100 Continue\r\n\r\n"
-              "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na") ==
-      read_state::Complete);
+    CPPUNIT_ASSERT(ReadOne(reader,
+                           "HTTP/1.1 100 Continue\r\n\r\n"
+                           "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na") ==
+                   read_state::Complete);
     CPPUNIT_ASSERT_EQUAL(200U, reader.Head().mStatus);
   }
 
@@ -197,9 +196,9 @@
     output.Flush();
     const ssize_t size = read(ends[0], seen.data(), seen.size());
     CPPUNIT_ASSERT(size > 0);
-    CPPUNIT_ASSERT(
-      std::string_view(seen.data(), static_cast<std::size_t>(size))
-        .find("event=log_lines_dropped lines=") != std::string_view::npos);
+    CPPUNIT_ASSERT(std::string_view(seen.data(), static_cast<std::size_t>(size))
+                     .find("event=log_lines_dropped lines=") !=
+                   std::string_view::npos);
     close(ends[0]);
     close(ends[1]);
   }
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -31,16 +31,19 @@
 engine_work
 Clip()
 {
-  return { "model",           5000, 1600, milliseconds(250), milliseconds(300),
+  return { "model",          5000, 1600, milliseconds(250), milliseconds(300),
            WorthOfWork(5000) };
 }
 
 engine_work
 Review(double aTokens)
 {
-  return { "model",        aTokens,
-           800,            milliseconds(1000),
-           milliseconds(3000), WorthOfWork(aTokens) };
+  return { "model",
+           aTokens,
+           800,
+           milliseconds(1000),
+           milliseconds(3000),
+           WorthOfWork(aTokens) };
 }
 
 struct fleet
@@ -62,8 +65,7 @@
 
   engine_choice Choose(const engine_work& aWork, time_point aNow = kStart)
   {
-    return *PlaceOnEngines(
-      mBoard, mLedger, Timing(), aWork, {}, "a", aNow);
+    return *PlaceOnEngines(mBoard, mLedger, Timing(), aWork, {}, "a", aNow);
   }
 
   placement_key Place(const engine_work& aWork, time_point aNow = kStart)
@@ -228,9 +230,9 @@
     CPPUNIT_ASSERT(choice.mVerdict == engine_verdict::Send);
     CPPUNIT_ASSERT(choice.mHolders >= 1);
     CPPUNIT_ASSERT(choice.mHolders <= choice.mReaders.size());
-    CPPUNIT_ASSERT(
-      static_cast<double>(choice.mHolders) * choice.mHolderTokens + 315000 >=
-      500000);
+    CPPUNIT_ASSERT(static_cast<double>(choice.mHolders) * choice.mHolderTokens +
+                     315000 >=
+                   500000);
   }
 
   void LeavingEngineGetsNothing()
@@ -264,8 +266,7 @@
       NoteSign(known.mHealth, endpoint_sign::Silent, kStart);
     }
     CPPUNIT_ASSERT(
-      PlaceOnEngines(
-        f.mBoard, f.mLedger, Timing(), Clip(), {}, "a", kStart)
+      PlaceOnEngines(f.mBoard, f.mLedger, Timing(), Clip(), {}, "a", kStart)
         .has_value());
   }
 
@@ -291,8 +292,7 @@
       for (const bool place : steps) {
         now += milliseconds(*rc::gen::inRange(0, 50));
         if (place || open.empty()) {
-          open.push_back(
-            f.Place(Review(*rc::gen::inRange(1000, 700000)), now));
+          open.push_back(f.Place(Review(*rc::gen::inRange(1000, 700000)), now));
           continue;
         }
         NoteEnded(f.mLedger, open.back(), placement_end::Unread, now);
@@ -391,8 +391,9 @@
       m.mRoutes.push_back(r);
     }
     const manifest_index index(m);
-    CPPUNIT_ASSERT_EQUAL(std::string("/a/b/"),
-                         index.FindRoute("host.example", "/a/b/c?x=/z/")->mName);
+    CPPUNIT_ASSERT_EQUAL(
+      std::string("/a/b/"),
+      index.FindRoute("host.example", "/a/b/c?x=/z/")->mName);
     CPPUNIT_ASSERT_EQUAL(std::string("/a/"),
                          index.FindRoute("host.example:80", "/a/b")->mName);
     CPPUNIT_ASSERT_EQUAL(std::string("/"),
