An entry that cannot reach the store asks its peers; SIGHUP reloads

Change: entries keep the rows as they read them and serve them to peers; an entry without a manifest asks one after 250 ms, one whose store fails asks when a peer tells of newer beliefs. Revisions go with the rows, removals too. SIGHUP reads the settings again and takes over bounds and seeds. Ruled out: serving from a manifest kept on disk (there is none). Tests: EntryWithoutStoreAsksItsPeers, NewEntryLearnsWhatIsPlaced, FullEngineIsBelieved.

--- a/Libraries/LibFleet/Endpoints.cpp
+++ b/Libraries/LibFleet/Endpoints.cpp
@@ -32,6 +32,33 @@
 
 } // namespace
 
+namespace {
+
+/// Removals that are remembered; a day replaces a tenth of this.
+constexpr std::size_t kMostGone = 4096;
+
+/// Forgets the older half of the removals when there are too many: a reading
+/// that is so stale that it still shows one of them is not met any more.
+void
+ForgetOldRemovals(endpoint_board& aBoard)
+{
+  if (aBoard.mGone.size() <= kMostGone) {
+    return;
+  }
+  std::vector<std::uint64_t> revisions;
+  for (const auto& [id, revision] : aBoard.mGone) {
+    revisions.push_back(revision);
+  }
+  const auto middle =
+    revisions.begin() + static_cast<std::ptrdiff_t>(revisions.size() / 2);
+  std::nth_element(revisions.begin(), middle, revisions.end());
+  std::erase_if(aBoard.mGone, [oldest = *middle](const auto& aEntry) {
+    return aEntry.second < oldest;
+  });
+}
+
+} // namespace
+
 listing
 ApplyRow(endpoint_board& aBoard, const row_change<endpoint>& aChange)
 {
@@ -47,6 +74,7 @@
   }
   if (!aChange.mValue.has_value()) {
     aBoard.mGone[aChange.mKey] = aChange.mRevision;
+    ForgetOldRemovals(aBoard);
     return aBoard.mEndpoints.erase(aChange.mKey) != 0 ? listing::Left
                                                       : listing::Unchanged;
   }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -16,6 +16,10 @@
 constexpr duration kRegisterTimeout = std::chrono::milliseconds(900);
 constexpr duration kRegisterPause = std::chrono::milliseconds(700);
 
+/// An entry that starts asks the platform; if that has not answered by now, the
+/// peers, so that a restart while the platform is away serves all the same.
+constexpr duration kStoreFirst = std::chrono::milliseconds(250);
+
 constexpr unsigned kGood = 200;
 constexpr unsigned kNotReady = 503;
 
@@ -56,7 +60,12 @@
              if (aList && mEndpointFollower->Reached()) {
                mEndpointFollower->Refresh();
              }
+             if (!mManifestFollower->Reached() ||
+                 !mEndpointFollower->Reached()) {
+               AskPeers();
+             }
            })
+  , mPeerBeliefs(aLoop, mSettings)
   , mContext{ mLoop, mSettings, mAdapter, mBoard, mConnections, mPeers }
 {
   mBoard.mBoot = FreshSeed();
@@ -99,9 +108,11 @@
       [this](const table_reading& aReading) {
         OnEndpoints(aReading, false);
       } });
+  mStarted = mLoop.Now();
   mManifestFollower->Start();
   mEndpointFollower->Start();
   BOOST_LEAF_CHECK(mPeers.Open());
+  BOOST_LEAF_CHECK(mPeerBeliefs.Open([this]() { return Beliefs(); }));
   mRegistrar = std::make_unique<http_caller>(mLoop, mSettings.mStore);
   Register();
   BOOST_LEAF_ASSIGN(
@@ -204,6 +215,7 @@
         { "organisations", decoded.mValue->mOrganisations.size() } });
   mBoard.mMetrics.Set("gateway_manifest_version",
                       static_cast<double>(decoded.mValue->mVersion));
+  mManifestRow = aRow;
   mBoard.mManifest = std::make_shared<const manifest_index>(*decoded.mValue);
   mBoard.mManifestSince = mLoop.Now();
 }
@@ -224,6 +236,19 @@
   }
 }
 
+void
+gateway::KeepRows(const std::vector<row_change<std::string>>& aRows)
+{
+  for (const row_change<std::string>& row : aRows) {
+    const auto known = mBoard.mEndpoints.mEndpoints.find(row.mKey);
+    if (known == mBoard.mEndpoints.mEndpoints.end()) {
+      mEndpointRows.erase(row.mKey);
+    } else if (known->second.mRevision == row.mRevision) {
+      mEndpointRows[row.mKey] = row;
+    }
+  }
+}
+
 void
 gateway::OnEndpoints(const table_reading& aReading, bool aWhole)
 {
@@ -247,15 +272,78 @@
   for (const row_change<endpoint>& row : rows) {
     NoteListing(row.mKey, ApplyRow(mBoard.mEndpoints, row));
   }
+  KeepRows(aReading.mRows);
   if (aWhole) {
     for (const std::string& id :
          ApplyWholeList(mBoard.mEndpoints, rows, aReading.mRevision)) {
       NoteListing(id, listing::Left);
+      mEndpointRows.erase(id);
     }
     mBoard.mEndpointsKnown = true;
   }
 }
 
+believed_rows
+gateway::Beliefs() const
+{
+  believed_rows rows;
+  rows.mManifest = mManifestRow;
+  for (const auto& [id, row] : mEndpointRows) {
+    rows.mEndpoints.push_back(row);
+  }
+  for (const auto& [id, revision] : mBoard.mEndpoints.mGone) {
+    rows.mEndpoints.push_back({ id, revision, std::nullopt });
+  }
+  return rows;
+}
+
+void
+gateway::AskPeers()
+{
+  if (mBoard.mPeers.empty()) {
+    return;
+  }
+  std::map<std::string, peer_entry>::const_iterator peer =
+    mBoard.mPeers.begin();
+  std::advance(
+    peer,
+    static_cast<std::ptrdiff_t>(Below(mBoard.mRandom, mBoard.mPeers.size())));
+  mPeerBeliefs.Ask(peer->first,
+                   [this](const believed_rows& aRows) { TakeBeliefs(aRows); });
+}
+
+void
+gateway::TakeBeliefs(const believed_rows& aRows)
+{
+  if (aRows.mManifest.has_value()) {
+    OnManifestRow(*aRows.mManifest);
+  }
+  if (aRows.mEndpoints.empty()) {
+    return;
+  }
+  table_reading reading;
+  reading.mRows = aRows.mEndpoints;
+  OnEndpoints(reading, false);
+  mBoard.mEndpointsKnown = true;
+}
+
+void
+gateway::Reload(const gateway_settings& aSettings)
+{
+  gateway_settings restart = aSettings;
+  restart.mGrace = mSettings.mGrace;
+  restart.mRepeats = mSettings.mRepeats;
+  restart.mSeeds = mSettings.mSeeds;
+  Log(log_level::Info,
+      "reload",
+      { { "changed", static_cast<int>(aSettings != mSettings) },
+        { "needs_restart", static_cast<int>(restart != mSettings) } });
+  mSettings.mGrace = aSettings.mGrace;
+  mSettings.mRepeats = aSettings.mRepeats;
+  mSettings.mSeeds = aSettings.mSeeds;
+  mPeers.AddHosts(mSettings.mSeeds);
+}
+
 void
 gateway::Register()
 {
@@ -303,6 +391,10 @@
   if (mBoard.mDraining) {
     CheckDrained();
   }
+  if ((mBoard.mManifest == nullptr || !mBoard.mEndpointsKnown) &&
+      mLoop.Now() - mStarted > kStoreFirst) {
+    AskPeers();
+  }
   mTimer = mLoop.After(kTick, [this]() {
     mTimer = 0;
     Tick();
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -3,6 +3,7 @@
 /// The whole gateway of one process.
 
 #include "LibGateway/CallerConnection.h"
+#include "LibGateway/PeerBeliefs.h"
 #include "LibGateway/TableFollower.h"
 
 namespace primrose {
@@ -18,6 +19,8 @@
   gateway& operator=(const gateway&) = delete;
 
   result<void> Start();
+  /// Takes over what may change while the process runs; says what may not.
+  void Reload(const gateway_settings& aSettings);
   /// Says "not ready", lets what is in flight end, and then quits the loop.
   void Drain();
   const gateway_board& Board() const { return mBoard; }
@@ -30,7 +33,11 @@
   bool Ready() const;
   void OnManifestRow(const row_change<std::string>& aRow);
   void OnEndpoints(const table_reading& aReading, bool aWhole);
+  void KeepRows(const std::vector<row_change<std::string>>& aRows);
   void NoteListing(const std::string& aId, listing aListing);
+  void AskPeers();
+  void TakeBeliefs(const believed_rows& aRows);
+  believed_rows Beliefs() const;
   void Register();
   void LearnEntries();
   void Tick();
@@ -43,7 +50,12 @@
   gateway_board mBoard;
   endpoint_connections mConnections;
   peer_news mPeers;
+  peer_beliefs mPeerBeliefs;
   gateway_context mContext;
+  /// The rows as the platform had them, for peers that cannot reach it.
+  std::optional<row_change<std::string>> mManifestRow;
+  std::map<std::string, row_change<std::string>> mEndpointRows;
+  time_point mStarted{};
   std::unique_ptr<table_follower> mManifestFollower;
   std::unique_ptr<table_follower> mEndpointFollower;
   std::unique_ptr<http_caller> mRegistrar;
--- a/Libraries/LibGateway/PeerNews.capnp
+++ b/Libraries/LibGateway/PeerNews.capnp
@@ -17,6 +17,20 @@
   holderTokens @8 :Float32;  # Memory that each of those holds.
 }
 
+# What an entry believes, as the platform's rows had it: asked for by an entry
+# that cannot reach the platform.
+struct BelievedRow {
+  key @0 :Text;
+  revision @1 :UInt64;
+  value @2 :Data;
+  gone @3 :Bool;
+}
+
+struct PeerBeliefs {
+  manifest @0 :BelievedRow;
+  endpoints @1 :List(BelievedRow);
+}
+
 struct PeerNews {
   boot @0 :UInt64;              # Of the entry that tells; new at each start.
   placed @1 :List(PlacedWork);
--- a/Libraries/LibGateway/PeerNews.capnp.h
+++ b/Libraries/LibGateway/PeerNews.capnp.h
@@ -17,6 +17,8 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(a3f0c399bd720b59);
+CAPNP_DECLARE_SCHEMA(ebcd3d31b18b9707);
+CAPNP_DECLARE_SCHEMA(cb56f5f636ed2e7f);
 CAPNP_DECLARE_SCHEMA(866e2b3eef8a5cbd);
 
 }  // namespace schemas
@@ -40,6 +42,36 @@
   };
 };
 
+struct BelievedRow {
+  BelievedRow() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ebcd3d31b18b9707, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PeerBeliefs {
+  PeerBeliefs() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cb56f5f636ed2e7f, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerNews {
   PeerNews() = delete;
 
@@ -185,6 +217,199 @@
 };
 #endif  // !CAPNP_LITE
 
+class BelievedRow::Reader {
+public:
+  typedef BelievedRow Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasValue() const;
+  inline  ::capnp::Data::Reader getValue() const;
+
+  inline bool getGone() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class BelievedRow::Builder {
+public:
+  typedef BelievedRow Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasValue();
+  inline  ::capnp::Data::Builder getValue();
+  inline void setValue( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownValue();
+
+  inline bool getGone();
+  inline void setGone(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class BelievedRow::Pipeline {
+public:
+  typedef BelievedRow Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PeerBeliefs::Reader {
+public:
+  typedef PeerBeliefs Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasManifest() const;
+  inline  ::primrose::wire::BelievedRow::Reader getManifest() const;
+
+  inline bool hasEndpoints() const;
+  inline  ::capnp::List< ::primrose::wire::BelievedRow,  ::capnp::Kind::STRUCT>::Reader getEndpoints() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerBeliefs::Builder {
+public:
+  typedef PeerBeliefs Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasManifest();
+  inline  ::primrose::wire::BelievedRow::Builder getManifest();
+  inline void setManifest( ::primrose::wire::BelievedRow::Reader value);
+  inline  ::primrose::wire::BelievedRow::Builder initManifest();
+  inline void adoptManifest(::capnp::Orphan< ::primrose::wire::BelievedRow>&& value);
+  inline ::capnp::Orphan< ::primrose::wire::BelievedRow> disownManifest();
+
+  inline bool hasEndpoints();
+  inline  ::capnp::List< ::primrose::wire::BelievedRow,  ::capnp::Kind::STRUCT>::Builder getEndpoints();
+  inline void setEndpoints( ::capnp::List< ::primrose::wire::BelievedRow,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::primrose::wire::BelievedRow,  ::capnp::Kind::STRUCT>::Builder initEndpoints(unsigned int size);
+  inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::primrose::wire::BelievedRow,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::primrose::wire::BelievedRow,  ::capnp::Kind::STRUCT>> disownEndpoints();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerBeliefs::Pipeline {
+public:
+  typedef PeerBeliefs Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::primrose::wire::BelievedRow::Pipeline getManifest();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PeerNews::Reader {
 public:
   typedef PeerNews Reads;
@@ -495,6 +720,175 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool BelievedRow::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool BelievedRow::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader BelievedRow::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder BelievedRow::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void BelievedRow::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder BelievedRow::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void BelievedRow::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> BelievedRow::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t BelievedRow::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BelievedRow::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BelievedRow::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool BelievedRow::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool BelievedRow::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader BelievedRow::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder BelievedRow::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void BelievedRow::Builder::setValue( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder BelievedRow::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void BelievedRow::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> BelievedRow::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool BelievedRow::Reader::getGone() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool BelievedRow::Builder::getGone() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void BelievedRow::Builder::setGone(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerBeliefs::Reader::hasManifest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerBeliefs::Builder::hasManifest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::primrose::wire::BelievedRow::Reader PeerBeliefs::Reader::getManifest() const {
+  return ::capnp::_::PointerHelpers< ::primrose::wire::BelievedRow>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::primrose::wire::BelievedRow::Builder PeerBeliefs::Builder::getManifest() {
+  return ::capnp::_::PointerHelpers< ::primrose::wire::BelievedRow>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::primrose::wire::BelievedRow::Pipeline PeerBeliefs::Pipeline::getManifest() {
+  return  ::primrose::wire::BelievedRow::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void PeerBeliefs::Builder::setManifest( ::primrose::wire::BelievedRow::Reader value) {
+  ::capnp::_::PointerHelpers< ::primrose::wire::BelievedRow>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::primrose::wire::BelievedRow::Builder PeerBeliefs::Builder::initManifest() {
+  return ::capnp::_::PointerHelpers< ::primrose::wire::BelievedRow>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerBeliefs::Builder::adoptManifest(
+    ::capnp::Orphan< ::primrose::wire::BelievedRow>&& value) {
+  ::capnp::_::PointerHelpers< ::primrose::wire::BelievedRow>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::primrose::wire::BelievedRow> PeerBeliefs::Builder::disownManifest() {
+  return ::capnp::_::PointerHelpers< ::primrose::wire::BelievedRow>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerBeliefs::Reader::hasEndpoints() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerBeliefs::Builder::hasEndpoints() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::primrose::wire::BelievedRow,  ::capnp::Kind::STRUCT>::Reader PeerBeliefs::Reader::getEndpoints() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::primrose::wire::BelievedRow,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::primrose::wire::BelievedRow,  ::capnp::Kind::STRUCT>::Builder PeerBeliefs::Builder::getEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::primrose::wire::BelievedRow,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PeerBeliefs::Builder::setEndpoints( ::capnp::List< ::primrose::wire::BelievedRow,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::primrose::wire::BelievedRow,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::primrose::wire::BelievedRow,  ::capnp::Kind::STRUCT>::Builder PeerBeliefs::Builder::initEndpoints(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::primrose::wire::BelievedRow,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PeerBeliefs::Builder::adoptEndpoints(
+    ::capnp::Orphan< ::capnp::List< ::primrose::wire::BelievedRow,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::primrose::wire::BelievedRow,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::primrose::wire::BelievedRow,  ::capnp::Kind::STRUCT>> PeerBeliefs::Builder::disownEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::primrose::wire::BelievedRow,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t PeerNews::Reader::getBoot() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Libraries/LibNet/Datagram.cpp
+++ b/Libraries/LibNet/Datagram.cpp
@@ -58,6 +58,15 @@
     new datagram_socket(aLoop, opened, std::move(aReceived)));
 }
 
+std::uint16_t
+datagram_socket::Port() const
+{
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  getsockname(mSocket, reinterpret_cast<sockaddr*>(&address), &size);
+  return ntohs(address.sin_port);
+}
+
 void
 datagram_socket::Send(std::string_view aBytes, const ip_address& aTo)
 {
--- a/Libraries/LibNet/Datagram.h
+++ b/Libraries/LibNet/Datagram.h
@@ -23,6 +23,8 @@
   /// Sends, or drops where the system has no room; datagrams may be lost
   /// anyway, so nobody may rely on one.
   void Send(std::string_view aBytes, const ip_address& aTo);
+  /// The port, also where the system chose it.
+  std::uint16_t Port() const;
   void OnEvents(std::uint32_t aEvents) override;
 
 private:
--- a/Tests/Gateway/GatewayTest.cpp
+++ b/Tests/Gateway/GatewayTest.cpp
@@ -673,6 +673,10 @@
   CPPUNIT_TEST(SilentStoreIsAskedAgain);
   CPPUNIT_TEST(LeavingEndpointGetsNothingNew);
   CPPUNIT_TEST(EntryLeavesItsAddress);
+  CPPUNIT_TEST(EntryWithoutStoreAsksItsPeers);
+  CPPUNIT_TEST(NewEntryLearnsWhatIsPlaced);
+  CPPUNIT_TEST(LoneEntrySpendsLittleOfTheBudget);
+  CPPUNIT_TEST(BeliefsSurviveTheWire);
   CPPUNIT_TEST(DrainingEntryFinishesAndTakesNothing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -757,6 +761,110 @@
             "the entry's row");
   }
 
+  /// A second entry, on another loopback address, that knows the first.
+  static std::unique_ptr<gateway> Second(world& aWorld, bool aStore)
+  {
+    gateway_settings settings = aWorld.mSettings;
+    settings.mName = "entry-2";
+    settings.mCallers.mHost = "127.0.0.2";
+    settings.mReadiness.mHost = "127.0.0.2";
+    settings.mMetrics.mHost = "127.0.0.2";
+    settings.mPeers.mHost = "127.0.0.2";
+    settings.mSeeds = { "127.0.0.1" };
+    if (!aStore) {
+      settings.mStore = { "127.0.0.3", 9 };
+    }
+    std::unique_ptr<gateway> second =
+      std::make_unique<gateway>(aWorld.mLoop, settings, platform::Adapter());
+    CPPUNIT_ASSERT(Capture<int>([&second]() -> result<int> {
+      BOOST_LEAF_CHECK(second->Start());
+      return 0;
+    }));
+    return second;
+  }
+
+  /// Symptom: after a restart during an outage of the store an entry refuses
+  /// everything until the store is back, and so does one that the store turns
+  /// away. Sequence: the entry starts; the store does not answer; its peers
+  /// have the manifest. Cause: only the store was asked.
+  void EntryWithoutStoreAsksItsPeers()
+  {
+    world w;
+    w.mSettings.mPeers.mPort = w.FreePort();
+    w.Start();
+    const std::unique_ptr<gateway> second = Second(w, false);
+    w.Until(
+      [&second]() {
+        return second->Board().mManifest != nullptr &&
+               second->Board().mEndpointsKnown;
+      },
+      "the peer's rows");
+    CPPUNIT_ASSERT(second->Board().mEndpoints.mEndpoints.contains("i-desk"));
+    // It hears of later changes the same way, also of what left.
+    w.PutManifest(9, "added");
+    w.mStore.Remove("servers", "i-desk");
+    w.Until(
+      [&second]() {
+        return second->Board().mManifest->Manifest().mVersion == 9 &&
+               !second->Board().mEndpoints.mEndpoints.contains("i-desk");
+      },
+      "the changes");
+  }
+
+  /// Symptom: after a restart engines that are full shed what an entry sends.
+  /// Sequence: an entry places work; another starts and is told only of what
+  /// is placed from then on. Cause: it takes busy engines for idle ones.
+  void NewEntryLearnsWhatIsPlaced()
+  {
+    world w;
+    w.List("i-model", "model", w.mModel.mServer.Address());
+    w.mModel.mAnswer = nullptr;
+    w.mSettings.mPeers.mPort = w.FreePort();
+    w.Start();
+    (void)w.Ask(w.Request("r1", "stream", "Token-Usage: 3000,50\r\n"));
+    w.Until([&w]() { return w.mModel.mHeads.size() == 1; }, "it is sent");
+    const std::unique_ptr<gateway> second = Second(w, true);
+    w.Until(
+      [&second]() { return second->Board().mLedger.mPlacements.size() == 1; },
+      "the placement of the first entry");
+    w.mCallers.back()->Leave();
+    w.Until([&second]() { return second->Board().mLedger.mPlacements.empty(); },
+            "its end");
+  }
+
+  /// Symptom: repeats over the operator's bound right after all entries were
+  /// killed. Sequence: each starts, knows of no other, and spends the whole of
+  /// the fixed part. Cause: an entry that knows nobody took itself for alone.
+  void LoneEntrySpendsLittleOfTheBudget()
+  {
+    gateway_board board;
+    const repeat_bound bound{ 0, 130, std::chrono::seconds(10) };
+    constexpr std::size_t kEntries = 27;
+    repeat_record record;
+    std::size_t granted = 0;
+    for (int i = 0; i < 200; ++i) {
+      granted +=
+        TakeRepeat(record, bound, EntryCount(board), time_point{}) ? 1U : 0U;
+    }
+    CPPUNIT_ASSERT(granted * kEntries <= 130);
+    board.mEntriesKnown = true;
+    board.mEntriesListed = kEntries;
+    CPPUNIT_ASSERT_EQUAL(kEntries, EntryCount(board));
+  }
+
+  void BeliefsSurviveTheWire()
+  {
+    believed_rows rows;
+    rows.mManifest = { "config", 7, std::string("{\0}", 3) };
+    rows.mEndpoints = { { "a", 3, "x" }, { "b", 9, std::nullopt } };
+    const outcome<believed_rows> read = Capture<believed_rows>(
+      [&rows]() { return DecodeBeliefs(EncodeBeliefs(rows)); });
+    CPPUNIT_ASSERT(read);
+    CPPUNIT_ASSERT(*read.mValue == rows);
+    CPPUNIT_ASSERT(!Capture<believed_rows>(
+      []() { return DecodeBeliefs("garbage!garbage!"); }));
+  }
+
   /// Symptom: a request is cut six seconds after the entry was told to stop.
   /// Sequence: SIGTERM; the last request in flight ends late, so the entry
   /// still listens; a new request comes and is cut at the end of the grace.
--- a/Tests/Gateway/Standin.cpp
+++ b/Tests/Gateway/Standin.cpp
@@ -409,6 +409,18 @@
   mStore.Put("op", "config", whole.dump());
 }
 
+std::uint16_t
+gateway_world::FreePort()
+{
+  const outcome<std::unique_ptr<datagram_socket>> opened =
+    Capture<std::unique_ptr<datagram_socket>>([this]() {
+      return datagram_socket::Open(
+        mLoop, { "127.0.0.1", 0 }, [](std::string_view, const ip_address&) {});
+    });
+  CPPUNIT_ASSERT(opened);
+  return (*opened.mValue)->Port();
+}
+
 void
 gateway_world::Start()
 {
--- a/Tests/Gateway/Standin.h
+++ b/Tests/Gateway/Standin.h
@@ -139,6 +139,8 @@
             const std::string& aState = "ready");
   void PutManifest(std::uint64_t aVersion, const std::string& aExtra = "");
   void Start();
+  /// A port that is free on the loopback addresses.
+  std::uint16_t FreePort();
   /// A request's bytes; `aKind` is the path's first part.
   std::string Request(const std::string& aId,
                       const std::string& aKind,
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -124,6 +124,7 @@
   CPPUNIT_TEST(IdleFleetReadsGiantWithHolders);
   CPPUNIT_TEST(LeavingEngineGetsNothing);
   CPPUNIT_TEST(AvoidedEnginesAreLeftOutWhileOthersAre);
+  CPPUNIT_TEST(FullEngineIsBelieved);
   CPPUNIT_TEST(DeadEntryLeavesNoWriters);
   CPPUNIT_TEST(LedgerReturnsToNothing);
   CPPUNIT_TEST_SUITE_END();
@@ -270,6 +271,20 @@
         .has_value());
   }
 
+  /// Symptom: an engine sheds one request after another. Sequence: entries
+  /// whose news are lost fill it; each takes it for idle. Cause: what the
+  /// engine says of its load is not heeded.
+  void FullEngineIsBelieved()
+  {
+    fleet f;
+    const std::string first = f.Choose(Clip()).mWriter->mListed.mId;
+    NoteSaid(f.mLedger, Hash(first), 40, kStart);
+    CPPUNIT_ASSERT(f.Choose(Clip()).mWriter->mListed.mId != first);
+    CPPUNIT_ASSERT_EQUAL(
+      first,
+      f.Choose(Clip(), kStart + std::chrono::seconds(2)).mWriter->mListed.mId);
+  }
+
   void DeadEntryLeavesNoWriters()
   {
     fleet f;
