A draining entry keeps listening and refuses what would outlive it

Change: it listens to the end; after 2.6 s a stream, or a call whose time limit is behind the end of the grace, is answered 503 at once with a Retry-After of 50 ms; short calls are served. The test of the drain now asserts that, and that nothing reaches an endpoint. Peers are asked for a manifest only when one of them has told of one.

--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -33,6 +33,7 @@
 constexpr double kRetryWhenListed = 0.3;
 constexpr double kRetryWhenRoom = 0.25;
 constexpr double kRetryWhenKnown = 0.5;
+constexpr double kRetryElsewhere = 0.05;
 
 constexpr unsigned kFirstError = 400;
 constexpr unsigned kFirstServerError = 500;
@@ -142,6 +143,10 @@
     limit = std::min(limit, *mFacts.mTimeLeft - kAnswerTime);
   }
   mDeadline = mBegan + limit;
+  if (WouldOutliveDrain(limit)) {
+    Refuse(error_kind::ShuttingDown, "draining", kRetryElsewhere);
+    return false;
+  }
   if (limit <= duration::zero()) {
     Refuse(error_kind::CannotMeetDeadline, "no_time_left", kRetryWhenRoom);
     return false;
@@ -149,6 +154,21 @@
   return true;
 }
 
+bool
+exchange::WouldOutliveDrain(duration aLimit) const
+{
+  // What is cut at the end of the grace is lost to its caller; what is refused
+  // now is served elsewhere. Callers still come when no other entry of their
+  // data centre is in rotation, so short calls are taken to the end.
+  const gateway_board& board = mContext.mBoard;
+  if (!board.mDraining || mBegan - board.mDrainBegan < kBalancerNotices) {
+    return false;
+  }
+  const time_point end =
+    board.mDrainBegan + mContext.mSettings.mGrace - kEndBeforeGrace;
+  return mRoute->mKind == call_kind::Stream || mBegan + aLimit > end;
+}
+
 bool
 exchange::Authenticate()
 {
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -69,6 +69,7 @@
   };
   bool Admit();
   bool Authenticate();
+  bool WouldOutliveDrain(duration aLimit) const;
   void Dispatch();
   bool ChooseEngines();
   bool ChoosePlain();
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -8,11 +8,6 @@
 
 /// House-keeping: overdue connections, expired placements, the end of a drain.
 constexpr duration kTick = std::chrono::milliseconds(100);
-/// The balancer takes an entry out after two probes a second apart; until then
-/// it sends new connections, so a draining entry listens a little longer.
-constexpr duration kListenWhileDraining = std::chrono::milliseconds(2600);
-/// Kept back from the grace for closing connections in order.
-constexpr duration kEndBeforeGrace = std::chrono::milliseconds(400);
 constexpr duration kRegisterTimeout = std::chrono::milliseconds(900);
 constexpr duration kRegisterPause = std::chrono::milliseconds(700);
 
@@ -392,7 +387,7 @@
     CheckDrained();
   }
   if ((mBoard.mManifest == nullptr || !mBoard.mEndpointsKnown) &&
-      mLoop.Now() - mStarted > kStoreFirst) {
+      mPeers.PeersHaveManifest() && mLoop.Now() - mStarted > kStoreFirst) {
     AskPeers();
   }
   mTimer = mLoop.After(kTick, [this]() {
@@ -408,7 +403,7 @@
     return;
   }
   mBoard.mDraining = true;
-  mDrainBegan = mLoop.Now();
+  mBoard.mDrainBegan = mLoop.Now();
   Log(log_level::Info,
       "draining",
       { { "open_requests", mBoard.mOpenRequests },
@@ -418,13 +413,10 @@
 void
 gateway::CheckDrained()
 {
-  const duration drained = mLoop.Now() - mDrainBegan;
+  const duration drained = mLoop.Now() - mBoard.mDrainBegan;
   const bool overdue = drained >= mSettings.mGrace - kEndBeforeGrace;
-  if (drained >= kListenWhileDraining) {
-    // From here on a request could not be finished within the grace, so none
-    // is taken: the caller sees a connection that was closed before its
-    // request was read, and goes elsewhere.
-    mCallers.reset();
+  if (drained >= kBalancerNotices && !mIdleClosed) {
+    mIdleClosed = true;
     std::vector<std::shared_ptr<caller_connection>> open;
     for (const auto& [key, connection] : mOpen) {
       open.push_back(connection);
@@ -433,8 +425,7 @@
       connection->CloseIfIdle();
     }
   }
-  if (!overdue &&
-      (drained < kListenWhileDraining || mBoard.mOpenRequests > 0)) {
+  if (!overdue && (drained < kBalancerNotices || mBoard.mOpenRequests > 0)) {
     return;
   }
   Log(log_level::Info,
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -63,7 +63,7 @@
   std::unique_ptr<tcp_listener> mReadiness;
   std::unique_ptr<tcp_listener> mMetrics;
   std::map<caller_connection*, std::shared_ptr<caller_connection>> mOpen;
-  time_point mDrainBegan{};
+  bool mIdleClosed = false; ///< Once, while draining.
   timer_id mTimer = 0;
 };
 
--- a/Libraries/LibGateway/GatewayBoard.h
+++ b/Libraries/LibGateway/GatewayBoard.h
@@ -36,6 +36,12 @@
   bool operator==(const peer_entry&) const = default;
 };
 
+/// The balancer takes an entry out after two probes a second apart; until then
+/// it sends new connections, which a draining entry serves like any other.
+inline constexpr duration kBalancerNotices = std::chrono::milliseconds(2600);
+/// Kept back from the grace for closing connections in order.
+inline constexpr duration kEndBeforeGrace = std::chrono::milliseconds(400);
+
 struct gateway_board
 {
   manifest_pointer mManifest;
@@ -51,6 +57,7 @@
   std::uint64_t mLastPlacement = 0;
   std::size_t mOpenRequests = 0;
   bool mDraining = false;
+  time_point mDrainBegan{};
   random_engine mRandom;
   metrics mMetrics;
 };
--- a/Libraries/LibGateway/PeerNews.h
+++ b/Libraries/LibGateway/PeerNews.h
@@ -26,6 +26,8 @@
   void TellPlaced(const placement& aPlaced);
   void TellEnded(placement_key aKey, placement_end aEnd);
   void TellLeaving();
+  /// True if a peer has told that it has a manifest.
+  bool PeersHaveManifest() const { return mNewestManifest > 0; }
 
 private:
   void Flush();
--- a/Tests/Gateway/GatewayTest.cpp
+++ b/Tests/Gateway/GatewayTest.cpp
@@ -677,7 +677,7 @@
   CPPUNIT_TEST(NewEntryLearnsWhatIsPlaced);
   CPPUNIT_TEST(LoneEntrySpendsLittleOfTheBudget);
   CPPUNIT_TEST(BeliefsSurviveTheWire);
-  CPPUNIT_TEST(DrainingEntryFinishesAndTakesNothing);
+  CPPUNIT_TEST(DrainingEntryFinishesAndRefusesLongWork);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -865,27 +865,42 @@
       []() { return DecodeBeliefs("garbage!garbage!"); }));
   }
 
-  /// Symptom: a request is cut six seconds after the entry was told to stop.
-  /// Sequence: SIGTERM; the last request in flight ends late, so the entry
-  /// still listens; a new request comes and is cut at the end of the grace.
-  /// Cause: a draining entry took requests as long as it had any.
-  void DrainingEntryFinishesAndTakesNothing()
+  /// Symptom: a request is cut six seconds after the entry was told to stop,
+  /// or callers find no entry at all while all are restarted in turn.
+  /// Sequence: SIGTERM; the last request in flight ends late; a new stream
+  /// comes and is cut at the end of the grace. Or: the entry stops listening
+  /// while no other of its data centre is in rotation.
+  /// Cause: a draining entry took all requests, or none.
+  void DrainingEntryFinishesAndRefusesLongWork()
   {
     world w;
     w.mDesk.mAnswer = nullptr;
     w.Start();
     standin_caller& flying = w.Ask(w.Request("r1", "safe"));
     w.Until([&w]() { return w.mDesk.mHeads.size() == 1; }, "it is sent");
+    connection* const first = w.mDesk.mLast;
     w.mGateway->Drain();
     standin_caller probe(w.mLoop, w.mGateway->ReadinessPort());
     probe.Send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
     w.Until([&probe]() { return probe.Answered(); }, "a probe");
     CPPUNIT_ASSERT_EQUAL(503U, probe.Status());
-    // With a request in flight the listener closes all the same.
-    w.Until([&w]() { return w.mGateway->CallersPort() == 0; },
-            "the listener is closed");
+    // Once the balancer has had time to notice, a request that could outlive
+    // the grace is refused at once, with the promise that it did not run.
+    w.For(milliseconds(2700));
+    const standin_caller& refused =
+      w.Answered(w.Request("r2", "stream", "Token-Usage: 1000,50\r\n"));
+    CPPUNIT_ASSERT_EQUAL(503U, refused.Status());
+    CPPUNIT_ASSERT(refused.Field("retry-after").has_value());
+    CPPUNIT_ASSERT(w.mModel.mHeads.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), w.mGateway->Board().mOpenRequests);
-    AnswerOk(*w.mDesk.mLast, w.mDesk.mHeads.at(0));
+    // A short call still ends in time, so it is served.
+    standin_caller& shortCall =
+      w.Ask(w.Request("r3", "safe", "Deadline-Ms: 1000\r\n"));
+    w.Until([&w]() { return w.mDesk.mHeads.size() == 2; }, "it is sent");
+    AnswerOk(*w.mDesk.mLast, w.mDesk.mHeads.at(1));
+    w.Until([&shortCall]() { return shortCall.Ended(); }, "its answer");
+    CPPUNIT_ASSERT_EQUAL(200U, shortCall.Status());
+    AnswerOk(*first, w.mDesk.mHeads.at(0));
     w.Until([&flying]() { return flying.Ended(); }, "the answer");
     CPPUNIT_ASSERT_EQUAL(200U, flying.Status());
     CPPUNIT_ASSERT_EQUAL(std::string("close"), *flying.Field("connection"));
