--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -235,9 +235,8 @@
                         GatheringCost(one, aWork) +
                         (HasRoom(one, aTiming, aWork) ? 0 : aWork.mWorth) +
                         (one.mAway ? kAwayPenalty : 0);
-    // Of equals, the same one for all entries.
     const std::pair<double, std::uint64_t> ranked(
-      cost, Hash(one.mEndpoint->mListed.mId));
+      cost, Hash(one.mEndpoint->mListed.mId, aWork.mOrderSeed));
     if (best == nullptr || ranked < bestCost) {
       best = &one;
       bestCost = ranked;
@@ -458,7 +457,7 @@
                std::string_view aDataCentre,
                time_point aNow)
 {
-  const std::vector<candidate> candidates =
+  std::vector<candidate> candidates =
     Candidates(aBoard, aLedger, aTiming, aWork, aTried, aDataCentre, aNow);
   if (candidates.empty()) {
     return std::nullopt;
@@ -467,6 +466,18 @@
   if (reading <= kWholeMs) {
     return PlaceWhole(candidates, aTiming, aWork, reading);
   }
+  if (aWork.mOrderSeed != 0) {
+    // Engines that seem equal are not equal to others; in one order for all
+    // every entry would read its long prompts on the same ones.
+    const std::uint64_t seed =
+      aWork.mOrderSeed + static_cast<std::uint64_t>(aWork.mPromptTokens);
+    std::sort(candidates.begin(),
+              candidates.end(),
+              [seed](const candidate& aOne, const candidate& aOther) {
+                return Hash(aOne.mEndpoint->mListed.mId, seed) <
+                       Hash(aOther.mEndpoint->mListed.mId, seed);
+              });
+  }
   return PlaceDivided(candidates, aTiming, aWork, reading);
 }
 
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -26,6 +26,10 @@
   duration mLongestPause{};
   duration mObjective{};
   double mWorth = 0; ///< Against other requests; see `WorthOfWork`.
+  /// Order in which equal engines are taken. The same for all entries that know
+  /// of each other's placements, so that they gather on the same engines;
+  /// different where they do not, so that they do not meet on them blindly.
+  std::uint64_t mOrderSeed = 0;
 
   bool operator==(const engine_work&) const = default;
 };
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -223,6 +223,7 @@
                          : mRoute->mObjective;
   work.mObjective = mRoute->mObjective;
   work.mWorth = WorthOfWork(work.mPromptTokens);
+  work.mOrderSeed = board.mAllTold ? 0 : board.mBoot;
   const std::optional<engine_choice> choice =
     PlaceOnEngines(board.mEndpoints,
                    board.mLedger,
--- a/Libraries/LibGateway/PeerNews.cpp
+++ b/Libraries/LibGateway/PeerNews.cpp
@@ -2,9 +2,11 @@
 
 #include "LibGateway/PeerNews.capnp.h"
 
+#include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 #include <cstring>
+#include <iterator>
 
 namespace primrose {
 
@@ -13,11 +15,20 @@
 /// News of one such span goes in one datagram: short against a pass of an
 /// engine (50 ms), long against the time between two placements in a burst.
 constexpr duration kGather = std::chrono::milliseconds(3);
-/// How often an entry shows that it is there, and after how long a silent one
-/// counts as gone; with many peers less often, so that beats cost the same.
+/// How often an entry shows that it is there, and after how many times the
+/// usual span between two of its beats a silent one counts as gone.
 constexpr duration kBeat = std::chrono::seconds(1);
 constexpr unsigned kSilentBeats = 4;
-constexpr std::size_t kPeersPerBeat = 32;
+/// Up to so many peers, each is told everything. With more, an entry sends so
+/// many bytes of news a second (what a second saved up is spent at once), each
+/// piece to as many peers as that allows, drawn anew, but to no fewer than
+/// these. So what an entry sends does not grow with the fleet: the operators
+/// allow 15 KB a second for control, and beats take the rest. Engines' own
+/// statements of their load then carry more of what is known.
+constexpr std::size_t kMostPeersAllTold = 32;
+constexpr std::size_t kDrawnPeers = 12;
+constexpr double kNewsBytesPerSecond = 11e3;
+constexpr double kNewsBytesAtOnce = 33e3;
 /// Hosts not heard from are asked every so many beats.
 constexpr unsigned kCandidateBeats = 3;
 /// How long a peer may know more before this entry asks the platform anew.
@@ -29,10 +40,13 @@
 /// The largest datagram that is taken, in words of eight bytes.
 constexpr std::size_t kMostWords = 4096;
 
+/// The usual span between two beats of one peer, as this entry hears them.
 duration
-BeatEvery(std::size_t aPeers)
+SpanBetweenBeats(std::size_t aPeers)
 {
-  return kBeat * (1 + aPeers / kPeersPerBeat);
+  return aPeers <= kMostPeersAllTold
+           ? kBeat
+           : kBeat * static_cast<int>(1 + aPeers / kDrawnPeers);
 }
 
 void
@@ -229,11 +243,43 @@
   mPlaced.clear();
   mEnded.clear();
   mUnread.clear();
-  for (const auto& [host, peer] : mBoard.mPeers) {
+  for (const std::string& host : PeersToTell(bytes.size())) {
     mSocket->Send(bytes, { host, mSettings.mPeers.mPort });
   }
 }
 
+std::vector<std::string>
+peer_news::PeersToTell(std::size_t aBytes)
+{
+  std::vector<std::string> hosts;
+  hosts.reserve(mBoard.mPeers.size());
+  for (const auto& [host, peer] : mBoard.mPeers) {
+    hosts.push_back(host);
+  }
+  const time_point now = mLoop.Now();
+  mNewsBytes =
+    std::min(kNewsBytesAtOnce,
+             mNewsBytes + Seconds(now - mNewsBytesAt) * kNewsBytesPerSecond);
+  mNewsBytesAt = now;
+  const std::size_t affordable = static_cast<std::size_t>(
+    std::max(0.0, mNewsBytes) / static_cast<double>(aBytes));
+  mBoard.mAllTold = hosts.size() <= std::max(kMostPeersAllTold, affordable);
+  const std::size_t told =
+    mBoard.mAllTold ? hosts.size() : std::max(kDrawnPeers, affordable);
+  mNewsBytes = std::max(-kNewsBytesAtOnce,
+                        mNewsBytes - static_cast<double>(told * aBytes));
+  if (mBoard.mAllTold) {
+    return hosts;
+  }
+  std::vector<std::string> drawn;
+  std::sample(hosts.begin(),
+              hosts.end(),
+              std::back_inserter(drawn),
+              told,
+              mBoard.mRandom);
+  return drawn;
+}
+
 void
 peer_news::Greet(const std::string& aHost)
 {
@@ -266,7 +312,7 @@
     }
   }
   ++mBeats;
-  mBeatTimer = mLoop.After(BeatEvery(mBoard.mPeers.size()), [this]() {
+  mBeatTimer = mLoop.After(kBeat, [this]() {
     mBeatTimer = 0;
     Beat();
   });
@@ -307,7 +353,8 @@
 peer_news::ForgetSilent()
 {
   const time_point now = mLoop.Now();
-  const duration silence = kSilentBeats * BeatEvery(mBoard.mPeers.size());
+  const duration silence =
+    static_cast<int>(kSilentBeats) * SpanBetweenBeats(mBoard.mPeers.size());
   for (auto peer = mBoard.mPeers.begin(); peer != mBoard.mPeers.end();) {
     if (now - peer->second.mHeard < silence) {
       ++peer;
--- a/Libraries/LibGateway/PeerNews.h
+++ b/Libraries/LibGateway/PeerNews.h
@@ -36,6 +36,7 @@
   void OnNews(std::string_view aBytes, const ip_address& aFrom);
   void ForgetSilent();
   void Greet(const std::string& aHost);
+  std::vector<std::string> PeersToTell(std::size_t aBytes);
   void CompareBeliefs(std::uint64_t aManifest, std::uint64_t aList);
   bool ManifestBehind() const;
   bool ListBehind() const;
@@ -55,6 +56,8 @@
   std::uint64_t mNewestManifest = 0; ///< That a peer has told of.
   std::uint64_t mNewestList = 0;
   timer_id mBehindTimer = 0;
+  double mNewsBytes = 0; ///< That may still be sent; see `PeersToTell`.
+  time_point mNewsBytesAt{};
   bool mLeaving = false;
   unsigned mBeats = 0;
   timer_id mFlushTimer = 0;
--- a/Meta/primrosewind.sh
+++ b/Meta/primrosewind.sh
@@ -69,6 +69,12 @@
 lint() {
   cd "$root"
   sources | xargs clang-format --dry-run --Werror
+  # The platform's names stand in platform/ and in stand-ins of tests only.
+  if git grep -nE 'rows-feed|rows-tx|rows-get|op/config|Response-Seal|schema_ver|cold_left_ms|Not-Executed|Expect-Instance|Token-Usage|Prompt-Prefix|Server-Load' \
+    -- Libraries Services Utilities; then
+    echo "Names of the users' platform outside platform/" >&2
+    exit 1
+  fi
   # Every program and library, in parallel; the generated code is left out.
   sources | grep '\.cpp$' | xargs -P "$(nproc)" -n 1 \
     clang-tidy --quiet -p "$build" 2>/dev/null
