--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -36,7 +36,7 @@
 constexpr double kMixingPenalty = 0.45;
 /// For each writer more, up to the number gathered and beyond it.
 constexpr double kGatherGain = 0.01;
-constexpr double kCrowdPenalty = 0.06;
+constexpr double kCrowdPenalty = 0.13;
 /// For each engine that a prompt is divided over, and for the time until its
 /// parts are read, as shares of its worth.
 constexpr double kPartPenalty = 0.001;
