--- a/Meta/primrosewind.sh
+++ b/Meta/primrosewind.sh
@@ -36,6 +36,9 @@
                            Build/report
   costs                    what requests and decisions cost (docs/CAPACITY.md)
   fuzz [--seconds N]       the property tests with fresh seeds (default: 60)
+  soak [--seed N] [--seconds S] [--entries N]
+                           real gateways under faults from outside, each promise
+                           checked from what callers and endpoints saw
   help                     this text
 TEXT
 }
@@ -362,6 +365,11 @@
 bench) install_packages; build_all; bench "$@" ;;
 costs) install_packages; build_all; costs ;;
 fuzz) install_packages; build_all; fuzz "$@" ;;
+soak)
+  install_packages
+  build_all
+  "$bin/primrose-soak" --program "$bin/primrose-gateway" "$@"
+  ;;
 help | --help) usage ;;
 *)
   echo "unknown command \"$command\"" >&2
--- a/Tests/Gateway/Standin.cpp
+++ b/Tests/Gateway/Standin.cpp
@@ -242,9 +242,12 @@
 }
 
 standin_caller::standin_caller(event_loop& aLoop, std::uint16_t aPort)
-  : mChannel(std::make_shared<tcp_channel>(aLoop,
-                                           ip_address{ "127.0.0.1", aPort },
-                                           kNoLimits))
+  : standin_caller(aLoop, ip_address{ "127.0.0.1", aPort })
+{
+}
+
+standin_caller::standin_caller(event_loop& aLoop, const ip_address& aEntry)
+  : mChannel(std::make_shared<tcp_channel>(aLoop, aEntry, kNoLimits))
 {
   mChannel->SetOwner(this);
 }
@@ -341,16 +344,34 @@
                     const std::string& aService,
                     const ip_address& aAddress,
                     const std::string& aState)
+{
+  ListEndpoint(mStore, aId, aService, aAddress, aState);
+}
+
+void
+ListEndpoint(standin_store& aStore,
+             const std::string& aId,
+             const std::string& aService,
+             const ip_address& aAddress,
+             const std::string& aState)
 {
   const json row = { { "service", aService }, { "addr", aAddress.Text() },
                      { "zone", "a" },         { "version", "v1" },
                      { "slots", 16 },         { "state", aState },
                      { "cold_left_ms", 0 },   { "seq", 1 } };
-  mStore.Put("servers", aId, row.dump());
+  aStore.Put("servers", aId, row.dump());
 }
 
 void
 gateway_world::PutManifest(std::uint64_t aVersion, const std::string& aExtra)
+{
+  WriteManifest(mStore, aVersion, aExtra);
+}
+
+void
+WriteManifest(standin_store& aStore,
+              std::uint64_t aVersion,
+              const std::string& aExtra)
 {
   json routes = json::array();
   const auto add = [&routes](const std::string& aPath,
@@ -406,7 +427,7 @@
       json::array({ json{ { "name", "hanbit" },
                           { "api_keys", json::array({ "key-1" }) } } }) }
   };
-  mStore.Put("op", "config", whole.dump());
+  aStore.Put("op", "config", whole.dump());
 }
 
 std::uint16_t
@@ -442,6 +463,15 @@
                        const std::string& aKind,
                        const std::string& aFields,
                        const std::string& aBody) const
+{
+  return RequestText(aId, aKind, aFields, aBody);
+}
+
+std::string
+RequestText(const std::string& aId,
+            const std::string& aKind,
+            const std::string& aFields,
+            const std::string& aBody)
 {
   return "POST /" + aKind +
          "/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + aId +
--- a/Tests/Gateway/Standin.h
+++ b/Tests/Gateway/Standin.h
@@ -104,6 +104,7 @@
 {
 public:
   standin_caller(event_loop& aLoop, std::uint16_t aPort);
+  standin_caller(event_loop& aLoop, const ip_address& aEntry);
   void Send(const std::string& aBytes) { mChannel->Write(aBytes); }
   void Leave() { mChannel->Close(); }
   void StopReading(bool aStopped) { mChannel->PauseReading(aStopped); }
@@ -123,6 +124,27 @@
   bool mEnded = false;
 };
 
+/// Registers an endpoint of a service under an id.
+void
+ListEndpoint(standin_store& aStore,
+             const std::string& aId,
+             const std::string& aService,
+             const ip_address& aAddress,
+             const std::string& aState);
+
+/// Writes a manifest with routes of each kind, one of them named by `aExtra`.
+void
+WriteManifest(standin_store& aStore,
+              std::uint64_t aVersion,
+              const std::string& aExtra);
+
+/// A request's bytes; `aKind` is the path's first part.
+std::string
+RequestText(const std::string& aId,
+            const std::string& aKind,
+            const std::string& aFields,
+            const std::string& aBody);
+
 /// One gateway with its platform.
 struct gateway_world
 {
--- /dev/null
+++ b/Tests/Soak/SoakWorld.h
@@ -0,0 +1,106 @@
+#pragma once
+
+/// The processes, stand-ins and callers of a soak. The gateways are real
+/// processes, hurt from outside; the platform and the endpoints stand in the
+/// soak's own process.
+
+#include "Faults.h"
+#include "History.h"
+#include "Standin.h"
+
+#include <gio/gio.h>
+
+namespace primrose::soak {
+
+struct soak_size
+{
+  std::size_t mEntries = 3;
+  std::size_t mEngines = 4;
+  std::size_t mDesks = 2;
+};
+
+/// One gateway process.
+struct entry_process
+{
+  std::string mHost;
+  std::string mSettings; ///< Path of its settings file.
+  std::string mLog;
+  GSubprocess* mHandle = nullptr;
+  std::uint16_t mPort = 0; ///< Where callers connect.
+  bool mPaused = false;
+  bool mEnding = false; ///< Asked to end, or killed; a new start follows.
+  time_point mTakesCallersFrom{};
+  time_point mTakesCallersTo{};
+};
+
+/// One endpoint, with what is wrong with it just now.
+struct soak_endpoint
+{
+  std::string mId;
+  std::string mService;
+  std::size_t mIncarnation = 0;
+  std::optional<fault_kind> mFault;
+  std::unique_ptr<test::standin_server> mServer;
+  std::map<std::string, time_point> mReserved; ///< Until when.
+};
+
+class soak_world
+{
+public:
+  soak_world(std::string aProgram,
+             std::string aFolder,
+             std::uint64_t aSeed,
+             const soak_size& aSize);
+  ~soak_world();
+  soak_world(const soak_world&) = delete;
+  soak_world& operator=(const soak_world&) = delete;
+
+  /// Load under the faults of a seed, then a quiet time in which all ends.
+  void Run(duration aLength, std::uint64_t aSeed);
+  const soak_history& History() const { return mHistory; }
+
+private:
+  struct call;
+  void StartEntry(std::size_t aEntry);
+  void Begin(const fault& aFault);
+  void End(const fault& aFault);
+  void Hurt(std::size_t aEntry, duration aFor);
+  void Signal(std::size_t aEntry, int aSignal);
+  void Restart(std::size_t aEntry, duration aAfter);
+  void MakeEndpoint(std::size_t aEndpoint);
+  void Serve(std::size_t aEndpoint,
+             test::standin_server::connection& aConnection,
+             const http_head& aHead,
+             const std::string& aBody);
+  void ServeOrder(soak_endpoint& aEndpoint,
+                  test::standin_server::connection& aConnection,
+                  const std::string& aBody);
+  void Write(test::standin_server& aServer,
+             test::standin_server::connection& aConnection,
+             const std::string& aBytes,
+             bool aLast);
+  void SendRequest();
+  void Settle(const std::shared_ptr<call>& aCall);
+  void Look();
+  void PutManifest();
+  void CheckManifest(std::uint64_t aVersion);
+  void CheckMemory();
+  void After(duration aDelay, std::function<void()> aAction);
+
+  event_loop mLoop;
+  std::string mProgram;
+  std::string mFolder;
+  random_engine mRandom;
+  test::standin_store mStore;
+  std::vector<entry_process> mEntries;
+  std::vector<soak_endpoint> mEndpoints;
+  std::vector<std::shared_ptr<call>> mCalls;
+  soak_history mHistory;
+  std::uint64_t mVersion = 1;
+  time_point mStoreGoodSince{};
+  unsigned mStoreFaults = 0;
+  std::size_t mSent = 0;
+  bool mSending = false;
+};
+
+} // namespace primrose::soak
