What was taken on is not turned away

Cause, found by reading: a divided prompt that broke off was weighed again as if it had just come, and cut when the engines were busy. Now only a request that was sent nowhere yet is turned away. BrokenReviewIsNotTurnedAway was red before (the stream ended after its first event).

--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -43,7 +43,10 @@
   if (!choice.has_value()) {
     return false;
   }
-  if (choice->mVerdict != engine_verdict::Send) {
+  // What was taken on is not turned away when it has to go on elsewhere.
+  const bool takenOn =
+    !mTried.empty() && choice->mVerdict == engine_verdict::TurnAway;
+  if (choice->mVerdict != engine_verdict::Send && !takenOn) {
     TurnAway(*choice);
     return true;
   }
--- a/Tests/Gateway/GatewayTest.cpp
+++ b/Tests/Gateway/GatewayTest.cpp
@@ -443,6 +443,7 @@
   CPPUNIT_TEST_SUITE(stream_test);
   CPPUNIT_TEST(EventsAreForwardedAsTheyArrive);
   CPPUNIT_TEST(BrokenStreamGoesOnElsewhere);
+  CPPUNIT_TEST(BrokenReviewIsNotTurnedAway);
   CPPUNIT_TEST(StreamThatCannotGoOnIsCut);
   CPPUNIT_TEST(CallerThatDoesNotReadHoldsTheEndpointBack);
   CPPUNIT_TEST(GiantPromptSetsMemoryAsideAndFreesIt);
@@ -513,6 +514,37 @@
     CPPUNIT_ASSERT_EQUAL(std::string("2"), second.Field(0, "last-event-id"));
   }
 
+  /// Symptom: a review disappears after its first events though another engine
+  /// could go on. Sequence: it breaks off while the engines are busy; what it
+  /// takes from others is weighed again, and it is turned away.
+  /// Cause: a request that was taken on was judged as one that has just come.
+  void BrokenReviewIsNotTurnedAway()
+  {
+    world w;
+    endpoint_fixture other(w.mLoop);
+    const auto answer = [](connection& aConnection, const http_head& aHead) {
+      std::string bytes = GoodHead(aHead, "Transfer-Encoding: chunked\r\n");
+      if (!FieldValue(aHead.mFields, "last-event-id").has_value()) {
+        AppendChunk(bytes, Event(1));
+        aConnection.mChannel->Write(bytes);
+        aConnection.mChannel->CloseWhenDrained();
+        return;
+      }
+      AppendChunk(bytes, Event(2));
+      bytes.append(kLastChunk);
+      aConnection.mChannel->Write(bytes);
+    };
+    w.mModel.mAnswer = answer;
+    other.mAnswer = answer;
+    w.List("i-model", "model", w.mModel.mServer.Address());
+    w.List("i-other", "model", other.mServer.Address());
+    w.Start();
+    const standin_caller& caller =
+      w.Answered(w.Request("r1", "stream", "Token-Usage: 200000,50\r\n"));
+    CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2), caller.Body());
+    CPPUNIT_ASSERT(caller.Answered());
+  }
+
   void StreamThatCannotGoOnIsCut()
   {
     world w;
