--- a/Libraries/LibFleet/Endpoints.h
+++ b/Libraries/LibFleet/Endpoints.h
@@ -111,7 +111,7 @@
 
 /// The least busy endpoint of a plain service that is not in `aTried`; of
 /// equals, one of the same data centre, then by `aDraw` in [0, 1). Null if
-/// there is none. `aPeers` gives what other entries have outstanding there.
+/// there is none. Busy is what this process itself has outstanding there.
 known_endpoint*
 ChoosePlainEndpoint(endpoint_board& aBoard,
                     std::string_view aService,
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -156,15 +156,13 @@
 }
 
 void
-soak_world::Write(test::standin_server& aServer,
-                  test::standin_server::connection& aConnection,
+soak_world::Write(test::standin_server::connection& aConnection,
                   const std::string& aBytes,
                   bool aLast)
 {
   if (aConnection.mEnded || !aConnection.mChannel->Open()) {
     return;
   }
-  (void)aServer;
   aConnection.mChannel->Write(aBytes);
   if (aLast) {
     aConnection.Next();
@@ -184,10 +182,7 @@
     aEndpoint.mReserved[id] =
       mLoop.Now() + milliseconds(order.at("hold_ms").get<std::int64_t>());
   }
-  Write(*aEndpoint.mServer,
-        aConnection,
-        "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}",
-        true);
+  Write(aConnection, "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}", true);
 }
 
 void
@@ -204,16 +199,14 @@
   const std::string id(
     FieldValue(aHead.mFields, "request-id").value_or("(none)"));
   if (FieldValue(aHead.mFields, "expect-instance") != one.mId) {
-    Write(*one.mServer,
-          aConnection,
+    Write(aConnection,
           "HTTP/1.1 421 X\r\nInstance-Id: " + one.mId +
             "\r\nContent-Length: 0\r\n\r\n",
           true);
     return;
   }
   if (one.mFault == fault_kind::EndpointRefuses) {
-    Write(*one.mServer,
-          aConnection,
+    Write(aConnection,
           "HTTP/1.1 503 X\r\nRequest-Id: " + id +
             "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
           true);
@@ -246,7 +239,7 @@
               if (mEndpoints[aEndpoint].mIncarnation != incarnation) {
                 return;
               }
-              Write(*mEndpoints[aEndpoint].mServer, *connection, bytes, aLast);
+              Write(*connection, bytes, aLast);
               if (aCut) {
                 connection->mChannel->Close();
               }
@@ -519,8 +512,7 @@
   }
   for (std::size_t i = 0; i < mEntries.size(); ++i) {
     bool well = mEntries[i].mTakesCallersFrom <= now - kInForce &&
-                mEntries[i].mTakesCallersTo > now + std::chrono::hours(0) &&
-                !mEntries[i].mPaused;
+                mEntries[i].mTakesCallersTo > now && !mEntries[i].mPaused;
     for (const hurt_span& span : mHistory.mHurt) {
       well = well && (span.mEntry != i || span.mTo < now);
     }
--- a/Tests/Soak/SoakWorld.h
+++ b/Tests/Soak/SoakWorld.h
@@ -75,8 +75,7 @@
   void ServeOrder(soak_endpoint& aEndpoint,
                   test::standin_server::connection& aConnection,
                   const std::string& aBody);
-  void Write(test::standin_server& aServer,
-             test::standin_server::connection& aConnection,
+  void Write(test::standin_server::connection& aConnection,
              const std::string& aBytes,
              bool aLast);
   void SendRequest();
