--- a/Libraries/LibFleet/Endpoints.cpp
+++ b/Libraries/LibFleet/Endpoints.cpp
@@ -14,6 +14,10 @@
 constexpr duration kLongestPause = std::chrono::seconds(6);
 constexpr unsigned kMostDoublings = 4;
 
+/// An engine that refuses to read for others is leaving or gone, and does not
+/// come back: it is avoided as if it had given so many bad signs already.
+constexpr unsigned kUnwillingStrikes = 2;
+
 /// Weight of the newest attempt in the recent share of failures.
 constexpr double kFailureWeight = 0.2;
 /// Above this share of failed answers an endpoint is avoided for a while;
@@ -139,6 +143,10 @@
     case endpoint_sign::Elsewhere:
       Strike(aHealth, aNow);
       return;
+    case endpoint_sign::Unwilling:
+      aHealth.mStrikes = std::max(aHealth.mStrikes, kUnwillingStrikes);
+      Strike(aHealth, aNow);
+      return;
   }
 }
 
--- a/Libraries/LibFleet/Endpoints.h
+++ b/Libraries/LibFleet/Endpoints.h
@@ -46,6 +46,7 @@
   Silent,      ///< Nothing came for far longer than expected.
   Failed,      ///< An answer that says that the endpoint failed.
   Elsewhere,   ///< Another endpoint has the address now.
+  Unwilling,   ///< It refused to read a part of a prompt for another engine.
 };
 
 struct endpoint_health
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -102,6 +102,11 @@
   void LeaveEndpoint();
   void NoteLoad(const attempt& aAttempt);
   void Sign(const attempt& aAttempt, endpoint_sign aSign);
+  void Sign(known_endpoint& aEndpoint, endpoint_sign aSign);
+  /// The engine that a refusal names, if it is another than the one that sent
+  /// it: one that was to read a part of the prompt and would not.
+  known_endpoint* RefusingHelper(const attempt& aAttempt);
+  void LeaveOutHelper(known_endpoint& aHelper, const std::string& aWhy);
   void End(std::string_view aOutcome, const std::string& aWhy);
   bool KeepAlive() const;
   duration Left() const;
@@ -123,6 +128,7 @@
   std::optional<placement_key> mPlacement;
   std::shared_ptr<memory_hold> mMemory;
   std::size_t mMemoryRefusals = 0;
+  std::size_t mHelperRefusals = 0;
   double mExpectedMs = 0; ///< Until the first event, by this entry's sums.
   std::size_t mHelpers = 0;
   bool mMayHaveRun = false; ///< An endpoint got it and promised nothing.
--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -11,6 +11,9 @@
 constexpr std::size_t kMostPending = std::size_t{ 256 } * 1024;
 /// Endpoints that could not be reached, for one request, before it is refused.
 constexpr std::size_t kMostUnreached = 4;
+/// Helpers that refused, for one request, before it is refused: with a third of
+/// the engines leaving unseen, five draws of twelve helpers find four of them.
+constexpr std::size_t kMostHelperRefusals = 5;
 
 constexpr unsigned kFirstError = 400;
 constexpr unsigned kFirstServerError = 500;
@@ -29,21 +32,59 @@
 {
   const auto known =
     mContext.mBoard.mEndpoints.mEndpoints.find(aAttempt.Endpoint().mId);
-  if (known == mContext.mBoard.mEndpoints.mEndpoints.end()) {
-    return;
+  if (known != mContext.mBoard.mEndpoints.mEndpoints.end()) {
+    Sign(known->second, aSign);
   }
+}
+
+void
+exchange::Sign(known_endpoint& aEndpoint, endpoint_sign aSign)
+{
   const time_point now = mContext.mLoop.Now();
-  const bool was = Avoided(known->second, now);
-  NoteSign(known->second.mHealth, aSign, now);
-  if (!was && Avoided(known->second, now)) {
-    Log(
-      log_level::Warning,
-      "endpoint_avoided",
-      { { "endpoint", known->first },
-        { "address", known->second.mListed.mAddress.Text() },
-        { "request", mFacts.mId },
-        { "strikes", known->second.mHealth.mStrikes },
-        { "for_ms", Milliseconds(known->second.mHealth.mAvoidUntil - now) } });
+  const bool was = Avoided(aEndpoint, now);
+  NoteSign(aEndpoint.mHealth, aSign, now);
+  if (!was && Avoided(aEndpoint, now)) {
+    Log(log_level::Warning,
+        "endpoint_avoided",
+        { { "endpoint", aEndpoint.mListed.mId },
+          { "address", aEndpoint.mListed.mAddress.Text() },
+          { "request", mFacts.mId },
+          { "strikes", aEndpoint.mHealth.mStrikes },
+          { "for_ms", Milliseconds(aEndpoint.mHealth.mAvoidUntil - now) } });
+  }
+}
+
+known_endpoint*
+exchange::RefusingHelper(const attempt& aAttempt)
+{
+  const std::string& address = aAttempt.Facts().mFaultyAddress;
+  if (mHelpers == 0 || address.empty()) {
+    return nullptr;
+  }
+  for (auto& [id, known] : mContext.mBoard.mEndpoints.mEndpoints) {
+    if (id != aAttempt.Endpoint().mId &&
+        known.mListed.mAddress.Text() == address) {
+      return &known;
+    }
+  }
+  return nullptr;
+}
+
+void
+exchange::LeaveOutHelper(known_endpoint& aHelper, const std::string& aWhy)
+{
+  Sign(aHelper, endpoint_sign::Unwilling);
+  mContext.mPeers.TellUnwilling(Hash(aHelper.mListed.mId));
+  LeaveEndpoint();
+  // The engine that was sent the prompt did nothing and may be sent it again:
+  // this is none of the attempts that the route allows.
+  mTried.pop_back();
+  mPassedOver.pop_back();
+  mPassedOver.push_back(aHelper.mListed.mId);
+  if (++mHelperRefusals <= kMostHelperRefusals && MayRepeat()) {
+    Retry(aWhy);
+  } else {
+    GiveUp(error_kind::Overloaded, aWhy);
   }
 }
 
@@ -235,6 +276,11 @@
       if (elsewhere) {
         Sign(aAttempt, endpoint_sign::Elsewhere);
       }
+      if (known_endpoint* const helper = RefusingHelper(aAttempt);
+          helper != nullptr) {
+        LeaveOutHelper(*helper, "helper_refused");
+        return;
+      }
       LeaveEndpoint();
       if (mTried.size() < mRoute->mMaxAttempts && MayRepeat()) {
         Retry(aWhy);
--- a/Libraries/LibGateway/PeerNews.capnp
+++ b/Libraries/LibGateway/PeerNews.capnp
@@ -40,4 +40,5 @@
   manifest @6 :UInt64;          # The version in force there.
   list @7 :UInt64;              # Newest revision of its list of endpoints.
   unread @5 :List(UInt64);      # Ended before their prompts were read.
+  unwilling @8 :List(UInt64);   # Engines that refused to read for others.
 }
--- a/Libraries/LibGateway/PeerNews.capnp.h
+++ b/Libraries/LibGateway/PeerNews.capnp.h
@@ -80,7 +80,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(866e2b3eef8a5cbd, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(866e2b3eef8a5cbd, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -447,6 +447,9 @@
 
   inline  ::uint64_t getList() const;
 
+  inline bool hasUnwilling() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getUnwilling() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -518,6 +521,14 @@
   inline  ::uint64_t getList();
   inline void setList( ::uint64_t value);
 
+  inline bool hasUnwilling();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getUnwilling();
+  inline void setUnwilling( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setUnwilling(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initUnwilling(unsigned int size);
+  inline void adoptUnwilling(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownUnwilling();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1093,6 +1104,44 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerNews::Reader::hasUnwilling() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerNews::Builder::hasUnwilling() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerNews::Reader::getUnwilling() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerNews::Builder::getUnwilling() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void PeerNews::Builder::setUnwilling( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void PeerNews::Builder::setUnwilling(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerNews::Builder::initUnwilling(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void PeerNews::Builder::adoptUnwilling(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerNews::Builder::disownUnwilling() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibGateway/PeerNews.cpp
+++ b/Libraries/LibGateway/PeerNews.cpp
@@ -157,7 +157,7 @@
   for (const std::string& host : aHosts) {
     if (host != mSettings.mPeers.mHost && !mBoard.mPeers.contains(host) &&
         mCandidates.insert(host).second && mSocket != nullptr) {
-      mSocket->Send(Encode({}, {}, {}), { host, mSettings.mPeers.mPort });
+      mSocket->Send(Encode({}), { host, mSettings.mPeers.mPort });
     }
   }
 }
@@ -165,17 +165,43 @@
 void
 peer_news::TellPlaced(const placement& aPlaced)
 {
-  mPlaced.push_back(aPlaced);
+  mGathered.mPlaced.push_back(aPlaced);
   FlushSoon();
 }
 
 void
 peer_news::TellEnded(placement_key aKey, placement_end aEnd)
 {
-  (aEnd == placement_end::Read ? mEnded : mUnread).push_back(aKey);
+  (aEnd == placement_end::Read ? mGathered.mEnded : mGathered.mUnread)
+    .push_back(aKey);
   FlushSoon();
 }
 
+void
+peer_news::TellUnwilling(engine_key aEngine)
+{
+  mGathered.mUnwilling.push_back(aEngine);
+  FlushSoon();
+}
+
+void
+peer_news::HeedUnwilling(engine_key aEngine, const std::string& aHost)
+{
+  for (auto& [id, known] : mBoard.mEndpoints.mEndpoints) {
+    if (Hash(id) != aEngine) {
+      continue;
+    }
+    NoteSign(known.mHealth, endpoint_sign::Unwilling, mLoop.Now());
+    Log(
+      log_level::Info,
+      "endpoint_avoided",
+      { { "endpoint", id },
+        { "told_by", aHost },
+        { "strikes", known.mHealth.mStrikes },
+        { "for_ms", Milliseconds(known.mHealth.mAvoidUntil - mLoop.Now()) } });
+  }
+}
+
 void
 peer_news::TellLeaving()
 {
@@ -186,7 +212,7 @@
 void
 peer_news::FlushSoon()
 {
-  if (mPlaced.size() >= kMostPlaced) {
+  if (mGathered.mPlaced.size() >= kMostPlaced) {
     Flush();
   } else if (mFlushTimer == 0) {
     mFlushTimer = mLoop.After(kGather, [this]() {
@@ -197,9 +223,7 @@
 }
 
 std::string
-peer_news::Encode(const std::vector<placement>& aPlaced,
-                  const std::vector<placement_key>& aEnded,
-                  const std::vector<placement_key>& aUnread)
+peer_news::Encode(const gathered& aNews)
 {
   capnp::MallocMessageBuilder message;
   wire::PeerNews::Builder news = message.initRoot<wire::PeerNews>();
@@ -210,13 +234,17 @@
   news.setList(mBoard.mEndpoints.mNewestRevision);
   const time_point now = mLoop.Now();
   capnp::List<wire::PlacedWork>::Builder placed =
-    news.initPlaced(static_cast<unsigned>(aPlaced.size()));
-  for (unsigned i = 0; i < aPlaced.size(); ++i) {
-    WriteWork(placed[i], aPlaced[i], now);
+    news.initPlaced(static_cast<unsigned>(aNews.mPlaced.size()));
+  for (unsigned i = 0; i < aNews.mPlaced.size(); ++i) {
+    WriteWork(placed[i], aNews.mPlaced[i], now);
   }
-  WriteKeys(news.initEnded(static_cast<unsigned>(aEnded.size())), aEnded);
-  WriteKeys(news.initUnread(static_cast<unsigned>(aUnread.size())), aUnread);
-  if (aPlaced.empty() && aEnded.empty() && aUnread.empty()) {
+  WriteKeys(news.initEnded(static_cast<unsigned>(aNews.mEnded.size())),
+            aNews.mEnded);
+  WriteKeys(news.initUnread(static_cast<unsigned>(aNews.mUnread.size())),
+            aNews.mUnread);
+  WriteKeys(news.initUnwilling(static_cast<unsigned>(aNews.mUnwilling.size())),
+            aNews.mUnwilling);
+  if (aNews == gathered{}) {
     // A beat: it also says who else is there.
     const std::size_t hosts = std::min(kMostHosts, mBoard.mPeers.size());
     capnp::List<capnp::Text>::Builder peers =
@@ -239,10 +267,8 @@
 peer_news::Flush()
 {
   mLoop.Cancel(mFlushTimer);
-  const std::string bytes = Encode(mPlaced, mEnded, mUnread);
-  mPlaced.clear();
-  mEnded.clear();
-  mUnread.clear();
+  const std::string bytes = Encode(mGathered);
+  mGathered = gathered{};
   for (const std::string& host : PeersToTell(bytes.size())) {
     mSocket->Send(bytes, { host, mSettings.mPeers.mPort });
   }
@@ -294,11 +320,12 @@
     // Reading that was placed a while ago is mostly done.
     own.back().mPartMs = 0;
     if (own.size() == kMostPlaced) {
-      mSocket->Send(Encode(own, {}, {}), { aHost, mSettings.mPeers.mPort });
+      mSocket->Send(Encode({ own, {}, {}, {} }),
+                    { aHost, mSettings.mPeers.mPort });
       own.clear();
     }
   }
-  mSocket->Send(Encode(own, {}, {}), { aHost, mSettings.mPeers.mPort });
+  mSocket->Send(Encode({ own, {}, {}, {} }), { aHost, mSettings.mPeers.mPort });
 }
 
 void
@@ -308,7 +335,7 @@
   Flush();
   if (mBeats % kCandidateBeats == 0) {
     for (const std::string& host : mCandidates) {
-      mSocket->Send(Encode({}, {}, {}), { host, mSettings.mPeers.mPort });
+      mSocket->Send(Encode({}), { host, mSettings.mPeers.mPort });
     }
   }
   ++mBeats;
@@ -416,6 +443,9 @@
     for (const std::uint64_t key : news.getUnread()) {
       NoteEnded(mBoard.mLedger, key, placement_end::Unread, now);
     }
+    for (const std::uint64_t engine : news.getUnwilling()) {
+      HeedUnwilling(engine, aFrom.mHost);
+    }
     std::vector<std::string> hosts;
     for (const capnp::Text::Reader host : news.getPeers()) {
       hosts.emplace_back(host.cStr());
--- a/Libraries/LibGateway/PeerNews.h
+++ b/Libraries/LibGateway/PeerNews.h
@@ -25,6 +25,9 @@
   void AddHosts(const std::vector<std::string>& aHosts);
   void TellPlaced(const placement& aPlaced);
   void TellEnded(placement_key aKey, placement_end aEnd);
+  /// An engine refused to read for others: those who are told leave it out too,
+  /// instead of being refused in their turn.
+  void TellUnwilling(engine_key aEngine);
   void TellLeaving();
   /// True if a peer has told that it has a manifest.
   bool PeersHaveManifest() const { return mNewestManifest > 0; }
@@ -40,18 +43,25 @@
   void CompareBeliefs(std::uint64_t aManifest, std::uint64_t aList);
   bool ManifestBehind() const;
   bool ListBehind() const;
-  std::string Encode(const std::vector<placement>& aPlaced,
-                     const std::vector<placement_key>& aEnded,
-                     const std::vector<placement_key>& aUnread);
+  void HeedUnwilling(engine_key aEngine, const std::string& aHost);
+  /// What is told at once. A beat is one with nothing in it.
+  struct gathered
+  {
+    std::vector<placement> mPlaced;
+    std::vector<placement_key> mEnded;
+    std::vector<placement_key> mUnread;
+    std::vector<engine_key> mUnwilling;
+
+    bool operator==(const gathered&) const = default;
+  };
+  std::string Encode(const gathered& aNews);
 
   event_loop& mLoop;
   const gateway_settings& mSettings;
   gateway_board& mBoard;
   std::unique_ptr<datagram_socket> mSocket;
   std::set<std::string> mCandidates; ///< Hosts not heard from yet.
-  std::vector<placement> mPlaced;
-  std::vector<placement_key> mEnded;
-  std::vector<placement_key> mUnread;
+  gathered mGathered;                ///< Not yet told.
   behind mBehind;
   std::uint64_t mNewestManifest = 0; ///< That a peer has told of.
   std::uint64_t mNewestList = 0;
--- a/Tests/Gateway/StreamTest.cpp
+++ b/Tests/Gateway/StreamTest.cpp
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(CallerThatDoesNotReadHoldsTheEndpointBack);
   CPPUNIT_TEST(GiantPromptSetsMemoryAsideAndFreesIt);
   CPPUNIT_TEST(PartOfTheMemoryIsGivenBack);
+  CPPUNIT_TEST(RefusalForAHelpersSakeIsTriedWithoutIt);
+  CPPUNIT_TEST(HelperThatRefusedIsLeftOutNextTime);
   CPPUNIT_TEST_SUITE_END();
 
   static std::string Event(int aId)
@@ -261,6 +263,94 @@
       "all is given back");
     CPPUNIT_ASSERT(w.mGateway->Board().mLedger.mPlacements.empty());
   }
+
+  /// Engines of which some refuse to read for others: whoever is sent a prompt
+  /// with one of them among its helpers refuses it and names that one.
+  struct engines_with_refusers
+  {
+    engines_with_refusers(world& aWorld, std::size_t aCount)
+    {
+      for (std::size_t i = 0; i < aCount; ++i) {
+        mEngines.push_back(std::make_unique<endpoint_fixture>(aWorld.mLoop));
+        mEngines.back()->mAnswer = [this](connection& aConnection,
+                                          const http_head& aHead) {
+          Answer(aConnection, aHead);
+        };
+        aWorld.List("i-" + std::to_string(i),
+                    "model",
+                    mEngines.back()->mServer.Address());
+      }
+    }
+
+    /// The next so many helpers that are named turn out to refuse.
+    std::size_t mToRefuse = 0;
+    std::set<std::string> mRefusers;
+    std::size_t mSent = 0;
+    std::vector<std::unique_ptr<endpoint_fixture>> mEngines;
+
+  private:
+    void Answer(connection& aConnection, const http_head& aHead)
+    {
+      ++mSent;
+      const std::string helpers(
+        FieldValue(aHead.mFields, "helpers").value_or(""));
+      if (mRefusers.size() < mToRefuse) {
+        mRefusers.insert(helpers.substr(0, helpers.find(',')));
+      }
+      for (const std::string& refuser : mRefusers) {
+        if (helpers.find(refuser) != std::string::npos) {
+          aConnection.mChannel->Write(
+            "HTTP/1.1 503 X\r\nRequest-Id: " +
+            std::string(*FieldValue(aHead.mFields, "request-id")) +
+            "\r\nNot-Executed: 1\r\nAt-Server: " + refuser +
+            "\r\nContent-Length: 0\r\n\r\n");
+          aConnection.Next();
+          return;
+        }
+      }
+      std::string bytes = GoodHead(aHead, "Transfer-Encoding: chunked\r\n");
+      AppendChunk(bytes, Event(1));
+      bytes.append(kLastChunk);
+      aConnection.mChannel->Write(bytes);
+      aConnection.Next();
+    }
+  };
+
+  /// Symptom: while engines are taken away and the platform's store is down,
+  /// reviews are refused though dozens of engines are free. Sequence: a prompt
+  /// is divided over twelve engines; one of them is leaving, which the entry
+  /// cannot know; the writer refuses and names it; the prompt is sent to
+  /// another writer with the leaving one among the helpers again, which uses up
+  /// its attempts. Cause: the name of the engine at fault was not heeded.
+  void RefusalForAHelpersSakeIsTriedWithoutIt()
+  {
+    world w;
+    engines_with_refusers engines(w, 8);
+    engines.mToRefuse = 2;
+    w.Start();
+    const standin_caller& caller =
+      w.Answered(w.Request("r1", "stream", "Token-Usage: 150000,50\r\n"));
+    CPPUNIT_ASSERT_EQUAL(200U, caller.Status());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), engines.mRefusers.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), engines.mSent);
+  }
+
+  /// Symptom: each of a hundred prompts is refused once for the sake of the
+  /// same leaving engine. Cause: what one request met there is not heeded by
+  /// the next.
+  void HelperThatRefusedIsLeftOutNextTime()
+  {
+    world w;
+    engines_with_refusers engines(w, 8);
+    engines.mToRefuse = 1;
+    w.Start();
+    for (const char* const id : { "r1", "r2", "r3" }) {
+      const standin_caller& caller =
+        w.Answered(w.Request(id, "stream", "Token-Usage: 45000,50\r\n"));
+      CPPUNIT_ASSERT_EQUAL(200U, caller.Status());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), engines.mSent);
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(stream_test, "gateway-streams");
