--- /dev/null
+++ b/Libraries/LibFleet/PlacementCandidates.cpp
@@ -0,0 +1,90 @@
+#include "LibFleet/PlacementCandidates.h"
+
+#include <algorithm>
+
+namespace primrose {
+
+namespace {
+
+/// Memory that is planned with; the rest covers answers that grow.
+constexpr double kUsableMemory = 0.95;
+constexpr double kMsPerSecond = 1e3;
+
+std::vector<placed_stream>
+StreamsOn(const engine_ledger& aLedger, const engine_load& aLoad)
+{
+  std::vector<placed_stream> streams;
+  streams.reserve(aLoad.mWriting.size());
+  for (const placement_key key : aLoad.mWriting) {
+    const auto placed = aLedger.mPlacements.find(key);
+    if (placed != aLedger.mPlacements.end()) {
+      streams.push_back({ ToMs(placed->second.mLongestPause),
+                          placed->second.mWorth,
+                          placed->second.mStretched });
+    }
+  }
+  return streams;
+}
+
+} // namespace
+
+double
+ToMs(duration aTime)
+{
+  return Seconds(aTime) * kMsPerSecond;
+}
+
+std::vector<engine_candidate>
+EngineCandidates(endpoint_board& aBoard,
+                 const engine_ledger& aLedger,
+                 const engine_timing& aTiming,
+                 const engine_work& aWork,
+                 const std::vector<std::string>& aTried,
+                 std::string_view aDataCentre,
+                 time_point aNow)
+{
+  static const engine_load kIdle{};
+  std::vector<engine_candidate> candidates;
+  for (auto& [id, known] : aBoard.mEndpoints) {
+    if (!Usable(known, aWork.mService) ||
+        std::find(aTried.begin(), aTried.end(), id) != aTried.end()) {
+      continue;
+    }
+    const auto found = aLedger.mEngines.find(Hash(id));
+    const engine_load& load =
+      found == aLedger.mEngines.end() ? kIdle : found->second;
+    engine_candidate one;
+    one.mEndpoint = &known;
+    one.mBacklogMs = BacklogMs(load, aNow);
+    one.mFreeTokens = aTiming.mMemoryTokens * kUsableMemory - load.mTokens;
+    one.mStreams = StreamsOn(aLedger, load);
+    one.mRequests = RequestsOn(load, aNow);
+    one.mPassMs = PassMs(aTiming,
+                         static_cast<double>(one.mRequests + 1),
+                         load.mTokens + aWork.mPromptTokens);
+    one.mAvoided = Avoided(known, aNow);
+    one.mAway = known.mListed.mDataCentre != aDataCentre;
+    candidates.push_back(std::move(one));
+  }
+  // Engines with bad signs are left out while enough others are there.
+  const std::size_t sound = static_cast<std::size_t>(std::count_if(
+    candidates.begin(), candidates.end(), [](const engine_candidate& aOne) {
+      return !aOne.mAvoided;
+    }));
+  if (sound > 0 && sound * 2 >= candidates.size()) {
+    std::erase_if(candidates,
+                  [](const engine_candidate& aOne) { return aOne.mAvoided; });
+  }
+  return candidates;
+}
+
+bool
+HasRoom(const engine_candidate& aCandidate,
+        const engine_timing& aTiming,
+        const engine_work& aWork)
+{
+  return aCandidate.mRequests < aTiming.mSlots &&
+         aCandidate.mFreeTokens >= aWork.mPromptTokens + aWork.mAnswerTokens;
+}
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibFleet/PlacementPrices.cpp
@@ -0,0 +1,141 @@
+#include "LibFleet/PlacementPrices.h"
+
+#include <algorithm>
+
+namespace primrose {
+
+namespace {
+
+/// What a pause may have beyond the reading that is known: reading that other
+/// entries place at the same moment, and the wire.
+constexpr double kPauseMarginMs = 30;
+/// Share of a request's worth that is lost when it is late.
+constexpr double kLostWhenLate = 0.75;
+/// Expected share of the objective from which being late becomes likely.
+constexpr double kLateFrom = 0.6;
+/// Added for each further objective of delay, so that of two late places the
+/// earlier one is taken.
+constexpr double kLaterPenalty = 0.2;
+/// Writers gathered on one engine, as a share of those that it works on at
+/// once. Each adds 0.4% to a step, but also its own reading; above this the
+/// reading of new ones eats up the allowed pause, and what comes unforeseen is
+/// shed.
+constexpr double kGatheredShare = 0.75;
+/// Shares of a request's worth: for starting to write on an engine that long
+/// prompts could have used, and on one that they do use.
+constexpr double kOpeningPenalty = 0.2;
+constexpr double kMixingPenalty = 0.45;
+/// For each writer more, up to the number gathered and beyond it.
+constexpr double kGatherGain = 0.01;
+constexpr double kCrowdPenalty = 0.13;
+/// A caller leaves a stream whose next event takes longer than eight times the
+/// allowed pause, or than two seconds.
+constexpr double kAbandonedPauses = 8;
+constexpr double kAbandonedMs = 2000;
+/// What a second of one engine is worth when all are busy: short prompts earn
+/// about this. It falls to nothing while half of the engines are idle.
+constexpr double kWorthOfBusySecond = 8;
+constexpr double kFreeShare = 0.5;
+constexpr double kBusyShare = 0.9;
+/// Reading that makes an engine count as busy, and writers.
+constexpr double kBusyBacklogMs = 100;
+constexpr double kBusyWritersShare = 0.56;
+/// Share of a request's worth that its caller loses when it is turned away,
+/// beside the answer itself: it comes back and is owed an answer all the same.
+constexpr double kLostWhenRefused = 0.3;
+
+constexpr double kMsPerSecond = 1e3;
+
+} // namespace
+
+double
+LateCost(double aFirstMs, const engine_work& aWork)
+{
+  const double share = aFirstMs / ToMs(aWork.mObjective);
+  if (share <= kLateFrom) {
+    return 0;
+  }
+  const double likely = share < 1 ? (share - kLateFrom) / (1 - kLateFrom)
+                                  : 1 + kLaterPenalty * (share - 1);
+  return kLostWhenLate * aWork.mWorth * likely;
+}
+
+double
+PauseHarm(const engine_candidate& aCandidate, double aReadingMs)
+{
+  const double pause =
+    aCandidate.mBacklogMs + aReadingMs + aCandidate.mPassMs + kPauseMarginMs;
+  double harm = 0;
+  for (const placed_stream& one : aCandidate.mStreams) {
+    if (!one.mStretched && one.mLongestPauseMs < pause) {
+      harm += kLostWhenLate * one.mWorth;
+    }
+    if (pause >
+        std::max(kAbandonedMs, kAbandonedPauses * one.mLongestPauseMs)) {
+      harm += (1 - kLostWhenLate) * one.mWorth;
+    }
+  }
+  return harm;
+}
+
+double
+GatheringCost(const engine_candidate& aCandidate,
+              const engine_timing& aTiming,
+              const engine_work& aWork)
+{
+  const double own = ToMs(aWork.mLongestPause);
+  const bool longReading =
+    aCandidate.mBacklogMs + aCandidate.mPassMs + kPauseMarginMs > own ||
+    std::any_of(aCandidate.mStreams.begin(),
+                aCandidate.mStreams.end(),
+                [](const placed_stream& aOne) { return aOne.mStretched; });
+  if (longReading) {
+    return kMixingPenalty * aWork.mWorth;
+  }
+  const std::size_t alike = static_cast<std::size_t>(std::count_if(
+    aCandidate.mStreams.begin(),
+    aCandidate.mStreams.end(),
+    [own](const placed_stream& aOne) { return aOne.mLongestPauseMs <= own; }));
+  if (alike == 0) {
+    return kOpeningPenalty * aWork.mWorth;
+  }
+  const double writers = static_cast<double>(aCandidate.mRequests);
+  const double gathered = kGatheredShare * aTiming.mSlots;
+  if (writers > gathered) {
+    return kCrowdPenalty * (writers - gathered);
+  }
+  return -kGatherGain * writers;
+}
+
+double
+PriceOfSecond(const std::vector<engine_candidate>& aCandidates,
+              const engine_timing& aTiming)
+{
+  const double writers = kBusyWritersShare * aTiming.mSlots;
+  const std::size_t busy = static_cast<std::size_t>(
+    std::count_if(aCandidates.begin(),
+                  aCandidates.end(),
+                  [writers](const engine_candidate& aOne) {
+                    return aOne.mBacklogMs > kBusyBacklogMs ||
+                           static_cast<double>(aOne.mRequests) >= writers;
+                  }));
+  const double share =
+    static_cast<double>(busy) / static_cast<double>(aCandidates.size());
+  return kWorthOfBusySecond *
+         std::clamp((share - kFreeShare) / (kBusyShare - kFreeShare), 0.0, 1.0);
+}
+
+engine_verdict
+Judge(const engine_choice& aChoice, const engine_work& aWork, double aReadingMs)
+{
+  if (aChoice.mVerdict == engine_verdict::NoMemory) {
+    return aChoice.mVerdict;
+  }
+  const double gain = (1 + kLostWhenRefused) * aWork.mWorth -
+                      LateCost(aChoice.mFirstEventMs, aWork);
+  const double taken =
+    aChoice.mHarm + aChoice.mPriceOfSecond * aReadingMs / kMsPerSecond;
+  return gain >= taken ? engine_verdict::Send : engine_verdict::TurnAway;
+}
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibFleet/PlacementPrices.h
@@ -0,0 +1,42 @@
+#pragma once
+
+/// What a place costs callers, in worth: of the request itself if it is late,
+/// and of the streams whose pauses it stretches. Internal to LibFleet.
+
+#include "LibFleet/PlacementCandidates.h"
+
+namespace primrose {
+
+/// Passes between a prompt's reading and its first event at the caller: the
+/// one in progress when it came, and the one that writes the event.
+inline constexpr double kPassesToFirstEvent = 2;
+
+/// Worth that is likely lost if the first event takes this long.
+double
+LateCost(double aFirstMs, const engine_work& aWork);
+
+/// Worth of the streams whose pauses this reading would stretch.
+double
+PauseHarm(const engine_candidate& aCandidate, double aReadingMs);
+
+/// What writing a stream with tight pauses here costs beyond the moment: such
+/// streams are to gather where no long prompts are read.
+double
+GatheringCost(const engine_candidate& aCandidate,
+              const engine_timing& aTiming,
+              const engine_work& aWork);
+
+/// What a second of reading takes from other requests, by how busy the engines
+/// are.
+double
+PriceOfSecond(const std::vector<engine_candidate>& aCandidates,
+              const engine_timing& aTiming);
+
+/// Whether reading this prompt gains its caller more than it takes from the
+/// callers of others.
+engine_verdict
+Judge(const engine_choice& aChoice,
+      const engine_work& aWork,
+      double aReadingMs);
+
+} // namespace primrose
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -122,6 +122,7 @@
   CPPUNIT_TEST(LongPromptHarmsFewEnginesMuch);
   CPPUNIT_TEST(BusyFleetTurnsGiantAway);
   CPPUNIT_TEST(IdleFleetReadsGiantWithHolders);
+  CPPUNIT_TEST(PromptGoesWhereMemoryIs);
   CPPUNIT_TEST(LeavingEngineGetsNothing);
   CPPUNIT_TEST(AvoidedEnginesAreLeftOutWhileOthersAre);
   CPPUNIT_TEST(FullEngineIsBelieved);
@@ -237,6 +238,30 @@
                    500000);
   }
 
+  /// Symptom: a prompt of 60,000 tokens is refused for want of memory while an
+  /// engine has room for five of them. Sequence: long prompts fill the memory
+  /// of all engines but one, which has a little to read; the cheapest engines
+  /// to read on are chosen. Cause: whether they have memory was asked only when
+  /// they had been chosen.
+  void PromptGoesWhereMemoryIs()
+  {
+    fleet f;
+    for (std::size_t engine = 0; engine < kEngines; ++engine) {
+      placement placed;
+      placed.mKey = ++f.mLast;
+      placed.mEngines.push_back(Hash("engine-" + std::to_string(engine)));
+      placed.mLongestPause = milliseconds(1000);
+      placed.mWorth = 1;
+      placed.mPartMs = engine == 0 ? 400 : 0;
+      placed.mTokens = engine == 0 ? 5000 : 299000;
+      placed.mExpires = kStart + std::chrono::hours(1);
+      NotePlaced(f.mLedger, placed, kStart);
+    }
+    const engine_choice choice = f.Choose(Review(60000));
+    CPPUNIT_ASSERT(choice.mVerdict == engine_verdict::Send);
+    CPPUNIT_ASSERT_EQUAL(std::string("engine-0"), choice.mWriter->mListed.mId);
+  }
+
   void LeavingEngineGetsNothing()
   {
     fleet f;
