--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -24,6 +24,10 @@
 constexpr double kBaseWorth = 0.6;
 constexpr double kWorthPerThousand = 0.13;
 constexpr double kThousand = 1e3;
+/// Times at which a return is weighed. Reading that waits is mostly done within
+/// a second; a finer step would tell nothing, since others come meanwhile.
+constexpr duration kFirstReturn = std::chrono::milliseconds(250);
+constexpr duration kReturnStep = std::chrono::milliseconds(150);
 
 engine_choice
 PlaceWhole(const std::vector<engine_candidate>& aCandidates,
@@ -312,4 +316,23 @@
   return PlaceDivided({ candidates, aTiming, aWork, reading });
 }
 
+duration
+UntilWelcome(endpoint_board& aBoard,
+             const engine_ledger& aLedger,
+             const engine_timing& aTiming,
+             const engine_work& aWork,
+             std::string_view aDataCentre,
+             time_point aNow,
+             duration aLongest)
+{
+  for (duration after = kFirstReturn; after < aLongest; after += kReturnStep) {
+    const std::optional<engine_choice> choice = PlaceOnEngines(
+      aBoard, aLedger, aTiming, aWork, {}, aDataCentre, aNow + after);
+    if (choice.has_value() && choice->mVerdict == engine_verdict::Send) {
+      return after;
+    }
+  }
+  return std::max(kFirstReturn, aLongest);
+}
+
 } // namespace primrose
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -76,4 +76,15 @@
                std::string_view aDataCentre,
                time_point aNow);
 
+/// After which time a prompt that is turned away now would be taken, if nothing
+/// else came; `aLongest` if not before.
+duration
+UntilWelcome(endpoint_board& aBoard,
+             const engine_ledger& aLedger,
+             const engine_timing& aTiming,
+             const engine_work& aWork,
+             std::string_view aDataCentre,
+             time_point aNow,
+             duration aLongest);
+
 } // namespace primrose
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -1,5 +1,7 @@
 #include "LibGateway/Exchange.h"
 
+#include "LibGateway/GatewayMetrics.h"
+
 #include <algorithm>
 
 namespace primrose {
@@ -14,6 +16,10 @@
 constexpr double kRetryWhenKnown = 0.5;
 constexpr double kRetryElsewhere = 0.05;
 
+/// Statuses that leave open whether a request ran.
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kGatewayTimeout = 504;
+
 std::string_view
 KindName(call_kind aKind)
 {
@@ -189,6 +195,14 @@
 
 void
 exchange::GiveUp(error_kind aKind, const std::string& aWhy)
+{
+  GiveUp(aKind,
+         aWhy,
+         aKind == error_kind::NoEndpoint ? kRetryWhenListed : kRetryWhenRoom);
+}
+
+void
+exchange::GiveUp(error_kind aKind, const std::string& aWhy, double aRetryAfter)
 {
   if (mHeadWritten) {
     mPort->Cut();
@@ -197,11 +211,9 @@
     return;
   }
   if (!mMayHaveRun) {
-    const bool promises =
-      AnswerFor(aKind).mStatus != 502 && AnswerFor(aKind).mStatus != 504;
-    Refuse(promises ? aKind : error_kind::Overloaded,
-           aWhy,
-           aKind == error_kind::NoEndpoint ? kRetryWhenListed : kRetryWhenRoom);
+    const unsigned status = AnswerFor(aKind).mStatus;
+    const bool promises = status != kBadGateway && status != kGatewayTimeout;
+    Refuse(promises ? aKind : error_kind::Overloaded, aWhy, aRetryAfter);
     return;
   }
   // It may have run: no answer that promises the opposite may be given.
@@ -253,6 +265,13 @@
     Labelled("gateway_requests_total", "outcome", aOutcome));
   mContext.mBoard.mMetrics.Observe("gateway_request_seconds",
                                    Seconds(now - mBegan));
+  if (aOutcome == "answered" && mRoute->mKind == call_kind::Stream) {
+    CountStream(mContext.mBoard.mMetrics,
+                { mFirstEventAt - mBegan,
+                  mRoute->mObjective,
+                  mLongestPause,
+                  mRoute->mLongestPause });
+  }
   Log(
     aOutcome == "answered" || aOutcome == "caller_left" ? log_level::Info
                                                         : log_level::Warning,
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -94,6 +94,7 @@
   bool Repeatable() const;
   void Retry(const std::string& aWhy);
   void GiveUp(error_kind aKind, const std::string& aWhy);
+  void GiveUp(error_kind aKind, const std::string& aWhy, double aRetryAfter);
   void Refuse(error_kind aKind, const std::string& aWhy, double aRetryAfter);
   void Answer(const failure& aFailure);
   void ForwardWhole(attempt& aAttempt);
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -23,8 +23,33 @@
 /// Reading that explains a silence.
 constexpr duration kWorthWaitingFor = std::chrono::milliseconds(100);
 
+/// A caller that is told to come back after more than this part of the time
+/// that it has left comes back at once instead, or not at all.
+constexpr int kCallersPatience = 3;
+
 constexpr double kMsPerSecond = 1e3;
 
+std::string
+IdsOf(const std::vector<known_endpoint*>& aEndpoints)
+{
+  std::string ids;
+  for (const known_endpoint* const one : aEndpoints) {
+    ids += ids.empty() ? "" : ",";
+    ids += one->mListed.mId;
+  }
+  return ids;
+}
+
+std::vector<endpoint>
+Listed(const std::vector<known_endpoint*>& aEndpoints)
+{
+  std::vector<endpoint> listed;
+  for (const known_endpoint* const one : aEndpoints) {
+    listed.push_back(one->mListed);
+  }
+  return listed;
+}
+
 } // namespace
 
 bool
@@ -55,11 +80,7 @@
     SetMemoryAside(*choice);
     return true;
   }
-  std::vector<endpoint> readers;
-  for (const known_endpoint* const reader : choice->mReaders) {
-    readers.push_back(reader->mListed);
-  }
-  SendToEngines(choice->mWriter->mListed, readers, 0);
+  SendToEngines(choice->mWriter->mListed, Listed(choice->mReaders), 0);
   return true;
 }
 
@@ -84,6 +105,15 @@
 exchange::TurnAway(const engine_choice& aChoice)
 {
   const bool fits = aChoice.mVerdict != engine_verdict::NoMemory;
+  const duration after = UntilWelcome(mContext.mBoard.mEndpoints,
+                                      mContext.mBoard.mLedger,
+                                      *mService->mEngine,
+                                      WorkOf(),
+                                      mContext.mSettings.mDataCentre,
+                                      mContext.mLoop.Now(),
+                                      Left() / kCallersPatience);
+  mContext.mBoard.mMetrics.Count(
+    Labelled("gateway_turned_away_total", "why", fits ? "costs" : "no_memory"));
   Log(log_level::Info,
       "turned_away",
       { { "request", mFacts.mId },
@@ -93,8 +123,11 @@
         { "part_ms", aChoice.mPartMs },
         { "expected_ms", aChoice.mFirstEventMs },
         { "harm", aChoice.mHarm },
-        { "price_of_second", aChoice.mPriceOfSecond } });
-  GiveUp(error_kind::Overloaded, fits ? "costs_others_more" : "no_memory");
+        { "price_of_second", aChoice.mPriceOfSecond },
+        { "retry_after_ms", Milliseconds(after) } });
+  GiveUp(error_kind::Overloaded,
+         fits ? "costs_others_more" : "no_memory",
+         Seconds(after));
 }
 
 void
@@ -131,6 +164,7 @@
         { "endpoint", aChoice.mWriter->mListed.mId },
         { "helpers", aChoice.mReaders.size() },
         { "holders", aChoice.mHolders },
+        { "readers", IdsOf(aChoice.mReaders) },
         { "prompt_tokens", mFacts.mPromptTokens },
         { "part_ms", aChoice.mPartMs },
         { "expected_ms", aChoice.mFirstEventMs },
@@ -142,10 +176,7 @@
 void
 exchange::SetMemoryAside(const engine_choice& aChoice)
 {
-  std::vector<endpoint> readers;
-  for (const known_endpoint* const reader : aChoice.mReaders) {
-    readers.push_back(reader->mListed);
-  }
+  const std::vector<endpoint> readers = Listed(aChoice.mReaders);
   const endpoint writer = aChoice.mWriter->mListed;
   const std::size_t holders = aChoice.mHolders;
   mMemory = std::make_shared<memory_hold>(
@@ -347,6 +378,9 @@
 exchange::Retry(const std::string& aWhy)
 {
   mContext.mBoard.mMetrics.Count("gateway_repeats_total");
+  if (mCursor.LastId().has_value()) {
+    mContext.mBoard.mMetrics.Count("gateway_resumed_total");
+  }
   Log(log_level::Info,
       "retry",
       { { "request", mFacts.mId },
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/Gateway.h"
 
+#include "LibGateway/GatewayMetrics.h"
 #include "LibGateway/Probe.h"
 
 namespace primrose {
@@ -150,6 +151,12 @@
   return mReadiness->Port();
 }
 
+std::uint16_t
+gateway::MetricsPort() const
+{
+  return mMetrics->Port();
+}
+
 bool
 gateway::Ready() const
 {
@@ -162,19 +169,7 @@
 {
   probe_connection::Serve(mLoop, aSocket, [this, aMetrics]() {
     if (aMetrics) {
-      mBoard.mMetrics.Set("gateway_open_requests",
-                          static_cast<double>(mBoard.mOpenRequests));
-      mBoard.mMetrics.Set(
-        "gateway_endpoints",
-        static_cast<double>(mBoard.mEndpoints.mEndpoints.size()));
-      mBoard.mMetrics.Set("gateway_peers",
-                          static_cast<double>(mBoard.mPeers.size()));
-      mBoard.mMetrics.Set("gateway_log_lines_dropped_total",
-                          static_cast<double>(DroppedLogLines()));
-      mBoard.mMetrics.Set("gateway_manifest_age_seconds",
-                          mBoard.mManifest == nullptr
-                            ? -1
-                            : Seconds(mLoop.Now() - mBoard.mManifestSince));
+      SetGauges(mBoard, mLoop.Now());
       return probe_connection::answer{ kGood, mBoard.mMetrics.Exposition() };
     }
     return Ready() ? probe_connection::answer{ kGood, "ready\n" }
@@ -363,6 +358,7 @@
     kRegisterTimeout,
     [this](const http_answer& aAnswer) {
       const table_reading reading = mAdapter.mDecodeTable(aAnswer);
+      CountStoreCall(mBoard.mMetrics, reading.mOutcome);
       if (reading.mOutcome != table_reading::outcome::Good) {
         (void)mLoop.After(kRegisterPause, [this]() { LearnEntries(); });
         return;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -28,6 +28,7 @@
   /// draining gateway has stopped listening.
   std::uint16_t CallersPort() const;
   std::uint16_t ReadinessPort() const;
+  std::uint16_t MetricsPort() const;
 
 private:
   bool Ready() const;
--- a/Libraries/LibGateway/GatewayBoard.h
+++ b/Libraries/LibGateway/GatewayBoard.h
@@ -48,6 +48,7 @@
   time_point mManifestSince{};
   bool mEndpointsKnown = false;
   endpoint_board mEndpoints;
+  std::map<std::string, time_point> mStoreReached; ///< By table, the last time.
   engine_ledger mLedger;
   std::map<std::string, repeat_record> mRepeats; ///< By service.
   std::map<std::string, peer_entry> mPeers;      ///< By host.
--- /dev/null
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -0,0 +1,101 @@
+#include "LibGateway/GatewayMetrics.h"
+
+#include <algorithm>
+
+namespace primrose {
+
+namespace {
+
+constexpr double kMsPerSecond = 1e3;
+
+void
+SetEngineGauges(gateway_board& aBoard, time_point aNow)
+{
+  double reading = 0;
+  double mostReading = 0;
+  double memory = 0;
+  double mostMemory = 0;
+  double writing = 0;
+  for (const auto& [key, load] : aBoard.mLedger.mEngines) {
+    const double seconds = BacklogMs(load, aNow) / kMsPerSecond;
+    reading += seconds;
+    mostReading = std::max(mostReading, seconds);
+    memory += load.mTokens;
+    mostMemory = std::max(mostMemory, load.mTokens);
+    writing += static_cast<double>(load.mWriting.size());
+  }
+  metrics& out = aBoard.mMetrics;
+  out.Set("gateway_promised_reading_seconds", reading);
+  out.Set("gateway_promised_reading_seconds_most", mostReading);
+  out.Set("gateway_engine_memory_tokens", memory);
+  out.Set("gateway_engine_memory_tokens_most", mostMemory);
+  out.Set("gateway_engine_requests", writing);
+}
+
+std::string_view
+NameOf(table_reading::outcome aOutcome)
+{
+  switch (aOutcome) {
+    case table_reading::outcome::Good:
+      return "good";
+    case table_reading::outcome::HistoryLost:
+      return "history_lost";
+    case table_reading::outcome::Refused:
+      return "refused";
+    case table_reading::outcome::NoAnswer:
+      return "no_answer";
+  }
+  return "";
+}
+
+} // namespace
+
+void
+SetGauges(gateway_board& aBoard, time_point aNow)
+{
+  metrics& out = aBoard.mMetrics;
+  out.Set("gateway_open_requests", static_cast<double>(aBoard.mOpenRequests));
+  out.Set("gateway_endpoints",
+          static_cast<double>(aBoard.mEndpoints.mEndpoints.size()));
+  out.Set(
+    "gateway_endpoints_avoided",
+    static_cast<double>(std::count_if(
+      aBoard.mEndpoints.mEndpoints.begin(),
+      aBoard.mEndpoints.mEndpoints.end(),
+      [aNow](const auto& aEntry) { return Avoided(aEntry.second, aNow); })));
+  out.Set("gateway_peers", static_cast<double>(aBoard.mPeers.size()));
+  out.Set("gateway_log_lines_dropped_total",
+          static_cast<double>(DroppedLogLines()));
+  out.Set("gateway_manifest_age_seconds",
+          aBoard.mManifest == nullptr ? -1
+                                      : Seconds(aNow - aBoard.mManifestSince));
+  for (const auto& [table, reached] : aBoard.mStoreReached) {
+    out.Set(Labelled("gateway_store_answer_age_seconds", "table", table),
+            Seconds(aNow - reached));
+  }
+  SetEngineGauges(aBoard, aNow);
+}
+
+void
+CountStream(metrics& aMetrics, const stream_times& aTimes)
+{
+  aMetrics.Observe("gateway_first_event_seconds", Seconds(aTimes.mFirstEvent));
+  aMetrics.Observe("gateway_longest_pause_seconds",
+                   Seconds(aTimes.mLongestPause));
+  if (aTimes.mFirstEvent > aTimes.mObjective) {
+    aMetrics.Count(Labelled("gateway_late_total", "what", "first_event"));
+  }
+  if (aTimes.mAllowedPause > duration::zero() &&
+      aTimes.mLongestPause > aTimes.mAllowedPause) {
+    aMetrics.Count(Labelled("gateway_late_total", "what", "pause"));
+  }
+}
+
+void
+CountStoreCall(metrics& aMetrics, table_reading::outcome aOutcome)
+{
+  aMetrics.Count(
+    Labelled("gateway_store_calls_total", "outcome", NameOf(aOutcome)));
+}
+
+} // namespace primrose
--- /dev/null
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -0,0 +1,34 @@
+#pragma once
+
+/// The gateway's series that are worked out from what it believes, and those of
+/// one request. docs/OPERATIONS.md lists all of them. Engines are summed up:
+/// with a series for each of 1,200 a reading would be half a megabyte.
+
+#include "LibGateway/GatewayBoard.h"
+
+namespace primrose {
+
+/// Sets the gauges that change with time, just before they are read.
+void
+SetGauges(gateway_board& aBoard, time_point aNow);
+
+/// What came of a stream that was answered whole.
+struct stream_times
+{
+  duration mFirstEvent{};
+  duration mObjective{}; ///< Of the first event.
+  duration mLongestPause{};
+  duration mAllowedPause{}; ///< 0: none is declared.
+
+  bool operator==(const stream_times&) const = default;
+};
+
+/// Counts a stream's first event, and whether it or a pause came late.
+void
+CountStream(metrics& aMetrics, const stream_times& aTimes);
+
+/// Counts a call to the platform's store by its outcome.
+void
+CountStoreCall(metrics& aMetrics, table_reading::outcome aOutcome);
+
+} // namespace primrose
--- a/Libraries/LibGateway/TableFollower.cpp
+++ b/Libraries/LibGateway/TableFollower.cpp
@@ -1,5 +1,7 @@
 #include "LibGateway/TableFollower.h"
 
+#include "LibGateway/GatewayMetrics.h"
+
 #include <algorithm>
 
 namespace primrose {
@@ -149,6 +151,8 @@
             mTroubled ? Milliseconds(mLoop.Now() - mTroubledSince) : 0 },
           { "failures", mFailures } });
   }
+  mBoard.mStoreReached[mTable] = mLoop.Now();
+  CountStoreCall(mBoard.mMetrics, table_reading::outcome::Good);
   mReached = true;
   mTroubled = false;
   mFailures = 0;
@@ -176,6 +180,7 @@
         { "revision", mRevision.value_or(0) } });
   }
   mReached = mReached && lost;
+  CountStoreCall(mBoard.mMetrics, aReading.mOutcome);
   mBoard.mMetrics.Count("gateway_store_failures_total");
   const unsigned doublings = std::min(mFailures++, kMostDoublings);
   const duration longest =
--- a/Libraries/LibObserve/Metrics.cpp
+++ b/Libraries/LibObserve/Metrics.cpp
@@ -1,6 +1,12 @@
 #include "LibObserve/Metrics.h"
 
 #include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/make_histogram.hpp>
 #include <set>
 #include <spdlog/fmt/fmt.h>
 #include <vector>
@@ -11,7 +17,12 @@
 
 namespace acc = boost::accumulators;
 
-constexpr std::array<double, 3> kProbabilities = { 0.5, 0.95, 0.99 };
+/// Seconds. They take in the objectives and pause limits of both deployments
+/// (0.1 to 4 s), the time limits of calls, and what a lookup takes.
+constexpr std::array<double, 17> kBounds = { 0.002, 0.005, 0.01, 0.02, 0.05,
+                                             0.1,   0.15,  0.2,  0.25, 0.3,
+                                             0.6,   1,     1.5,  3,    4,
+                                             10,    15 };
 
 std::string
 FamilyOf(const std::string& aName)
@@ -36,34 +47,48 @@
 
 } // namespace
 
-distribution::distribution()
-  : mValues(acc::extended_p_square_probabilities =
-              std::vector<double>(kProbabilities.begin(), kProbabilities.end()))
+struct histogram::storage
 {
-}
-
-void
-distribution::Add(double aValue)
+  using accumulator =
+    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum>>;
+  using buckets = decltype(boost::histogram::make_histogram(
+    boost::histogram::axis::variable<>(kBounds)));
+
+  accumulator mSums;
+  buckets mBuckets = boost::histogram::make_histogram(
+    boost::histogram::axis::variable<>(kBounds));
+};
+
+histogram::histogram()
+  : mStorage(std::make_unique<storage>())
 {
-  mValues(aValue);
 }
 
-std::size_t
-distribution::Count() const
-{
-  return acc::count(mValues);
-}
+histogram::~histogram() = default;
 
-double
-distribution::Sum() const
+void
+histogram::Add(double aValue)
 {
-  return acc::sum(mValues);
+  mStorage->mSums(aValue);
+  mStorage->mBuckets(aValue);
 }
 
-double
-distribution::Quantile(double aProbability) const
+void
+histogram::Write(std::string& aText, const std::string& aName) const
 {
-  return acc::quantile(mValues, acc::quantile_probability = aProbability);
+  aText += fmt::format("# TYPE {} histogram\n", aName);
+  // The bucket before the first bound counts what lies under it.
+  double below = 0;
+  for (std::size_t i = 0; i < kBounds.size(); ++i) {
+    below +=
+      static_cast<double>(mStorage->mBuckets.at(static_cast<int>(i) - 1));
+    aText +=
+      fmt::format("{}_bucket{{le=\"{:g}\"}} {}\n", aName, kBounds[i], below);
+  }
+  const std::size_t count = acc::count(mStorage->mSums);
+  aText += fmt::format("{}_bucket{{le=\"+Inf\"}} {}\n", aName, count);
+  aText += fmt::format("{}_sum {:.10g}\n", aName, acc::sum(mStorage->mSums));
+  aText += fmt::format("{}_count {}\n", aName, count);
 }
 
 void
@@ -81,7 +106,7 @@
 void
 metrics::Observe(const std::string& aName, double aValue)
 {
-  mDistributions[aName].Add(aValue);
+  mHistograms[aName].Add(aValue);
 }
 
 double
@@ -101,16 +126,8 @@
   std::string text;
   WriteSimple(text, mCounters, "counter");
   WriteSimple(text, mGauges, "gauge");
-  for (const auto& [name, values] : mDistributions) {
-    text += fmt::format("# TYPE {} summary\n", name);
-    for (const double probability : kProbabilities) {
-      text += fmt::format("{}{{quantile=\"{}\"}} {:.6g}\n",
-                          name,
-                          probability,
-                          values.Quantile(probability));
-    }
-    text += fmt::format("{}_sum {:.10g}\n", name, values.Sum());
-    text += fmt::format("{}_count {}\n", name, values.Count());
+  for (const auto& [name, values] : mHistograms) {
+    values.Write(text, name);
   }
   return text;
 }
--- a/Libraries/LibObserve/Metrics.h
+++ b/Libraries/LibObserve/Metrics.h
@@ -3,41 +3,31 @@
 /// Metrics: counters, gauges and distributions, written in the text exposition
 /// format that monitoring systems scrape.
 
-// NOTE: Boost 1.81 uses string streams in the quantile without including them.
-#include <sstream>
-
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
-#include <boost/accumulators/statistics/sum.hpp>
-
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 
 namespace primrose {
 
-/// A distribution with estimated percentiles (the P-square method of
-/// Boost.Accumulators: constant memory, so a report must give the sample's
-/// size beside the estimate).
-class distribution
+/// A distribution of times in seconds: how many observations fell under each of
+/// a row of bounds. Unlike percentiles, such counts can be added up over
+/// processes. Constant memory.
+class histogram
 {
 public:
-  distribution();
+  histogram();
+  ~histogram();
+  histogram(const histogram&) = delete;
+  histogram& operator=(const histogram&) = delete;
+
   void Add(double aValue);
-  std::size_t Count() const;
-  double Sum() const;
-  double Quantile(double aProbability) const;
+  /// In the text exposition format.
+  void Write(std::string& aText, const std::string& aName) const;
 
 private:
-  using accumulator = boost::accumulators::accumulator_set<
-    double,
-    boost::accumulators::stats<
-      boost::accumulators::tag::count,
-      boost::accumulators::tag::sum,
-      boost::accumulators::tag::extended_p_square_quantile>>;
-  accumulator mValues;
+  struct storage;
+  std::unique_ptr<storage> mStorage;
 };
 
 /// The metrics of one process. Names are `family` or `family{label="value"}`.
@@ -53,7 +43,7 @@
 private:
   std::map<std::string, double> mCounters;
   std::map<std::string, double> mGauges;
-  std::map<std::string, distribution> mDistributions;
+  std::map<std::string, histogram> mHistograms;
 };
 
 /// `family{key="value"}` with the value escaped.
--- a/Tests/Gateway/Fixtures.h
+++ b/Tests/Gateway/Fixtures.h
@@ -85,6 +85,16 @@
     return caller;
   }
 
+  /// What the metrics address answers.
+  std::string Metrics()
+  {
+    standin_caller reader(mLoop, mGateway->MetricsPort());
+    reader.Send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+    Until([&reader]() { return reader.Answered() || reader.Ended(); },
+          "the metrics");
+    return reader.Body();
+  }
+
   endpoint_fixture mDesk;
   endpoint_fixture mSecond;
   endpoint_fixture mModel;
--- a/Tests/Gateway/StreamTest.cpp
+++ b/Tests/Gateway/StreamTest.cpp
@@ -1,5 +1,7 @@
 #include "Fixtures.h"
 
+#include "LibGateway/GatewayMetrics.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace primrose;
@@ -18,6 +20,7 @@
   CPPUNIT_TEST(PartOfTheMemoryIsGivenBack);
   CPPUNIT_TEST(RefusalForAHelpersSakeIsTriedWithoutIt);
   CPPUNIT_TEST(HelperThatRefusedIsLeftOutNextTime);
+  CPPUNIT_TEST(LateStreamsAndStoreCallsAreCounted);
   CPPUNIT_TEST_SUITE_END();
 
   static std::string Event(int aId)
@@ -351,6 +354,49 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t(4), engines.mSent);
   }
+
+  /// An operator who is told of slow answers looks at what is late: the first
+  /// events or the pauses, of which engines, and whether the store answers.
+  void LateStreamsAndStoreCallsAreCounted()
+  {
+    world w;
+    w.List("i-model", "model", w.mModel.mServer.Address());
+    w.mModel.mAnswer = [](connection& aConnection, const http_head& aHead) {
+      std::string bytes = GoodHead(aHead, "Transfer-Encoding: chunked\r\n");
+      AppendChunk(bytes, Event(1));
+      bytes.append(kLastChunk);
+      aConnection.mChannel->Write(bytes);
+      aConnection.Next();
+    };
+    w.Start();
+    const standin_caller& caller =
+      w.Answered(w.Request("r1", "stream", "Token-Usage: 1000,50\r\n"));
+    CPPUNIT_ASSERT_EQUAL(200U, caller.Status());
+    const std::string text = w.Metrics();
+    for (const char* const line :
+         { "gateway_requests_total{outcome=\"answered\"} 1\n",
+           "gateway_first_event_seconds_count 1\n",
+           "gateway_store_calls_total{outcome=\"good\"} ",
+           "gateway_store_answer_age_seconds{table=\"",
+           "gateway_promised_reading_seconds ",
+           "gateway_engine_requests 0\n" }) {
+      CPPUNIT_ASSERT_MESSAGE(text, text.find(line) != std::string::npos);
+    }
+    CPPUNIT_ASSERT(text.find("gateway_late_total") == std::string::npos);
+    metrics counted;
+    CountStream(
+      counted,
+      { milliseconds(400), milliseconds(300), milliseconds(90), duration{} });
+    CountStream(counted,
+                { milliseconds(100),
+                  milliseconds(300),
+                  milliseconds(260),
+                  milliseconds(250) });
+    for (const char* const what : { "first_event", "pause" }) {
+      CPPUNIT_ASSERT_EQUAL(
+        1.0, counted.Value(Labelled("gateway_late_total", "what", what)));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(stream_test, "gateway-streams");
--- a/Tests/Unit/CoreTest.cpp
+++ b/Tests/Unit/CoreTest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(NumbersUseTheWholeText);
   CPPUNIT_TEST(LogValuesCannotForgeALine);
   CPPUNIT_TEST(RendezvousMovesOnlyTheLostNodesKeys);
+  CPPUNIT_TEST(TimesAreCountedUnderTheirBounds);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -86,5 +87,24 @@
       CPPUNIT_ASSERT(before == 3 || home(key, 3) == before);
     }
   }
+
+  void TimesAreCountedUnderTheirBounds()
+  {
+    metrics counted;
+    for (const double seconds : { 0.001, 0.26, 0.26, 99.0 }) {
+      counted.Observe("t", seconds);
+    }
+    const std::string text = counted.Exposition();
+    for (const char* const line : { "# TYPE t histogram\n",
+                                    "t_bucket{le=\"0.002\"} 1\n",
+                                    "t_bucket{le=\"0.25\"} 1\n",
+                                    "t_bucket{le=\"0.3\"} 3\n",
+                                    "t_bucket{le=\"15\"} 3\n",
+                                    "t_bucket{le=\"+Inf\"} 4\n",
+                                    "t_sum 99.521\n",
+                                    "t_count 4\n" }) {
+      CPPUNIT_ASSERT_MESSAGE(text, text.find(line) != std::string::npos);
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(core_test, "core");
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -123,6 +123,7 @@
   CPPUNIT_TEST(BusyFleetTurnsGiantAway);
   CPPUNIT_TEST(IdleFleetReadsGiantWithHolders);
   CPPUNIT_TEST(PromptGoesWhereMemoryIs);
+  CPPUNIT_TEST(TurnedAwayIsToldWhenItIsWelcome);
   CPPUNIT_TEST(LeavingEngineGetsNothing);
   CPPUNIT_TEST(AvoidedEnginesAreLeftOutWhileOthersAre);
   CPPUNIT_TEST(FullEngineIsBelieved);
@@ -262,6 +263,31 @@
     CPPUNIT_ASSERT_EQUAL(std::string("engine-0"), choice.mWriter->mListed.mId);
   }
 
+  /// Symptom: a review that is turned away comes back after a quarter of a
+  /// second, is turned away again and is lost, a second before the engines are
+  /// idle. Sequence: some large prompts come at the same moment. Cause: callers
+  /// were told the same time whatever the engines had to read.
+  void TurnedAwayIsToldWhenItIsWelcome()
+  {
+    fleet f;
+    for (int i = 0; i < 12; ++i) {
+      f.Place(Review(250000));
+    }
+    const engine_work work = Review(300000);
+    CPPUNIT_ASSERT(f.Choose(work).mVerdict == engine_verdict::TurnAway);
+    const auto until = [&f, &work](duration aLongest) {
+      return UntilWelcome(
+        f.mBoard, f.mLedger, Timing(), work, "a", kStart, aLongest);
+    };
+    const duration welcome = until(std::chrono::seconds(20));
+    CPPUNIT_ASSERT(welcome > milliseconds(250));
+    CPPUNIT_ASSERT(welcome < std::chrono::seconds(20));
+    CPPUNIT_ASSERT(f.Choose(work, kStart + welcome).mVerdict ==
+                   engine_verdict::Send);
+    // Never longer than its caller will wait.
+    CPPUNIT_ASSERT(until(milliseconds(400)) == milliseconds(400));
+  }
+
   void LeavingEngineGetsNothing()
   {
     fleet f;
