Kept connections are shared; early answers; primrosectl story

Connections: an entry kept as many idle connections to an endpoint as it had once used, whatever the endpoint takes of all callers; now its share of half of them (none at 350 entries before 364 connections). A connection on which an endpoint answered before it had taken the whole request is not used again.

--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -144,9 +144,12 @@
 attempt::Complete()
 {
   // Bytes behind the answer belong to no request: such a connection is not
-  // used again, or the next request would be given them.
+  // used again, or the next request would be given them. Nor is one on which
+  // the endpoint answered before it had taken the whole request, since the next
+  // one would wait behind a rest that it may never read.
   if (mChannel->Open() && mReader.Head().mKeepAlive &&
-      mChannel->Input().empty() && !mReader.EndsWithConnection()) {
+      mChannel->Input().empty() && mChannel->Pending() == 0 &&
+      !mReader.EndsWithConnection()) {
     mConnections.Keep(mEndpoint.mId,
                       std::move(mChannel),
                       mFacts.mIdleTimeout.value_or(kUsualIdleTimeout));
--- a/Libraries/LibGateway/EndpointConnections.cpp
+++ b/Libraries/LibGateway/EndpointConnections.cpp
@@ -1,6 +1,7 @@
 #include "LibGateway/EndpointConnections.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace primrose {
 
@@ -14,10 +15,17 @@
 /// at that very moment is reset, so it is given up this much earlier.
 constexpr duration kSafetyBeforeTimeout = std::chrono::milliseconds(1000);
 
+/// Part of an endpoint's connections that entries keep idle, together; the rest
+/// is for requests in progress. With 350 entries before an endpoint that takes
+/// 364 connections none is kept.
+constexpr double kIdleShare = 0.5;
+
 } // namespace
 
-endpoint_connections::endpoint_connections(event_loop& aLoop)
+endpoint_connections::endpoint_connections(event_loop& aLoop,
+                                           const gateway_board& aBoard)
   : mLoop(aLoop)
+  , mBoard(aBoard)
 {
 }
 
@@ -51,6 +59,24 @@
   return std::make_shared<tcp_channel>(mLoop, aAddress, kLimits);
 }
 
+std::size_t
+endpoint_connections::MostKept(const std::string& aId) const
+{
+  constexpr std::size_t kAny = std::numeric_limits<std::size_t>::max();
+  const auto known = mBoard.mEndpoints.mEndpoints.find(aId);
+  if (known == mBoard.mEndpoints.mEndpoints.end() ||
+      mBoard.mManifest == nullptr) {
+    return 0;
+  }
+  const service* const serves =
+    mBoard.mManifest->FindService(known->second.mListed.mService);
+  if (serves == nullptr || serves->mMaxConnections == 0) {
+    return kAny;
+  }
+  return static_cast<std::size_t>(kIdleShare * serves->mMaxConnections /
+                                  static_cast<double>(EntryCount(mBoard)));
+}
+
 void
 endpoint_connections::Keep(const std::string& aId,
                            std::shared_ptr<tcp_channel> aChannel,
@@ -61,8 +87,21 @@
     mLoop.DeleteLater(std::move(aChannel));
     return;
   }
+  std::deque<kept>& idle = mIdle[aId];
+  const std::size_t most = MostKept(aId);
+  if (idle.size() >= most) {
+    // The oldest is the first to be closed by the endpoint anyway.
+    std::shared_ptr<tcp_channel> closing =
+      most == 0 ? std::move(aChannel) : idle.front().mChannel;
+    closing->Close();
+    mLoop.DeleteLater(std::move(closing));
+    if (most == 0) {
+      return;
+    }
+    idle.pop_front();
+  }
   aChannel->SetOwner(this);
-  mIdle[aId].push_back(
+  idle.push_back(
     { std::move(aChannel), mLoop.Now() + aIdleTimeout - kSafetyBeforeTimeout });
 }
 
--- a/Libraries/LibGateway/EndpointConnections.h
+++ b/Libraries/LibGateway/EndpointConnections.h
@@ -12,7 +12,7 @@
 class endpoint_connections final : public channel_owner
 {
 public:
-  explicit endpoint_connections(event_loop& aLoop);
+  explicit endpoint_connections(event_loop& aLoop, const gateway_board& aBoard);
   ~endpoint_connections() override;
   endpoint_connections(const endpoint_connections&) = delete;
   endpoint_connections& operator=(const endpoint_connections&) = delete;
@@ -39,8 +39,12 @@
     time_point mUntil{};
   };
   void Drop(const tcp_channel& aChannel);
+  /// Idle connections that this entry may keep to one endpoint: an endpoint
+  /// takes so many of all callers, and resets those beyond.
+  std::size_t MostKept(const std::string& aId) const;
 
   event_loop& mLoop;
+  const gateway_board& mBoard;
   std::map<std::string, std::deque<kept>> mIdle;
 };
 
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -45,7 +45,7 @@
   : mLoop(aLoop)
   , mSettings(aSettings)
   , mAdapter(aAdapter)
-  , mConnections(aLoop)
+  , mConnections(aLoop, mBoard)
   , mPeers(aLoop,
            mSettings,
            mBoard,
--- a/Tests/EndToEnd/command-line.sh
+++ b/Tests/EndToEnd/command-line.sh
@@ -57,6 +57,13 @@
   "$bin/primrose-entry" --settings "$folder/types.json" --check
 expect 2 'line 2: not JSON' \
   "$bin/primrose-entry" --settings "$folder/syntax.json" --check
+printf 'x time=1 by=e event=request request=r1 outcome=answered\n' >"$folder/log"
+expect 0 '^time=1 .*outcome=answered' "$bin/primrosectl" story r1 "$folder/log"
+expect 1 'no line of these logs names request r2' \
+  "$bin/primrosectl" story r2 "$folder/log"
+expect 2 'none.log cannot be read' \
+  "$bin/primrosectl" story r1 "$folder/none.log"
+expect 2 'usage: story REQUEST LOG' "$bin/primrosectl" story r1
 expect 2 'cannot be read' "$bin/primrose-entry" --settings "$folder/none.json"
 expect 2 'cannot be read' "$bin/primrose-agent" --settings "$folder/empty.json"
 expect 2 'cannot be read' "$bin/primrose-agent" --settings "$folder"
--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -13,6 +13,8 @@
   CPPUNIT_TEST(UnknownRouteAndKey);
   CPPUNIT_TEST(NothingIsServedBeforeAManifest);
   CPPUNIT_TEST(KeptConnectionServesManyRequests);
+  CPPUNIT_TEST(KeptConnectionsAreShared);
+  CPPUNIT_TEST(EarlyAnswerLeavesTheRestOfTheBodyInPlace);
   CPPUNIT_TEST(SecondAnswerBelongsToNobody);
   CPPUNIT_TEST(ForeignAnswerIsNotPassedOn);
   CPPUNIT_TEST(UnprovenAnswerIsNoSuccess);
@@ -107,6 +109,113 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), w.mDesk.mServer.Connections().size());
   }
 
+  /// Symptom: an endpoint resets new connections while it is hardly busy.
+  /// Sequence: dozens of entries keep idle connections from the last burst.
+  /// Cause: each keeps what it likes of what all may have together.
+  void KeptConnectionsAreShared()
+  {
+    world w;
+    // The endpoint takes 100 connections; 25 entries may keep 50 of them idle.
+    for (int i = 0; i < 24; ++i) {
+      w.mStore.Put("entries", "127.0.1." + std::to_string(i), "entry");
+    }
+    std::vector<std::pair<connection*, std::string>> held;
+    w.mDesk.mAnswer = [&held](connection& aConnection, const http_head& aHead) {
+      held.emplace_back(&aConnection,
+                        GoodHead(aHead, "Content-Length: 2\r\n") + "ok");
+    };
+    w.Start();
+    w.Until([&w]() { return w.mGateway->Board().mEntriesListed == 25; },
+            "the entries are known");
+    std::vector<standin_caller*> callers;
+    for (int i = 0; i < 6; ++i) {
+      callers.push_back(&w.Ask(w.Request("r" + std::to_string(i), "safe")));
+    }
+    w.Until([&held]() { return held.size() == 6; }, "all are in progress");
+    for (const auto& [open, answer] : held) {
+      open->mChannel->Write(answer);
+      open->Next();
+    }
+    for (standin_caller* const caller : callers) {
+      w.Until([caller]() { return caller->Answered(); }, "an answer");
+    }
+    w.Until([&w]() { return w.mDesk.mServer.Ended() == 4; },
+            "four of six connections are closed");
+  }
+
+  /// An endpoint that answers as soon as it has a request's head, and reads on
+  /// when it is told to.
+  struct hasty_endpoint final : channel_owner
+  {
+    explicit hasty_endpoint(event_loop& aLoop)
+      : mLoop(aLoop)
+    {
+      outcome<std::unique_ptr<tcp_listener>> opened =
+        Capture<std::unique_ptr<tcp_listener>>([this]() {
+          return tcp_listener::Open(
+            mLoop, { "127.0.0.1", 0 }, [this](int aSocket) {
+              mChannels.push_back(std::make_shared<tcp_channel>(
+                mLoop,
+                aSocket,
+                channel_limits{ std::chrono::seconds(9),
+                                std::chrono::seconds(9) }));
+              mChannels.back()->SetOwner(this);
+            });
+        });
+      mListener = std::move(*opened.mValue);
+    }
+
+    void OnInput(tcp_channel& aChannel) override
+    {
+      std::string& seen = mSeen[&aChannel];
+      seen += aChannel.Input();
+      aChannel.Input().clear();
+      const std::size_t head = seen.find("\r\n\r\n");
+      if (mAnswered || head == std::string::npos) {
+        return;
+      }
+      mAnswered = true;
+      aChannel.PauseReading(true);
+      const std::size_t id = seen.find("r1");
+      CPPUNIT_ASSERT(id != std::string::npos);
+      aChannel.Write("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n"
+                     "Content-Length: 2\r\n\r\nok");
+    }
+    void OnEnd(tcp_channel&, channel_end) override {}
+
+    event_loop& mLoop;
+    bool mAnswered = false;
+    std::map<tcp_channel*, std::string> mSeen;
+    std::vector<std::shared_ptr<tcp_channel>> mChannels;
+    std::unique_ptr<tcp_listener> mListener;
+  };
+
+  /// Symptom: an endpoint runs a request that nobody sent. Sequence: it answers
+  /// a long upload before it has read all of it and reads on later; on the same
+  /// connection the next request was sent. Cause: a connection on which a rest
+  /// of the body was still due was taken for idle.
+  void EarlyAnswerLeavesTheRestOfTheBodyInPlace()
+  {
+    world w;
+    hasty_endpoint hasty(w.mLoop);
+    w.mStore.Remove("servers", "i-desk");
+    w.List("i-hasty", "desk", { "127.0.0.1", hasty.mListener->Port() });
+    w.Start();
+    const std::string body(3000000, 'b');
+    standin_caller& caller = w.Ask(w.Request("r1", "safe", "", body));
+    w.Until([&caller]() { return caller.Answered(); }, "the early answer");
+    CPPUNIT_ASSERT_EQUAL(200U, caller.Status());
+    w.Ask(w.Request("r2", "safe"));
+    w.Until([&hasty]() { return hasty.mChannels.size() == 2; },
+            "a connection of its own for the next request");
+    hasty.mChannels.front()->PauseReading(false);
+    w.For(milliseconds(200));
+    const std::string& first = hasty.mSeen[hasty.mChannels.front().get()];
+    CPPUNIT_ASSERT(first.find("r2") == std::string::npos);
+    const std::size_t head = first.find("\r\n\r\n") + 4;
+    CPPUNIT_ASSERT(first.find_first_not_of('b', head) == std::string::npos);
+  }
+
   /// Symptom: a caller gets the answer to somebody else's request.
   /// Sequence: an endpoint answers twice on a kept connection; the next request
   /// goes out on it and the second answer is taken for its own.
--- a/Tests/Gateway/StreamTest.cpp
+++ b/Tests/Gateway/StreamTest.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST_SUITE(stream_test);
   CPPUNIT_TEST(EventsAreForwardedAsTheyArrive);
   CPPUNIT_TEST(BrokenStreamGoesOnElsewhere);
+  CPPUNIT_TEST(ResetBeforeTheHeadIsTriedElsewhere);
   CPPUNIT_TEST(BrokenReviewIsNotTurnedAway);
   CPPUNIT_TEST(StreamThatCannotGoOnIsCut);
   CPPUNIT_TEST(CallerThatDoesNotReadHoldsTheEndpointBack);
@@ -87,6 +88,38 @@
     CPPUNIT_ASSERT_EQUAL(std::string("2"), second.Field(0, "last-event-id"));
   }
 
+  /// Symptom: a summary fails at once though another engine is idle. Sequence:
+  /// the engine resets the connection before it has said anything. Cause: only
+  /// streams that had begun were taken to another engine.
+  void ResetBeforeTheHeadIsTriedElsewhere()
+  {
+    world w;
+    endpoint_fixture other(w.mLoop);
+    std::size_t resets = 0;
+    const auto answer = [&resets](connection& aConnection,
+                                  const http_head& aHead) {
+      if (resets++ == 0) {
+        aConnection.mChannel->Abort();
+        return;
+      }
+      std::string bytes = GoodHead(aHead, "Transfer-Encoding: chunked\r\n");
+      AppendChunk(bytes, Event(1));
+      bytes.append(kLastChunk);
+      aConnection.mChannel->Write(bytes);
+    };
+    w.mModel.mAnswer = answer;
+    other.mAnswer = answer;
+    w.List("i-model", "model", w.mModel.mServer.Address());
+    w.List("i-other", "model", other.mServer.Address());
+    w.Start();
+    const standin_caller& caller =
+      w.Answered(w.Request("r1", "stream", "Token-Usage: 1000,50\r\n"));
+    CPPUNIT_ASSERT_EQUAL(200U, caller.Status());
+    CPPUNIT_ASSERT_EQUAL(Event(1), caller.Body());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), w.mModel.mHeads.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), other.mHeads.size());
+  }
+
   /// Symptom: a review disappears after its first events though another engine
   /// could go on. Sequence: it breaks off while the engines are busy; what it
   /// takes from others is weighed again, and it is turned away.
--- a/Utilities/Control/Control.h
+++ b/Utilities/Control/Control.h
@@ -58,6 +58,10 @@
 result<int>
 MakeKey(control_context& aContext);
 
+// Logs of gateways.
+result<int>
+ShowStory(control_context& aContext);
+
 // A running fleet.
 result<int>
 ShowStatus(control_context& aContext);
--- a/Utilities/Control/Main.cpp
+++ b/Utilities/Control/Main.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::size_t kMany = 16;
+constexpr std::size_t kMany = 400; ///< Words: a log of each entry.
 
 constexpr std::array kCommands = {
   command{ "check",
@@ -46,6 +46,13 @@
            0,
            false,
            &MakeKey },
+  command{ "story",
+           "REQUEST LOG...",
+           "what gateways' logs tell of a request, and what they believed",
+           2,
+           kMany - 1,
+           false,
+           &ShowStory },
   command{ "status",
            "",
            "entries and the endpoints they see",
