--- a/Libraries/LibGateway/EndpointConnections.cpp
+++ b/Libraries/LibGateway/EndpointConnections.cpp
@@ -82,22 +82,17 @@
                            std::shared_ptr<tcp_channel> aChannel,
                            duration aIdleTimeout)
 {
-  if (aIdleTimeout <= kSafetyBeforeTimeout) {
+  const std::size_t most = MostKept(aId);
+  if (aIdleTimeout <= kSafetyBeforeTimeout || most == 0) {
     aChannel->Close();
     mLoop.DeleteLater(std::move(aChannel));
     return;
   }
   std::deque<kept>& idle = mIdle[aId];
-  const std::size_t most = MostKept(aId);
   if (idle.size() >= most) {
     // The oldest is the first to be closed by the endpoint anyway.
-    std::shared_ptr<tcp_channel> closing =
-      most == 0 ? std::move(aChannel) : idle.front().mChannel;
-    closing->Close();
-    mLoop.DeleteLater(std::move(closing));
-    if (most == 0) {
-      return;
-    }
+    idle.front().mChannel->Close();
+    mLoop.DeleteLater(std::move(idle.front().mChannel));
     idle.pop_front();
   }
   aChannel->SetOwner(this);
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -44,6 +44,7 @@
 Listed(const std::vector<known_endpoint*>& aEndpoints)
 {
   std::vector<endpoint> listed;
+  listed.reserve(aEndpoints.size());
   for (const known_endpoint* const one : aEndpoints) {
     listed.push_back(one->mListed);
   }
--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -128,6 +128,7 @@
     w.Until([&w]() { return w.mGateway->Board().mEntriesListed == 25; },
             "the entries are known");
     std::vector<standin_caller*> callers;
+    callers.reserve(6);
     for (int i = 0; i < 6; ++i) {
       callers.push_back(&w.Ask(w.Request("r" + std::to_string(i), "safe")));
     }
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -57,6 +57,7 @@
   mCallersPort = test::FreePort(mLoop);
   mReadyPort = test::FreePort(mLoop);
   mPeersPort = test::FreePort(mLoop);
+  mMetricsPort = test::FreePort(mLoop);
   mHistory.mEvents = kEventsOfStream;
   PutManifest();
   mEndpoints.resize(aSize.mEngines + aSize.mDesks);
@@ -123,11 +124,14 @@
   // Each start has a log of its own, so that none overwrites another's.
   const std::string log = one.mLog + "." + std::to_string(mSent);
   g_subprocess_launcher_set_stdout_file_path(launcher, log.c_str());
+  const std::string metrics = std::to_string(mMetricsPort);
   one.mHandle = g_subprocess_launcher_spawn(launcher,
                                             nullptr,
                                             mProgram.c_str(),
                                             "--settings",
                                             one.mSettings.c_str(),
+                                            "--metrics-port",
+                                            metrics.c_str(),
                                             nullptr);
   g_object_unref(launcher);
   one.mPaused = false;
--- a/Tests/Soak/SoakWorld.h
+++ b/Tests/Soak/SoakWorld.h
@@ -95,6 +95,7 @@
   std::uint16_t mCallersPort = 0; ///< The same on the address of each entry.
   std::uint16_t mReadyPort = 0;
   std::uint16_t mPeersPort = 0;
+  std::uint16_t mMetricsPort = 0;
   std::vector<soak_endpoint> mEndpoints;
   std::vector<std::shared_ptr<call>> mCalls;
   soak_history mHistory;
