What an operator does not declare refuses nothing

Now all of the request's time is the objective, 30 s the limit, and untold memory bounds nothing. RouteWithoutAnObjectiveIsServed and UntoldMemoryRefusesNothing were red before.

--- a/Libraries/LibFleet/EngineCost.h
+++ b/Libraries/LibFleet/EngineCost.h
@@ -9,8 +9,8 @@
 /// The engine's arithmetic, as its operator declares it.
 struct engine_timing
 {
-  unsigned mSlots = 1;           ///< Requests that it works on at once.
-  double mMemoryTokens = 0;      ///< Prompt and answer tokens that fit.
+  unsigned mSlots = 1;      ///< Requests that it works on at once.
+  double mMemoryTokens = 0; ///< Prompt and answer tokens that fit; 0: not told.
   double mTokensReadPerMs = 1;   ///< Reading without the cost of pairs.
   double mMsPerMillionPairs = 0; ///< For each token and any earlier token.
   double mStepMs = 0;            ///< One token step.
--- a/Libraries/LibFleet/PlacementCandidates.cpp
+++ b/Libraries/LibFleet/PlacementCandidates.cpp
@@ -1,6 +1,7 @@
 #include "LibFleet/PlacementCandidates.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace primrose {
 
@@ -26,6 +27,14 @@
   return streams;
 }
 
+double
+FreeTokens(const engine_timing& aTiming, const engine_load& aLoad)
+{
+  return aTiming.mMemoryTokens > 0
+           ? aTiming.mMemoryTokens * kUsableMemory - aLoad.mTokens
+           : std::numeric_limits<double>::max();
+}
+
 } // namespace
 
 double
@@ -56,7 +65,7 @@
     engine_candidate one;
     one.mEndpoint = &known;
     one.mBacklogMs = BacklogMs(load, aNow);
-    one.mFreeTokens = aTiming.mMemoryTokens * kUsableMemory - load.mTokens;
+    one.mFreeTokens = FreeTokens(aTiming, load);
     one.mStreams = StreamsOn(aLedger, load);
     one.mRequests = RequestsOn(load, aNow);
     one.mPassMs = PassMs(aTiming,
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -10,6 +10,8 @@
 
 /// What the final answer needs to reach the caller in its time.
 constexpr duration kAnswerTime = std::chrono::milliseconds(15);
+/// For a route that declares none: above those of both deployments.
+constexpr duration kUsualTimeLimit = std::chrono::seconds(30);
 /// When a refused caller may come back, in seconds.
 constexpr double kRetryWhenListed = 0.3;
 constexpr double kRetryWhenRoom = 0.25;
@@ -112,7 +114,8 @@
     Answer({ error_kind::NotFound, "no service", ran_state::No, std::nullopt });
     return false;
   }
-  duration limit = mRoute->mTimeout;
+  duration limit =
+    mRoute->mTimeout > duration::zero() ? mRoute->mTimeout : kUsualTimeLimit;
   if (mFacts.mTimeLeft.has_value()) {
     limit = std::min(limit, *mFacts.mTimeLeft - kAnswerTime);
   }
@@ -268,7 +271,7 @@
   if (aOutcome == "answered" && mRoute->mKind == call_kind::Stream) {
     CountStream(mContext.mBoard.mMetrics,
                 { mFirstEventAt - mBegan,
-                  mRoute->mObjective,
+                  Objective(),
                   mLongestPause,
                   mRoute->mLongestPause });
   }
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -74,6 +74,10 @@
   bool ChooseEngines();
   bool ChoosePlain();
   engine_work WorkOf() const;
+  /// Within which the answer is in time; all of its time where the route
+  /// declares none, since 0 would make every answer late and every endpoint
+  /// silent.
+  duration Objective() const;
   void TurnAway(const engine_choice& aChoice);
   void NotePlacement(const engine_choice& aChoice, const engine_work& aWork);
   void SetMemoryAside(const engine_choice& aChoice);
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -85,6 +85,13 @@
   return true;
 }
 
+duration
+exchange::Objective() const
+{
+  return mRoute->mObjective > duration::zero() ? mRoute->mObjective
+                                               : mDeadline - mBegan;
+}
+
 engine_work
 exchange::WorkOf() const
 {
@@ -93,10 +100,10 @@
   work.mPromptTokens = mFacts.mPromptTokens;
   work.mAnswerTokens =
     std::min(mFacts.mMostAnswerTokens, mService->mEngine->mUsualAnswerTokens);
+  work.mObjective = Objective();
   work.mLongestPause = mRoute->mLongestPause > duration::zero()
                          ? mRoute->mLongestPause
-                         : mRoute->mObjective;
-  work.mObjective = mRoute->mObjective;
+                         : work.mObjective;
   work.mWorth = WorthOfWork(work.mPromptTokens);
   work.mOrderSeed = mContext.mBoard.mAllTold ? 0 : mContext.mBoard.mBoot;
   return work;
@@ -229,7 +236,7 @@
       ? FromSeconds(kFirstEventOfExpected * mExpectedMs / kMsPerSecond) +
           kShortestStall
       : FromSeconds(kDividedOfExpected * mExpectedMs / kMsPerSecond) +
-          mRoute->mObjective);
+          Objective());
 }
 
 bool
@@ -257,8 +264,7 @@
         { "manifest", mManifest->Manifest().mVersion } });
   SendTo(chosen->mListed, {});
   if (mRoute->mKind == call_kind::Idempotent) {
-    WatchSilence(
-      FromSeconds(kSilenceOfObjective * Seconds(mRoute->mObjective)));
+    WatchSilence(FromSeconds(kSilenceOfObjective * Seconds(Objective())));
   }
   return true;
 }
--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(AddressOfAnotherIsTriedElsewhere);
   CPPUNIT_TEST(RepeatsOnlyWithinAttempts);
   CPPUNIT_TEST(SlowEndpointIsBetterThanNone);
+  CPPUNIT_TEST(RouteWithoutAnObjectiveIsServed);
   CPPUNIT_TEST(FailureIsForwardedWhereNobodyElseIs);
   CPPUNIT_TEST(DeadlineEndsARequest);
   CPPUNIT_TEST(CallerThatLeavesIsNotWorkedFor);
@@ -459,6 +460,44 @@
             "the endpoint's connection is closed");
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), w.mGateway->Board().mOpenRequests);
   }
+
+  /// Symptom: on a route that declares no objective every lookup runs twice and
+  /// every review is refused. Sequence: none is needed. Cause: an objective of
+  /// 0 made an endpoint silent at once, and any first event too late to be
+  /// worth its reading.
+  void RouteWithoutAnObjectiveIsServed()
+  {
+    world w;
+    w.List("i-second", "desk", w.mSecond.mServer.Address());
+    w.List("i-model", "model", w.mModel.mServer.Address());
+    const auto slowly = [&w](connection& aConnection, const http_head& aHead) {
+      const std::string answer =
+        GoodHead(aHead, "Content-Length: 2\r\n") + "ok";
+      (void)w.mLoop.After(milliseconds(100), [&aConnection, answer]() {
+        aConnection.mChannel->Write(answer);
+        aConnection.Next();
+      });
+    };
+    w.mDesk.mAnswer = slowly;
+    w.mSecond.mAnswer = slowly;
+    w.mModel.mAnswer = [](connection& aConnection, const http_head& aHead) {
+      std::string bytes = GoodHead(aHead, "Transfer-Encoding: chunked\r\n");
+      AppendChunk(bytes, "id: 1\ndata: x\n\n");
+      bytes.append(kLastChunk);
+      aConnection.mChannel->Write(bytes);
+      aConnection.Next();
+    };
+    w.Start();
+    CPPUNIT_ASSERT_EQUAL(200U,
+                         w.Answered(w.Request("r1", "unhurried")).Status());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         w.mDesk.mHeads.size() + w.mSecond.mHeads.size());
+    CPPUNIT_ASSERT_EQUAL(
+      200U,
+      w.Answered(
+         w.Request("r2", "unhurried-stream", "Token-Usage: 200000,50\r\n"))
+        .Status());
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(forwarding_test, "forwarding");
--- a/Tests/Gateway/Standin.cpp
+++ b/Tests/Gateway/Standin.cpp
@@ -404,6 +404,16 @@
   if (!aExtra.empty()) {
     add(aExtra, "safe", "desk", 2, false);
   }
+  // Routes without an objective or a time limit of their own.
+  add("unhurried", "safe", "desk", 2, false);
+  add("unhurried-stream", "stream", "model", 2, true);
+  for (json& one : routes) {
+    if (one["name"].get<std::string>().starts_with("unhurried")) {
+      one.erase("target_latency_ms");
+      one.erase("timeout_ms");
+      one.erase("gap_aim_ms");
+    }
+  }
   const json engine = { { "slots", 16 },
                         { "kv_cache_tokens", 315000 },
                         { "stride", 51 },
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -124,6 +124,7 @@
   CPPUNIT_TEST(IdleFleetReadsGiantWithHolders);
   CPPUNIT_TEST(PromptGoesWhereMemoryIs);
   CPPUNIT_TEST(TurnedAwayIsToldWhenItIsWelcome);
+  CPPUNIT_TEST(UntoldMemoryRefusesNothing);
   CPPUNIT_TEST(LeavingEngineGetsNothing);
   CPPUNIT_TEST(AvoidedEnginesAreLeftOutWhileOthersAre);
   CPPUNIT_TEST(FullEngineIsBelieved);
@@ -288,6 +289,19 @@
     CPPUNIT_ASSERT(until(milliseconds(400)) == milliseconds(400));
   }
 
+  /// Symptom: every long prompt is refused for want of memory. Sequence: the
+  /// operator declares no memory of the engines. Cause: 0 was taken for none.
+  void UntoldMemoryRefusesNothing()
+  {
+    fleet f;
+    engine_timing timing = Timing();
+    timing.mMemoryTokens = 0;
+    const std::optional<engine_choice> choice = PlaceOnEngines(
+      f.mBoard, f.mLedger, timing, Review(200000), {}, "a", kStart);
+    CPPUNIT_ASSERT(choice->mVerdict == engine_verdict::Send);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), choice->mHolders);
+  }
+
   void LeavingEngineGetsNothing()
   {
     fleet f;
