--- a/Tests/Unit/LogStoryTest.cpp
+++ b/Tests/Unit/LogStoryTest.cpp
@@ -9,6 +9,7 @@
   CPPUNIT_TEST_SUITE(story_test);
   CPPUNIT_TEST(ValuesAreFoundByTheirWholeKey);
   CPPUNIT_TEST(RequestIsToldWithWhatWasBelieved);
+  CPPUNIT_TEST(NothingIsToldOfAnEarlierStart);
   CPPUNIT_TEST(UnknownRequestHasNoStory);
   CPPUNIT_TEST_SUITE_END();
 
@@ -47,6 +48,22 @@
     CPPUNIT_ASSERT(RequestStory(lines, "r1") == expected);
   }
 
+  /// Symptom: a request is refused for want of a manifest, and its story names
+  /// version 7 as in force. Sequence: the entry was killed and started again
+  /// while the store was away. Cause: the line was of the process before.
+  void NothingIsToldOfAnEarlierStart()
+  {
+    const std::vector<std::string> lines = {
+      "time=1 by=e1 event=started",
+      "time=2 by=e1 event=manifest_in_force version=7",
+      "time=3 by=e1 event=started",
+      "time=4 by=e1 event=store_lost table=op",
+      "time=5 by=e1 event=request request=r1 why=no_manifest_yet"
+    };
+    const std::vector<std::string> expected = { lines[2], lines[3], lines[4] };
+    CPPUNIT_ASSERT(RequestStory(lines, "r1") == expected);
+  }
+
   void UnknownRequestHasNoStory()
   {
     CPPUNIT_ASSERT(RequestStory({ "time=1 by=e request=r1" }, "r").empty());
--- a/Utilities/Control/LogStory.cpp
+++ b/Utilities/Control/LogStory.cpp
@@ -78,6 +78,23 @@
   return known && aTrace.mEntries.contains(ValueIn(aLine, "by"));
 }
 
+/// What a process believed ended with it: lines of an entry from before its
+/// newest start say nothing of the request.
+void
+DropEarlierStarts(std::map<std::string, std::string>& aBefore)
+{
+  std::map<std::string, std::string> started;
+  for (const auto& [subject, line] : aBefore) {
+    if (ValueIn(line, "event") == "started") {
+      started[ValueIn(line, "by")] = ValueIn(line, "time");
+    }
+  }
+  std::erase_if(aBefore, [&started](const auto& aEntry) {
+    return ValueIn(aEntry.second, "time") <
+           started[ValueIn(aEntry.second, "by")];
+  });
+}
+
 /// Lines with the same of this replace each other.
 std::string
 SubjectOf(const std::string& aLine)
@@ -132,6 +149,7 @@
       story.push_back(line);
     }
   }
+  DropEarlierStarts(before);
   for (const auto& [subject, line] : before) {
     story.push_back(line);
   }
