--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -24,10 +24,10 @@
 constexpr double kBaseWorth = 0.6;
 constexpr double kWorthPerThousand = 0.13;
 constexpr double kThousand = 1e3;
-/// Times at which a return is weighed. Reading that waits is mostly done within
-/// a second; a finer step would tell nothing, since others come meanwhile.
+/// The first time at which a return is weighed; each further one is twice as
+/// late. Each costs as much as a placement, 0.4 ms before 1,200 engines, and a
+/// finer step would tell little, since others come meanwhile.
 constexpr duration kFirstReturn = std::chrono::milliseconds(250);
-constexpr duration kReturnStep = std::chrono::milliseconds(150);
 
 engine_choice
 PlaceWhole(const std::vector<engine_candidate>& aCandidates,
@@ -325,7 +325,7 @@
              time_point aNow,
              duration aLongest)
 {
-  for (duration after = kFirstReturn; after < aLongest; after += kReturnStep) {
+  for (duration after = kFirstReturn; after < aLongest; after *= 2) {
     const std::optional<engine_choice> choice = PlaceOnEngines(
       aBoard, aLedger, aTiming, aWork, {}, aDataCentre, aNow + after);
     if (choice.has_value() && choice->mVerdict == engine_verdict::Send) {
