What a prompt takes from prompts that are still being read has its price

Ruled out: parts on unequal engines (a part delays the other engines' work just as much where the backlogs are equal).

Change: the ledger keeps until when each prompt is read, and tells objective and elapsed time with a placement; a division is priced by the worth that the prompts on its engines likely lose by being later, each once, by its last engine.

NewPromptLeavesTimeToThoseBeingRead is red without the price.

--- a/Libraries/LibFleet/EngineLedger.cpp
+++ b/Libraries/LibFleet/EngineLedger.cpp
@@ -46,6 +46,27 @@
   aLoad.mBacklogAt = aNow;
 }
 
+/// An engine reads for others what came last first, and all that waits in one
+/// pass where it writes: whatever it still reads ends after the new part.
+void
+DelayReadings(engine_ledger& aLedger,
+              engine_load& aLoad,
+              placement_key aNew,
+              time_point aNow)
+{
+  std::erase_if(aLoad.mReading, [&aLedger, aNow](placement_key aKey) {
+    const auto found = aLedger.mPlacements.find(aKey);
+    return found == aLedger.mPlacements.end() ||
+           found->second.mReadUntil <= aNow;
+  });
+  aLoad.mReading.push_back(aNew);
+  const time_point end = aNow + FromSeconds(aLoad.mBacklogMs / kMsPerSecond);
+  for (const placement_key key : aLoad.mReading) {
+    placement& reading = aLedger.mPlacements.at(key);
+    reading.mReadUntil = std::max(reading.mReadUntil, end);
+  }
+}
+
 template<typename Condition>
 void
 ForgetWhere(engine_ledger& aLedger, time_point aNow, Condition&& aCondition)
@@ -119,6 +140,7 @@
     engine_load& load = aLedger.mEngines[engine];
     AddBacklog(load, aPlaced.mPartMs, aNow);
     MarkStretched(aLedger, load);
+    DelayReadings(aLedger, load, aPlaced.mKey, aNow);
   }
   engine_load& writing = aLedger.mEngines[aPlaced.mEngines.front()];
   writing.mWriting.push_back(aPlaced.mKey);
@@ -144,6 +166,9 @@
       AddBacklog(aLedger.mEngines[engine], -ended.mPartMs, aNow);
     }
   }
+  for (const engine_key engine : ended.mEngines) {
+    std::erase(aLedger.mEngines[engine].mReading, aKey);
+  }
   engine_load& load = aLedger.mEngines[ended.mEngines.front()];
   load.mTokens = std::max(0.0, load.mTokens - ended.mTokens);
   std::erase(load.mWriting, aKey);
--- a/Libraries/LibFleet/EngineLedger.h
+++ b/Libraries/LibFleet/EngineLedger.h
@@ -39,6 +39,8 @@
   double mPartMs = 0;               ///< Reading that each of them does.
   duration mLongestPause{};         ///< That its events may have.
   double mWorth = 0;                ///< Against other requests.
+  time_point mBegan{};              ///< When its caller asked.
+  duration mObjective{};            ///< Its first event is late after this.
   double mTokens = 0;               ///< Memory that it takes where it writes.
   std::vector<engine_key> mHolders; ///< Engines that hold memory for it.
   double mHolderTokens = 0;         ///< Memory that each of those holds.
@@ -46,6 +48,8 @@
   /// A pause of its stream is known to be over its limit, so that further
   /// reading beside it costs its caller nothing more.
   bool mStretched = false;
+  /// When the last of its engines has read its part, as far as is known.
+  time_point mReadUntil{};
 
   bool operator==(const placement&) const = default;
 };
@@ -56,6 +60,7 @@
   time_point mBacklogAt{};
   double mTokens = 0; ///< Memory taken by those that write here.
   std::vector<placement_key> mWriting;
+  std::vector<placement_key> mReading; ///< That it reads, or has read lately.
   std::size_t mSaid = 0; ///< Requests there, as the engine said at `mSaidAt`.
   time_point mSaidAt{};
 
--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 
 namespace primrose {
 
@@ -150,7 +151,7 @@
   order.reserve(aPlacing.mCandidates.size());
   for (const engine_candidate& one : aPlacing.mCandidates) {
     const double delay = (one.mBacklogMs + one.mPassMs) / objective;
-    order.emplace_back(PauseHarm(one, aPartMs) +
+    order.emplace_back(PauseHarm(one, aPartMs) + ReadingHarm(one, aPartMs) +
                          aDelayWeight * aPlacing.mWork.mWorth * delay,
                        &one);
   }
@@ -167,6 +168,26 @@
   return cheapest;
 }
 
+/// What prompts that these engines still read lose by a part more on each. A
+/// prompt is as late as the last of its engines, so it counts once.
+double
+DelayOfOthers(const std::vector<const engine_candidate*>& aEngines,
+              double aPartMs)
+{
+  std::map<placement_key, double> worst;
+  for (const engine_candidate* const one : aEngines) {
+    for (const placed_reading& reading : one->mReadings) {
+      double& harm = worst[reading.mKey];
+      harm = std::max(harm, DelayHarm(reading, one->mBacklogMs + aPartMs));
+    }
+  }
+  double sum = 0;
+  for (const auto& [key, harm] : worst) {
+    sum += harm;
+  }
+  return sum;
+}
+
 /// The division over these engines.
 division
 DivideOver(const placing& aPlacing,
@@ -185,12 +206,13 @@
       made.mReaders.push_back(one);
     }
   }
+  made.mHarm += DelayOfOthers(aEngines, made.mPartMs);
   made.mReadMs = wait + made.mPartMs;
   AddHolders(made, work);
   const double first =
     made.mReadMs + kPassesToFirstEvent * aEngines.front()->mPassMs;
   made.mCost =
-    made.mHarm + LateCost(first, work) +
+    made.mHarm + LateCost(ToMs(work.mElapsed) + first, work) +
     work.mWorth * (kTimePenalty * made.mReadMs / ToMs(work.mObjective) +
                    kPartPenalty * parts);
   return made;
--- a/Libraries/LibFleet/PlacementCandidates.cpp
+++ b/Libraries/LibFleet/PlacementCandidates.cpp
@@ -27,6 +27,29 @@
   return streams;
 }
 
+std::vector<placed_reading>
+ReadingsOn(const engine_ledger& aLedger,
+           const engine_load& aLoad,
+           time_point aNow)
+{
+  std::vector<placed_reading> readings;
+  for (const placement_key key : aLoad.mReading) {
+    const auto placed = aLedger.mPlacements.find(key);
+    if (placed == aLedger.mPlacements.end() ||
+        placed->second.mReadUntil <= aNow) {
+      continue;
+    }
+    const placement& one = placed->second;
+    readings.push_back({ key,
+                         one.mWorth,
+                         ToMs(one.mObjective),
+                         ToMs(aNow - one.mBegan),
+                         ToMs(one.mReadUntil - aNow),
+                         static_cast<double>(one.mEngines.size()) });
+  }
+  return readings;
+}
+
 /// Until a request behind so many gets a slot: each that writes frees its own
 /// after a usual answer, of which a pass writes one event.
 double
@@ -81,6 +104,7 @@
     one.mBacklogMs = BacklogMs(load, aNow);
     one.mFreeTokens = FreeTokens(aTiming, load);
     one.mStreams = StreamsOn(aLedger, load);
+    one.mReadings = ReadingsOn(aLedger, load, aNow);
     one.mRequests = RequestsOn(load, aNow);
     one.mPassMs = PassMs(aTiming,
                          static_cast<double>(one.mRequests + 1),
--- a/Libraries/LibFleet/PlacementCandidates.h
+++ b/Libraries/LibFleet/PlacementCandidates.h
@@ -17,6 +17,19 @@
   bool operator==(const placed_stream&) const = default;
 };
 
+/// A prompt that an engine still reads, alone or with others.
+struct placed_reading
+{
+  placement_key mKey = 0;
+  double mWorth = 0;
+  double mObjectiveMs = 0;
+  double mElapsedMs = 0; ///< Since its caller asked.
+  double mLeftMs = 0;    ///< Until all of it is read.
+  double mEngines = 1;   ///< That read it.
+
+  bool operator==(const placed_reading&) const = default;
+};
+
 struct engine_candidate
 {
   known_endpoint* mEndpoint = nullptr;
@@ -25,6 +38,7 @@
   double mPassMs = 0;     ///< Of a pass that also writes this request.
   double mSlotWaitMs = 0; ///< Until it gets a slot, where all are taken.
   std::vector<placed_stream> mStreams;
+  std::vector<placed_reading> mReadings;
   std::size_t mRequests = 0; ///< That write or wait there.
   bool mAvoided = false;
   bool mAway = false; ///< In another data centre.
--- a/Libraries/LibFleet/PlacementPrices.cpp
+++ b/Libraries/LibFleet/PlacementPrices.cpp
@@ -60,6 +60,30 @@
   return kLostWhenLate * aWork.mWorth * likely;
 }
 
+double
+DelayHarm(const placed_reading& aReading, double aEndsMs)
+{
+  if (aEndsMs <= aReading.mLeftMs || aReading.mObjectiveMs <= 0) {
+    return 0;
+  }
+  engine_work work;
+  work.mWorth = aReading.mWorth;
+  work.mObjective = FromSeconds(aReading.mObjectiveMs / kMsPerSecond);
+  return LateCost(aReading.mElapsedMs + aEndsMs, work) -
+         LateCost(aReading.mElapsedMs + aReading.mLeftMs, work);
+}
+
+double
+ReadingHarm(const engine_candidate& aCandidate, double aReadingMs)
+{
+  const double ends = aCandidate.mBacklogMs + aReadingMs;
+  double harm = 0;
+  for (const placed_reading& one : aCandidate.mReadings) {
+    harm += DelayHarm(one, ends) / one.mEngines;
+  }
+  return harm;
+}
+
 double
 PauseHarm(const engine_candidate& aCandidate, double aReadingMs)
 {
--- a/Libraries/LibFleet/PlacementPrices.h
+++ b/Libraries/LibFleet/PlacementPrices.h
@@ -19,6 +19,16 @@
 double
 PauseHarm(const engine_candidate& aCandidate, double aReadingMs);
 
+/// Worth that a prompt which is still being read likely loses if that ends so
+/// late, beyond what it loses as it is.
+double
+DelayHarm(const placed_reading& aReading, double aEndsMs);
+
+/// The same for all that an engine reads, if it is given so much more. Of what
+/// several engines read together, each counts its share.
+double
+ReadingHarm(const engine_candidate& aCandidate, double aReadingMs);
+
 /// What writing a stream with tight pauses here costs beyond the moment: such
 /// streams are to gather where no long prompts are read.
 double
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -96,6 +96,7 @@
                          ? mRoute->mLongestPause
                          : work.mObjective;
   work.mWorth = WorthOfWork(work.mPromptTokens);
+  work.mElapsed = mContext.mLoop.Now() - mBegan;
   work.mOrderSeed = mContext.mBoard.mAllTold ? 0 : mContext.mBoard.mBoot;
   return work;
 }
@@ -143,6 +144,8 @@
   placed.mPartMs = aChoice.mPartMs;
   placed.mLongestPause = aWork.mLongestPause;
   placed.mWorth = aWork.mWorth;
+  placed.mBegan = mBegan;
+  placed.mObjective = aWork.mObjective;
   placed.mHolderTokens = aChoice.mHolderTokens;
   for (std::size_t i = 0; i < aChoice.mHolders; ++i) {
     placed.mHolders.push_back(placed.mEngines[i + 1]);
--- a/Libraries/LibGateway/PeerNews.capnp
+++ b/Libraries/LibGateway/PeerNews.capnp
@@ -17,6 +17,8 @@
   worthCents @6 :UInt32;     # Against other requests, in hundredths.
   holders @7 :List(UInt32);  # Engines that hold memory for it.
   holderTokens @8 :UInt32;   # Memory that each of those holds.
+  objectiveMs @9 :UInt32;    # Its first event is late after this.
+  elapsedMs @10 :UInt32;     # Of that, when this was told.
 }
 
 # What an entry believes, as the platform's rows had it: asked for by an entry
--- a/Libraries/LibGateway/PeerNews.capnp.h
+++ b/Libraries/LibGateway/PeerNews.capnp.h
@@ -35,7 +35,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a3f0c399bd720b59, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a3f0c399bd720b59, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -126,6 +126,10 @@
 
   inline  ::uint32_t getHolderTokens() const;
 
+  inline  ::uint32_t getObjectiveMs() const;
+
+  inline  ::uint32_t getElapsedMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -191,6 +195,12 @@
   inline  ::uint32_t getHolderTokens();
   inline void setHolderTokens( ::uint32_t value);
 
+  inline  ::uint32_t getObjectiveMs();
+  inline void setObjectiveMs( ::uint32_t value);
+
+  inline  ::uint32_t getElapsedMs();
+  inline void setElapsedMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -731,6 +741,34 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t PlacedWork::Reader::getObjectiveMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PlacedWork::Builder::getObjectiveMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void PlacedWork::Builder::setObjectiveMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PlacedWork::Reader::getElapsedMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PlacedWork::Builder::getElapsedMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void PlacedWork::Builder::setElapsedMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool BelievedRow::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/LibGateway/PeerWire.cpp
+++ b/Libraries/LibGateway/PeerWire.cpp
@@ -85,6 +85,8 @@
   aWork.setPauseMs(WholeMs(aPlaced.mLongestPause));
   aWork.setTokens(Whole(aPlaced.mTokens));
   aWork.setLifeMs(WholeMs(aPlaced.mExpires - aNow));
+  aWork.setObjectiveMs(WholeMs(aPlaced.mObjective));
+  aWork.setElapsedMs(WholeMs(aNow - aPlaced.mBegan));
   aWork.setWorthCents(Whole(aPlaced.mWorth * kCentsInOne));
   if (!aPlaced.mHolders.empty()) {
     WriteNumbers(
@@ -103,6 +105,8 @@
   told.mEngines = ReadNumbers(aWork.getEngines());
   told.mPartMs = aWork.getPartMicros() / kMicrosInMs;
   told.mLongestPause = std::chrono::milliseconds(aWork.getPauseMs());
+  told.mObjective = std::chrono::milliseconds(aWork.getObjectiveMs());
+  told.mBegan = aNow - std::chrono::milliseconds(aWork.getElapsedMs());
   told.mWorth = aWork.getWorthCents() / kCentsInOne;
   told.mTokens = aWork.getTokens();
   told.mHolders = ReadNumbers(aWork.getHolders());
--- a/Tests/Unit/NewsTest.cpp
+++ b/Tests/Unit/NewsTest.cpp
@@ -25,6 +25,8 @@
   placed.mWorth = 1.25;
   placed.mTokens = 6267;
   placed.mExpires = kStart + milliseconds(9700);
+  placed.mBegan = kStart - milliseconds(12);
+  placed.mObjective = milliseconds(300);
   return placed;
 }
 
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -68,7 +68,9 @@
     return *PlaceOnEngines(mBoard, mLedger, Timing(), aWork, {}, "a", aNow);
   }
 
-  placement_key Place(const engine_work& aWork, time_point aNow = kStart)
+  placement_key Place(const engine_work& aWork,
+                      time_point aNow = kStart,
+                      std::optional<time_point> aBegan = std::nullopt)
   {
     const engine_choice choice = Choose(aWork, aNow);
     placement placed;
@@ -81,6 +83,8 @@
     placed.mPartMs = choice.mPartMs;
     placed.mLongestPause = aWork.mLongestPause;
     placed.mWorth = aWork.mWorth;
+    placed.mBegan = aBegan.value_or(aNow);
+    placed.mObjective = aWork.mObjective;
     placed.mTokens = aWork.mPromptTokens + aWork.mAnswerTokens;
     placed.mExpires = kStart + std::chrono::hours(1);
     NotePlaced(mLedger, placed, aNow);
@@ -131,6 +135,8 @@
   CPPUNIT_TEST(FullEngineIsBelieved);
   CPPUNIT_TEST(GatheringLeavesSlotsForTheUnforeseen);
   CPPUNIT_TEST(FullEnginesAreFilledEvenly);
+  CPPUNIT_TEST(NewPromptLeavesTimeToThoseBeingRead);
+  CPPUNIT_TEST(ReadingThatIsDoneIsNotPriced);
   CPPUNIT_TEST(DeadEntryLeavesNoWriters);
   CPPUNIT_TEST(LedgerReturnsToNothing);
   CPPUNIT_TEST_SUITE_END();
@@ -293,6 +299,53 @@
     }
   }
 
+  /// Symptom: in a burst of reviews that asks for all reading there is, four of
+  /// ten first events are late, some by ten seconds, and what was read for them
+  /// is lost to others. Sequence: reviews come faster than they are read, each
+  /// is divided over many engines, and each is expected in time when it is
+  /// placed. Cause: engines read first what came last, so each placement
+  /// delays all that are being read; nothing priced that.
+  void NewPromptLeavesTimeToThoseBeingRead()
+  {
+    fleet f;
+    // All engines read a review, which will be just in time.
+    const engine_work first = Review(450000);
+    placement placed;
+    placed.mKey = ++f.mLast;
+    for (std::size_t engine = 0; engine < kEngines; ++engine) {
+      placed.mEngines.push_back(EngineKey("engine-" + std::to_string(engine)));
+    }
+    placed.mPartMs = ReadingMs(Timing(), 450000) / kEngines;
+    placed.mLongestPause = first.mLongestPause;
+    placed.mWorth = first.mWorth;
+    placed.mBegan = kStart - milliseconds(1700);
+    placed.mObjective = first.mObjective;
+    placed.mExpires = kStart + std::chrono::hours(1);
+    NotePlaced(f.mLedger, placed, kStart);
+    // Wherever the next one is read, the first one is late.
+    const engine_work next = Review(200000);
+    const engine_choice choice = f.Choose(next);
+    CPPUNIT_ASSERT(choice.mHarm > 0.1 * first.mWorth);
+    // The ledger knows it, so that the next entry's price does too.
+    const placement& read = f.mLedger.mPlacements.at(placed.mKey);
+    const time_point before = read.mReadUntil;
+    f.Place(next);
+    CPPUNIT_ASSERT(read.mReadUntil > before + milliseconds(100));
+  }
+
+  void ReadingThatIsDoneIsNotPriced()
+  {
+    fleet f;
+    const placement_key key = f.Place(Review(150000));
+    const time_point read = f.mLedger.mPlacements.at(key).mReadUntil;
+    CPPUNIT_ASSERT(read > kStart + milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(0.0, f.Choose(Review(150000), read).mHarm);
+    NoteEnded(f.mLedger, key, placement_end::Read, read);
+    for (const auto& [engine, load] : f.mLedger.mEngines) {
+      CPPUNIT_ASSERT(load.mReading.empty());
+    }
+  }
+
   /// Symptom: a review that is turned away comes back after a quarter of a
   /// second, is turned away again and is lost, a second before the engines are
   /// idle. Sequence: some large prompts come at the same moment. Cause: callers
