--- a/Libraries/LibFleet/EngineLedger.cpp
+++ b/Libraries/LibFleet/EngineLedger.cpp
@@ -25,11 +25,6 @@
 constexpr duration kSaidHolds = std::chrono::milliseconds(400);
 constexpr double kMsPerSecond = 1e3;
 
-/// From a placement until the others know of it: gathering, the way, and the
-/// turn of a busy process. How fast they come is seen over some of these.
-constexpr duration kNewsDelay = std::chrono::milliseconds(8);
-constexpr duration kRateSpan = std::chrono::milliseconds(30);
-
 /// Marks the streams that a backlog makes pause for longer than they may.
 void
 MarkStretched(engine_ledger& aLedger, const engine_load& aLoad)
@@ -108,25 +103,6 @@
   return static_cast<std::uint32_t>(aKey);
 }
 
-void
-NoteHeard(engine_ledger& aLedger, time_point aNow)
-{
-  while (!aLedger.mHeard.empty() && aLedger.mHeard.front() < aNow - kRateSpan) {
-    aLedger.mHeard.pop_front();
-  }
-  aLedger.mHeard.push_back(aNow);
-}
-
-double
-UnheardPlacements(const engine_ledger& aLedger, time_point aNow)
-{
-  const auto heard =
-    std::count_if(aLedger.mHeard.begin(),
-                  aLedger.mHeard.end(),
-                  [aNow](time_point aOne) { return aOne >= aNow - kRateSpan; });
-  return static_cast<double>(heard) * Seconds(kNewsDelay) / Seconds(kRateSpan);
-}
-
 double
 BacklogMs(const engine_load& aLoad, time_point aNow)
 {
--- a/Libraries/LibFleet/EngineLedger.h
+++ b/Libraries/LibFleet/EngineLedger.h
@@ -5,7 +5,6 @@
 
 #include "LibCore/LibCore.h"
 
-#include <deque>
 #include <optional>
 #include <string_view>
 #include <unordered_map>
@@ -72,7 +71,6 @@
 {
   std::unordered_map<engine_key, engine_load> mEngines;
   std::unordered_map<placement_key, placement> mPlacements;
-  std::deque<time_point> mHeard; ///< When placements of others were heard of.
 };
 
 /// How a placement ended, for what its engines still have to read.
@@ -114,15 +112,6 @@
 std::size_t
 RequestsOn(const engine_load& aLoad, time_point aNow);
 
-/// Takes note that a placement of another entry was heard of.
-void
-NoteHeard(engine_ledger& aLedger, time_point aNow);
-
-/// How many placements of others are likely made by now and not yet heard of,
-/// by how many came lately.
-double
-UnheardPlacements(const engine_ledger& aLedger, time_point aNow);
-
 /// Reading that is left at a time, in milliseconds.
 double
 BacklogMs(const engine_load& aLoad, time_point aNow);
--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -30,23 +30,15 @@
 /// finer step would tell little, since others come meanwhile.
 constexpr duration kFirstReturn = std::chrono::milliseconds(250);
 
-/// One engine's price for a whole prompt.
-struct priced_engine
-{
-  double mCost = 0;
-  std::uint64_t mOrder = 0; ///< Among equal costs.
-  double mFirstEventMs = 0;
-  const engine_candidate* mEngine = nullptr;
-};
-
-std::vector<priced_engine>
-PriceWhole(const std::vector<engine_candidate>& aCandidates,
+engine_choice
+PlaceWhole(const std::vector<engine_candidate>& aCandidates,
            const engine_timing& aTiming,
            const engine_work& aWork,
            double aReadingMs)
 {
-  std::vector<priced_engine> priced;
-  priced.reserve(aCandidates.size());
+  const engine_candidate* best = nullptr;
+  std::pair<double, std::uint64_t> bestCost;
+  double bestFirst = 0;
   for (const engine_candidate& one : aCandidates) {
     const double first = one.mBacklogMs + aReadingMs + one.mSlotWaitMs +
                          kPassesToFirstEvent * one.mPassMs;
@@ -54,43 +46,19 @@
                         GatheringCost(one, aTiming, aWork) +
                         (HasRoom(one, aTiming, aWork) ? 0 : aWork.mWorth) +
                         (one.mAway ? kAwayPenalty : 0);
-    priced.push_back({ cost,
-                       Hash(one.mEndpoint->mListed.mId, aWork.mOrderSeed),
-                       first,
-                       &one });
+    const std::pair<double, std::uint64_t> ranked(
+      cost, Hash(one.mEndpoint->mListed.mId, aWork.mOrderSeed));
+    if (best == nullptr || ranked < bestCost) {
+      best = &one;
+      bestCost = ranked;
+      bestFirst = first;
+    }
   }
-  return priced;
-}
-
-/// The cheapest engine, or one of the next: what the other entries place at the
-/// same moment goes to the cheapest engines too, and is not heard of yet. When
-/// many callers come at once, as after a restart of all entries, everybody
-/// would fill the same engine; each takes one of so many instead as are likely
-/// taken.
-engine_choice
-PlaceWhole(const std::vector<engine_candidate>& aCandidates,
-           const engine_timing& aTiming,
-           const engine_work& aWork,
-           double aReadingMs,
-           double aUnheard)
-{
-  std::vector<priced_engine> priced =
-    PriceWhole(aCandidates, aTiming, aWork, aReadingMs);
-  const std::size_t rank = std::min(
-    priced.size() - 1, static_cast<std::size_t>(aWork.mDraw * (1 + aUnheard)));
-  std::nth_element(priced.begin(),
-                   priced.begin() + static_cast<std::ptrdiff_t>(rank),
-                   priced.end(),
-                   [](const priced_engine& aOne, const priced_engine& aOther) {
-                     return std::pair(aOne.mCost, aOne.mOrder) <
-                            std::pair(aOther.mCost, aOther.mOrder);
-                   });
-  const priced_engine& chosen = priced[rank];
   engine_choice choice;
-  choice.mWriter = chosen.mEngine->mEndpoint;
+  choice.mWriter = best->mEndpoint;
   choice.mPartMs = aReadingMs;
-  choice.mFirstEventMs = chosen.mFirstEventMs;
-  choice.mHarm = PauseHarm(*chosen.mEngine, aReadingMs);
+  choice.mFirstEventMs = bestFirst;
+  choice.mHarm = PauseHarm(*best, aReadingMs);
   return choice;
 }
 
@@ -352,8 +320,7 @@
   }
   const double reading = ReadingMs(aTiming, aWork.mPromptTokens);
   if (reading <= kWholeMs) {
-    return PlaceWhole(
-      candidates, aTiming, aWork, reading, UnheardPlacements(aLedger, aNow));
+    return PlaceWhole(candidates, aTiming, aWork, reading);
   }
   if (aWork.mOrderSeed != 0) {
     // Engines that seem equal are not equal to others; in one order for all
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -30,7 +30,6 @@
   /// of each other's placements, so that they gather on the same engines;
   /// different where they do not, so that they do not meet on them blindly.
   std::uint64_t mOrderSeed = 0;
-  double mDraw = 0;    ///< A random number from 0 to 1.
   duration mElapsed{}; ///< Since its caller asked.
 
   bool operator==(const engine_work&) const = default;
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -97,7 +97,6 @@
                          : work.mObjective;
   work.mWorth = WorthOfWork(work.mPromptTokens);
   work.mElapsed = mContext.mLoop.Now() - mBegan;
-  work.mDraw = Uniform(mContext.mBoard.mRandom);
   work.mOrderSeed = mContext.mBoard.mAllTold ? 0 : mContext.mBoard.mBoot;
   return work;
 }
--- a/Libraries/LibGateway/PeerNews.cpp
+++ b/Libraries/LibGateway/PeerNews.cpp
@@ -363,7 +363,6 @@
   const time_point now = mLoop.Now();
   for (const placement& placed : aNews.mPlaced) {
     NotePlaced(mBoard.mLedger, placed, now);
-    NoteHeard(mBoard.mLedger, now);
   }
   for (const placement_key key : aNews.mEnded) {
     NoteEnded(mBoard.mLedger, key, placement_end::Read, now);
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -1,8 +1,6 @@
 #include "LibFleet/LibFleet.h"
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <deque>
-#include <map>
 #include <rapidcheck.h>
 
 using namespace primrose;
@@ -54,9 +52,9 @@
   engine_ledger mLedger;
   placement_key mLast = 0;
 
-  explicit fleet(std::size_t aEngines = kEngines)
+  fleet()
   {
-    for (std::size_t i = 0; i < aEngines; ++i) {
+    for (std::size_t i = 0; i < kEngines; ++i) {
       endpoint listed;
       listed.mId = "engine-" + std::to_string(i);
       listed.mService = "model";
@@ -137,7 +135,6 @@
   CPPUNIT_TEST(FullEngineIsBelieved);
   CPPUNIT_TEST(GatheringLeavesSlotsForTheUnforeseen);
   CPPUNIT_TEST(FullEnginesAreFilledEvenly);
-  CPPUNIT_TEST(HerdOfCallersIsSpread);
   CPPUNIT_TEST(NewPromptLeavesTimeToThoseBeingRead);
   CPPUNIT_TEST(ReadingThatIsDoneIsNotPriced);
   CPPUNIT_TEST(DeadEntryLeavesNoWriters);
@@ -302,52 +299,6 @@
     }
   }
 
-  /// Symptom: in the second after all entries were restarted half of the first
-  /// events are late, with as many as nine requests on one engine and none on
-  /// the next. Sequence: 350 callers come within a fifth of a second to 29
-  /// entries; each entry places a dozen. Cause: within the milliseconds that
-  /// news take, all entries take the same cheapest engine.
-  void HerdOfCallersIsSpread()
-  {
-    constexpr std::size_t kEntries = 29;
-    constexpr std::size_t kCallers = 350;
-    constexpr std::size_t kFleet = 78;
-    constexpr duration kNews = milliseconds(6);
-    std::vector<fleet> entries;
-    for (std::size_t i = 0; i < kEntries; ++i) {
-      entries.emplace_back(kFleet);
-    }
-    random_engine random(7);
-    std::deque<std::tuple<time_point, std::size_t, placement>> news;
-    std::map<engine_key, double> reading;
-    for (std::size_t i = 0; i < kCallers; ++i) {
-      const time_point now = kStart + milliseconds(200 * i / kCallers);
-      while (!news.empty() && std::get<0>(news.front()) + kNews <= now) {
-        for (std::size_t other = 0; other < kEntries; ++other) {
-          if (other != std::get<1>(news.front())) {
-            NotePlaced(entries[other].mLedger, std::get<2>(news.front()), now);
-            NoteHeard(entries[other].mLedger, now);
-          }
-        }
-        news.pop_front();
-      }
-      const std::size_t at = Below(random, kEntries);
-      engine_work work = Clip();
-      work.mDraw = Uniform(random);
-      entries[at].mLast = i + 1;
-      const placement placed =
-        entries[at].mLedger.mPlacements.at(entries[at].Place(work, now));
-      news.emplace_back(now, at, placed);
-      reading[placed.mEngines.front()] += placed.mPartMs;
-    }
-    // On the mean 4.5 on an engine; what is behind six others there is late.
-    double late = 0;
-    for (const auto& [engine, ms] : reading) {
-      late += std::max(0.0, ms / ReadingMs(Timing(), Clip().mPromptTokens) - 6);
-    }
-    CPPUNIT_ASSERT(late < 0.2 * kCallers);
-  }
-
   /// Symptom: in a burst of reviews that asks for all reading there is, four of
   /// ten first events are late, some by ten seconds, and what was read for them
   /// is lost to others. Sequence: reviews come faster than they are read, each
