--- /dev/null
+++ b/Libraries/LibFleet/PlacementDivision.h
@@ -0,0 +1,40 @@
+#pragma once
+
+/// A long prompt cut into equal parts: over how many engines, and which.
+/// Internal to LibFleet.
+
+#include "LibFleet/PlacementCandidates.h"
+
+#include <limits>
+
+namespace primrose {
+
+/// A prompt cut into equal parts for several engines.
+struct division
+{
+  const engine_candidate* mWriter = nullptr;
+  std::vector<const engine_candidate*> mReaders; ///< Besides the writer.
+  double mPartMs = 0;
+  double mReadMs = 0; ///< Until the last part is read.
+  double mHarm = 0;
+  bool mFits = true;        ///< There is memory for it.
+  std::size_t mHolders = 0; ///< Of the readers, the first so many hold memory.
+  double mHolderTokens = 0;
+  double mCost = std::numeric_limits<double>::infinity();
+};
+
+/// What a placement is chosen by.
+struct placing
+{
+  const std::vector<engine_candidate>& mCandidates;
+  const engine_timing& mTiming;
+  const engine_work& mWork;
+  double mReadingMs = 0; ///< Of the whole prompt on one engine.
+};
+
+/// The cheapest of all numbers of parts; one that has memory goes before one
+/// that has not. There is at least one candidate.
+division
+CheapestDivision(const placing& aPlacing);
+
+} // namespace primrose
