The test of a wavering entry meets the load at which it wavers

At its even load no datagram went to all once the budget was used up, so it passed without the mechanism too. Now two datagrams close together and a pause: red with one datagram instead of thirty, green with them.

--- a/Tests/Unit/NewsTest.cpp
+++ b/Tests/Unit/NewsTest.cpp
@@ -1,5 +1,6 @@
 #include "LibGateway/PeerWire.h"
 
+#include <array>
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
@@ -97,9 +98,13 @@
     news_budget budget;
     unsigned changes = 0;
     bool told = EveryoneIsTold(budget);
-    for (int i = 0; i < 60000; ++i) {
-      (void)TakePeersToTell(
-        budget, 100, kShortNews, kStart + milliseconds(20 * i));
+    time_point now = kStart;
+    // Two close together and a pause: more than may be sent, but after each
+    // pause there is enough for all.
+    constexpr std::array<int, 3> kGapsMs{ 60, 60, 400 };
+    for (std::size_t i = 0; i < 3000; ++i) {
+      now += milliseconds(kGapsMs[i % kGapsMs.size()]);
+      (void)TakePeersToTell(budget, 40, kShortNews, now);
       changes += EveryoneIsTold(budget) == told ? 0 : 1;
       told = EveryoneIsTold(budget);
     }
@@ -108,7 +113,7 @@
     // Load falls: after some datagrams that all got, all count as told.
     for (int i = 0; i < 200; ++i) {
       (void)TakePeersToTell(
-        budget, 100, kShortNews, kStart + std::chrono::seconds(1300 + i));
+        budget, 40, kShortNews, now + std::chrono::seconds(1 + i));
     }
     CPPUNIT_ASSERT(EveryoneIsTold(budget));
   }
