--- a/Libraries/LibFleet/PlacementPrices.cpp
+++ b/Libraries/LibFleet/PlacementPrices.cpp
@@ -49,15 +49,21 @@
 } // namespace
 
 double
-LateCost(double aFirstMs, const engine_work& aWork)
+LateCost(double aFirstMs, double aObjectiveMs, double aWorth)
 {
-  const double share = aFirstMs / ToMs(aWork.mObjective);
+  const double share = aFirstMs / aObjectiveMs;
   if (share <= kLateFrom) {
     return 0;
   }
   const double likely = share < 1 ? (share - kLateFrom) / (1 - kLateFrom)
                                   : 1 + kLaterPenalty * (share - 1);
-  return kLostWhenLate * aWork.mWorth * likely;
+  return kLostWhenLate * aWorth * likely;
+}
+
+double
+LateCost(double aFirstMs, const engine_work& aWork)
+{
+  return LateCost(aFirstMs, ToMs(aWork.mObjective), aWork.mWorth);
 }
 
 double
@@ -66,11 +72,11 @@
   if (aEndsMs <= aReading.mLeftMs || aReading.mObjectiveMs <= 0) {
     return 0;
   }
-  engine_work work;
-  work.mWorth = aReading.mWorth;
-  work.mObjective = FromSeconds(aReading.mObjectiveMs / kMsPerSecond);
-  return LateCost(aReading.mElapsedMs + aEndsMs, work) -
-         LateCost(aReading.mElapsedMs + aReading.mLeftMs, work);
+  const auto cost = [&aReading](double aReadMs) {
+    return LateCost(
+      aReading.mElapsedMs + aReadMs, aReading.mObjectiveMs, aReading.mWorth);
+  };
+  return cost(aEndsMs) - cost(aReading.mLeftMs);
 }
 
 double
--- a/Libraries/LibFleet/PlacementPrices.h
+++ b/Libraries/LibFleet/PlacementPrices.h
@@ -12,6 +12,9 @@
 inline constexpr double kPassesToFirstEvent = 2;
 
 /// Worth that is likely lost if the first event takes this long.
+double
+LateCost(double aFirstMs, double aObjectiveMs, double aWorth);
+
 double
 LateCost(double aFirstMs, const engine_work& aWork);
 
