--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -33,8 +33,8 @@
   std::pair<double, std::uint64_t> bestCost;
   double bestFirst = 0;
   for (const engine_candidate& one : aCandidates) {
-    const double first = one.mBacklogMs + aReadingMs + one.mSlotWaitMs +
-                         kPassesToFirstEvent * one.mPassMs;
+    const double first =
+      one.mBacklogMs + aReadingMs + kPassesToFirstEvent * one.mPassMs;
     const double cost = LateCost(first, aWork) + PauseHarm(one, aReadingMs) +
                         GatheringCost(one, aTiming, aWork) +
                         (HasRoom(one, aTiming, aWork) ? 0 : aWork.mWorth) +
--- a/Libraries/LibFleet/PlacementCandidates.cpp
+++ b/Libraries/LibFleet/PlacementCandidates.cpp
@@ -50,20 +50,6 @@
   return readings;
 }
 
-/// Until a request behind so many gets a slot: each that writes frees its own
-/// after a usual answer, of which a pass writes one event.
-double
-SlotWaitMs(const engine_timing& aTiming, std::size_t aRequests, double aPassMs)
-{
-  if (aRequests < aTiming.mSlots) {
-    return 0;
-  }
-  const double passes = std::max(
-    1.0, aTiming.mUsualAnswerTokens / std::max(1.0, aTiming.mStepsPerPass));
-  const double ahead = static_cast<double>(aRequests + 1 - aTiming.mSlots);
-  return ahead * passes * aPassMs / std::max(1U, aTiming.mSlots);
-}
-
 double
 FreeTokens(const engine_timing& aTiming, const engine_load& aLoad)
 {
@@ -109,7 +95,6 @@
     one.mPassMs = PassMs(aTiming,
                          static_cast<double>(one.mRequests + 1),
                          load.mTokens + aWork.mPromptTokens);
-    one.mSlotWaitMs = SlotWaitMs(aTiming, one.mRequests, one.mPassMs);
     one.mAvoided = Avoided(known, aNow);
     one.mAway = known.mListed.mDataCentre != aDataCentre;
     candidates.push_back(std::move(one));
--- a/Libraries/LibFleet/PlacementCandidates.h
+++ b/Libraries/LibFleet/PlacementCandidates.h
@@ -35,8 +35,7 @@
   known_endpoint* mEndpoint = nullptr;
   double mBacklogMs = 0; ///< Reading that waits there.
   double mFreeTokens = 0;
-  double mPassMs = 0;     ///< Of a pass that also writes this request.
-  double mSlotWaitMs = 0; ///< Until it gets a slot, where all are taken.
+  double mPassMs = 0; ///< Of a pass that also writes this request.
   std::vector<placed_stream> mStreams;
   std::vector<placed_reading> mReadings;
   std::size_t mRequests = 0; ///< That write or wait there.
