An entry that missed much waits for the answer to its question

It had missed about 30 manifests of 270 routes; their changes take longer than 450 ms on its link, and each question gave up the one before.

Change: for each table apart, a question in vain doubles the patience, 0.45 to 1.8 s; something newer resets it.

Test: LongAnswerOfTheStoreIsWaitedFor, red with the same patience each time.

--- a/Libraries/LibGateway/PeerNews.cpp
+++ b/Libraries/LibGateway/PeerNews.cpp
@@ -22,8 +22,6 @@
 constexpr std::size_t kDrawnPeers = 12;
 /// Hosts not heard from are asked every so many beats.
 constexpr unsigned kCandidateBeats = 3;
-/// How long a peer may know more before this entry asks the platform anew.
-constexpr duration kBehindPatience = std::chrono::milliseconds(450);
 /// Placements in one datagram, so that it fits into one packet.
 constexpr std::size_t kMostPlaced = 8;
 /// Hosts named in one datagram.
@@ -65,7 +63,8 @@
 {
   mLoop.Cancel(mFlushTimer);
   mLoop.Cancel(mBeatTimer);
-  mLoop.Cancel(mBehindTimer);
+  mLoop.Cancel(mManifestWatch.mTimer);
+  mLoop.Cancel(mListWatch.mTimer);
 }
 
 result<void>
@@ -314,17 +313,42 @@
 {
   mNewestManifest = std::max(mNewestManifest, aManifest);
   mNewestList = std::max(mNewestList, aList);
-  if (mBehindTimer != 0 || (!ManifestBehind() && !ListBehind())) {
+  WatchBehind(
+    mManifestWatch,
+    mBoard.mManifest == nullptr ? 0 : mBoard.mManifest->Manifest().mVersion,
+    [this]() { return ManifestBehind(); },
+    [this]() { mBehind(true, false); });
+  WatchBehind(
+    mListWatch,
+    mBoard.mEndpoints.mNewestRevision,
+    [this]() { return ListBehind(); },
+    [this]() { mBehind(false, true); });
+}
+
+void
+peer_news::WatchBehind(table_watch& aWatch,
+                       std::uint64_t aHeld,
+                       std::function<bool()> aIsBehind,
+                       std::function<void()> aAsk)
+{
+  if (aHeld != aWatch.mHeld) {
+    aWatch.mHeld = aHeld;
+    aWatch.mAskedInVain = 0;
+  }
+  if (aWatch.mTimer != 0 || !aIsBehind()) {
     return;
   }
   // What a peer has just been told is on its way here too; only what does not
   // come shows that this entry's own question has gone silent.
-  mBehindTimer = mLoop.After(kBehindPatience, [this]() {
-    mBehindTimer = 0;
-    if (ManifestBehind() || ListBehind()) {
-      mBehind(ManifestBehind(), ListBehind());
-    }
-  });
+  aWatch.mTimer = mLoop.After(
+    BehindPatience(aWatch.mAskedInVain),
+    [&aWatch, isBehind = std::move(aIsBehind), ask = std::move(aAsk)]() {
+      aWatch.mTimer = 0;
+      if (isBehind()) {
+        ++aWatch.mAskedInVain;
+        ask();
+      }
+    });
 }
 
 void
--- a/Libraries/LibGateway/PeerNews.h
+++ b/Libraries/LibGateway/PeerNews.h
@@ -46,6 +46,17 @@
   std::vector<std::string> PeersToTell(std::size_t aBytes);
   void CountNews(std::size_t aTold, std::size_t aPeers, std::size_t aBytes);
   void CompareBeliefs(std::uint64_t aManifest, std::uint64_t aList);
+  /// A table of which peers know more than this entry.
+  struct table_watch
+  {
+    timer_id mTimer = 0;
+    std::uint64_t mHeld = 0; ///< The newest that this entry has.
+    unsigned mAskedInVain = 0;
+  };
+  void WatchBehind(table_watch& aWatch,
+                   std::uint64_t aHeld,
+                   std::function<bool()> aIsBehind,
+                   std::function<void()> aAsk);
   bool ManifestBehind() const;
   bool ListBehind() const;
   void HeedUnwilling(engine_key aEngine, const std::string& aHost);
@@ -64,7 +75,8 @@
   behind mBehind;
   std::uint64_t mNewestManifest = 0; ///< That a peer has told of.
   std::uint64_t mNewestList = 0;
-  timer_id mBehindTimer = 0;
+  table_watch mManifestWatch;
+  table_watch mListWatch;
   news_budget mBudget;
   bool mLeaving = false;
   unsigned mBeats = 0;
--- a/Tests/Unit/FleetBeliefTest.cpp
+++ b/Tests/Unit/FleetBeliefTest.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(FailingEndpointIsAvoidedForAWhile);
   CPPUNIT_TEST(BreakingEndpointIsAvoidedByAllEntries);
   CPPUNIT_TEST(OneEventOfAnotherEntryIsNoSign);
+  CPPUNIT_TEST(LongAnswerOfTheStoreIsWaitedFor);
   CPPUNIT_TEST_SUITE_END();
 
   static endpoint Listed(const std::string& aId)
@@ -162,6 +163,28 @@
     CPPUNIT_ASSERT(Avoided(own, kStart + milliseconds(150)));
   }
 
+  /// Symptom: an entry that was cut off for five seconds refuses routes that
+  /// were added ten seconds ago, though it is in touch again. Sequence: forty
+  /// manifests of 45 KB are accepted meanwhile; the entry's link takes 20
+  /// Mbit/s; its peers tell of newer versions; it asks for the changes, and
+  /// asks anew before they have arrived, and so on. Cause: each question was
+  /// given the same 450 ms, and each gave up the one before.
+  void LongAnswerOfTheStoreIsWaitedFor()
+  {
+    constexpr duration kArrives = milliseconds(720);
+    unsigned asked = 0;
+    duration waited{};
+    while (asked < 10 && BehindPatience(asked) < kArrives) {
+      waited += BehindPatience(asked);
+      ++asked;
+    }
+    CPPUNIT_ASSERT(asked < 10);
+    CPPUNIT_ASSERT(waited + kArrives < std::chrono::seconds(2));
+    // A question that has gone silent is still given up in time.
+    CPPUNIT_ASSERT(BehindPatience(0) == milliseconds(450));
+    CPPUNIT_ASSERT(BehindPatience(100) < std::chrono::seconds(2));
+  }
+
   /// Symptom: half of the engines are left out though they are sound.
   /// Sequence: the connections of one entry's machine are reset; it tells of a
   /// dozen broken streams on each engine. Cause: its trouble was taken for the
