--- a/Libraries/LibFleet/NewsBudget.cpp
+++ b/Libraries/LibFleet/NewsBudget.cpp
@@ -8,8 +8,8 @@
 
 /// Up to so many peers, each is told everything, whatever it costs.
 constexpr std::size_t kAlwaysTold = 32;
-/// However little is left, so many are told; four of these are enough to show
-/// an engine's load within a pass or two.
+/// However little is left, so many are told; what that is worth at 300 entries
+/// stands in docs/CAPACITY.md.
 constexpr std::size_t kFewestTold = 12;
 /// The operators allow 15 KB a second for control; beats take the rest.
 constexpr double kBytesPerSecond = 11e3;
