What peers tell of endpoints is heeded in one place; limits of news stand once

The loop that finds an endpoint by its key, notes a sign and logs stood twice in PeerNews, and so did the numbers of peers that are told. No decision changes; a sign that changes nothing is not logged a second time.

--- a/Libraries/LibFleet/NewsBudget.cpp
+++ b/Libraries/LibFleet/NewsBudget.cpp
@@ -6,11 +6,6 @@
 
 namespace {
 
-/// Up to so many peers, each is told everything, whatever it costs.
-constexpr std::size_t kAlwaysTold = 32;
-/// However little is left, so many are told; what that is worth at 300 entries
-/// stands in docs/CAPACITY.md.
-constexpr std::size_t kFewestTold = 12;
 /// The operators allow 15 KB a second for control; beats take the rest.
 constexpr double kBytesPerSecond = 11e3;
 /// What a minute saves may be spent at once: bursts last ten seconds, and the
--- a/Libraries/LibFleet/NewsBudget.h
+++ b/Libraries/LibFleet/NewsBudget.h
@@ -12,6 +12,12 @@
 
 namespace primrose {
 
+/// Up to so many peers, each is told everything, whatever it costs.
+inline constexpr std::size_t kAlwaysTold = 32;
+/// However little is left, so many are told; what that is worth at 300 entries
+/// stands in docs/CAPACITY.md.
+inline constexpr std::size_t kFewestTold = 12;
+
 /// What one entry may still send; empty at the clock's epoch.
 struct news_budget
 {
--- a/Libraries/LibGateway/PeerNews.cpp
+++ b/Libraries/LibGateway/PeerNews.cpp
@@ -17,9 +17,6 @@
 /// usual span between two of its beats a silent one counts as gone.
 constexpr duration kBeat = std::chrono::seconds(1);
 constexpr unsigned kSilentBeats = 4;
-/// With more peers, beats are as rare as if so many were told each second.
-constexpr std::size_t kMostPeersAllTold = 32;
-constexpr std::size_t kDrawnPeers = 12;
 /// Hosts not heard from are asked every so many beats.
 constexpr unsigned kCandidateBeats = 3;
 /// Placements in one datagram, so that it fits into one packet.
@@ -31,9 +28,9 @@
 duration
 SpanBetweenBeats(std::size_t aPeers)
 {
-  return aPeers <= kMostPeersAllTold
+  return aPeers <= kAlwaysTold
            ? kBeat
-           : kBeat * static_cast<int>(1 + aPeers / kDrawnPeers);
+           : kBeat * static_cast<int>(1 + aPeers / kFewestTold);
 }
 
 } // namespace
@@ -116,20 +113,26 @@
 }
 
 void
-peer_news::HeedUnwilling(engine_key aEngine, const std::string& aHost)
+peer_news::Heed(engine_key aEndpoint,
+                const std::string& aHost,
+                const std::function<void(endpoint_health&, time_point)>& aNote)
 {
+  const time_point now = mLoop.Now();
   for (auto& [id, known] : mBoard.mEndpoints.mEndpoints) {
-    if (EngineKey(id) != aEngine) {
+    if (EngineKey(id) != aEndpoint) {
       continue;
     }
-    NoteSign(known.mHealth, endpoint_sign::Unwilling, mLoop.Now());
-    Log(
-      log_level::Info,
-      "endpoint_avoided",
-      { { "endpoint", id },
-        { "told_by", aHost },
-        { "strikes", known.mHealth.mStrikes },
-        { "for_ms", Milliseconds(known.mHealth.mAvoidUntil - mLoop.Now()) } });
+    const time_point before = known.mHealth.mAvoidUntil;
+    aNote(known.mHealth, now);
+    if (known.mHealth.mAvoidUntil == before) {
+      continue;
+    }
+    Log(log_level::Info,
+        "endpoint_avoided",
+        { { "endpoint", id },
+          { "told_by", aHost },
+          { "strikes", known.mHealth.mStrikes },
+          { "for_ms", Milliseconds(known.mHealth.mAvoidUntil - now) } });
   }
 }
 
@@ -140,27 +143,6 @@
   FlushWithin(kGather);
 }
 
-void
-peer_news::HeedTroubled(engine_key aEndpoint, const std::string& aHost)
-{
-  const time_point now = mLoop.Now();
-  for (auto& [id, known] : mBoard.mEndpoints.mEndpoints) {
-    if (EngineKey(id) != aEndpoint) {
-      continue;
-    }
-    const bool was = Avoided(known, now);
-    NoteTold(known.mHealth, now);
-    if (!was && Avoided(known, now)) {
-      Log(log_level::Info,
-          "endpoint_avoided",
-          { { "endpoint", id },
-            { "told_by", aHost },
-            { "strikes", known.mHealth.mStrikes },
-            { "for_ms", Milliseconds(known.mHealth.mAvoidUntil - now) } });
-    }
-  }
-}
-
 void
 peer_news::TellLeaving()
 {
@@ -432,10 +414,12 @@
     NoteEnded(mBoard.mLedger, key, placement_end::Unread, now);
   }
   for (const engine_key engine : aNews.mUnwilling) {
-    HeedUnwilling(engine, aHost);
+    Heed(engine, aHost, [](endpoint_health& aHealth, time_point aNow) {
+      NoteSign(aHealth, endpoint_sign::Unwilling, aNow);
+    });
   }
   for (const engine_key endpoint : aNews.mTroubled) {
-    HeedTroubled(endpoint, aHost);
+    Heed(endpoint, aHost, NoteTold);
   }
 }
 
--- a/Libraries/LibGateway/PeerNews.h
+++ b/Libraries/LibGateway/PeerNews.h
@@ -59,8 +59,11 @@
                    std::function<void()> aAsk);
   bool ManifestBehind() const;
   bool ListBehind() const;
-  void HeedUnwilling(engine_key aEngine, const std::string& aHost);
-  void HeedTroubled(engine_key aEndpoint, const std::string& aHost);
+  /// Takes note of what a peer told of an endpoint; logs if it is avoided for
+  /// that.
+  void Heed(engine_key aEndpoint,
+            const std::string& aHost,
+            const std::function<void(endpoint_health&, time_point)>& aNote);
   /// Notes that the peer is there; greets it if it has just started.
   void HeedPeer(std::uint64_t aBoot, const std::string& aHost);
   void TakeNews(const told_news& aNews, const std::string& aHost);
