Logs and metrics of what an entry does not know yet, and of answers given up

Cause: a question to the store that is given up left no trace of how long it had been open or what of its answer had come, and nothing said for how long peers had known more. So an answer on its way, a silent path and an answer of many versions could not be told apart.

Change: store_asked_anew says asked_ms and received_bytes; store_answer lines for large or slow answers; belief_was_behind; gateway_behind_seconds, gateway_store_given_up_total, gateway_store_read_bytes_total. No decision changes.

--- a/Libraries/LibGateway/GatewayBoard.h
+++ b/Libraries/LibGateway/GatewayBoard.h
@@ -49,6 +49,8 @@
   bool mEndpointsKnown = false;
   endpoint_board mEndpoints;
   std::map<std::string, time_point> mStoreReached; ///< By table, the last time.
+  /// By belief, since when a peer has known something newer.
+  std::map<std::string, std::optional<time_point>> mBehindSince;
   engine_ledger mLedger;
   std::map<std::string, repeat_record> mRepeats; ///< By service.
   std::map<std::string, peer_entry> mPeers;      ///< By host.
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -73,6 +73,10 @@
     out.Set(Labelled("gateway_store_answer_age_seconds", "table", table),
             Seconds(aNow - reached));
   }
+  for (const auto& [belief, since] : aBoard.mBehindSince) {
+    out.Set(Labelled("gateway_behind_seconds", "belief", belief),
+            since.has_value() ? Seconds(aNow - *since) : 0);
+  }
   SetEngineGauges(aBoard, aNow);
 }
 
--- a/Libraries/LibGateway/PeerNews.cpp
+++ b/Libraries/LibGateway/PeerNews.cpp
@@ -317,6 +317,7 @@
     aWatch.mHeld = aHeld;
     aWatch.mAskedInVain = 0;
   }
+  NoteBehind(aWatch, aIsBehind());
   if (aWatch.mTimer != 0 || !aIsBehind()) {
     return;
   }
@@ -333,6 +334,26 @@
     });
 }
 
+void
+peer_news::NoteBehind(const table_watch& aWatch, bool aBehind)
+{
+  const time_point now = mLoop.Now();
+  std::optional<time_point>& since = mBoard.mBehindSince[aWatch.mTable];
+  if (aBehind) {
+    since = since.value_or(now);
+    return;
+  }
+  // What a peer was told a moment earlier is not worth a line.
+  if (since.has_value() && now - *since > BehindPatience(0)) {
+    Log(log_level::Warning,
+        "belief_was_behind",
+        { { "belief", aWatch.mTable },
+          { "held", aWatch.mHeld },
+          { "behind_ms", Milliseconds(now - *since) } });
+  }
+  since.reset();
+}
+
 void
 peer_news::ForgetSilent()
 {
--- a/Libraries/LibGateway/PeerNews.h
+++ b/Libraries/LibGateway/PeerNews.h
@@ -49,6 +49,7 @@
   /// A table of which peers know more than this entry.
   struct table_watch
   {
+    std::string mTable;
     timer_id mTimer = 0;
     std::uint64_t mHeld = 0; ///< The newest that this entry has.
     unsigned mAskedInVain = 0;
@@ -57,6 +58,8 @@
                    std::uint64_t aHeld,
                    std::function<bool()> aIsBehind,
                    std::function<void()> aAsk);
+  /// Logs how long a table was behind what peers knew, once it is level.
+  void NoteBehind(const table_watch& aWatch, bool aBehind);
   bool ManifestBehind() const;
   bool ListBehind() const;
   /// Takes note of what a peer told of an endpoint; logs if it is avoided for
@@ -78,8 +81,8 @@
   behind mBehind;
   std::uint64_t mNewestManifest = 0; ///< That a peer has told of.
   std::uint64_t mNewestList = 0;
-  table_watch mManifestWatch;
-  table_watch mListWatch;
+  table_watch mManifestWatch{ "manifest" };
+  table_watch mListWatch{ "endpoints" };
   news_budget mBudget;
   bool mLeaving = false;
   unsigned mBeats = 0;
--- a/Libraries/LibGateway/TableFollower.cpp
+++ b/Libraries/LibGateway/TableFollower.cpp
@@ -26,6 +26,10 @@
 constexpr duration kFirstPause = std::chrono::milliseconds(60);
 constexpr duration kLongestPause = std::chrono::milliseconds(500);
 constexpr unsigned kMostDoublings = 4;
+/// Answers over these are logged: a few versions of a manifest of some hundred
+/// routes, or a tenth of the seconds within which a change is to be in force.
+constexpr std::size_t kLargeAnswer = std::size_t{ 256 } * 1024;
+constexpr duration kSlowAnswer = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -60,7 +64,12 @@
 {
   Log(log_level::Warning,
       "store_asked_anew",
-      { { "table", mTable }, { "revision", mRevision.value_or(0) } });
+      { { "table", mTable },
+        { "revision", mRevision.value_or(0) },
+        { "asked_ms", Milliseconds(mCaller.Asking()) },
+        { "received_bytes", mCaller.Received() } });
+  mBoard.mMetrics.Count(
+    Labelled("gateway_store_given_up_total", "table", mTable));
   mCaller.Abandon();
   mLoop.Cancel(mTimer);
   if (mRevision.has_value()) {
@@ -76,11 +85,30 @@
   if (aFromKey.empty()) {
     mGathered = table_reading{};
   }
-  mCaller.Call(mAdapter.mReadTable(mTable, aFromKey),
-               kReadTimeout,
-               [this](const http_answer& aAnswer) {
-                 OnWhole(mAdapter.mDecodeTable(aAnswer));
-               });
+  mCaller.Call(
+    mAdapter.mReadTable(mTable, aFromKey),
+    kReadTimeout,
+    [this](const http_answer& aAnswer) { OnWhole(Decode(aAnswer)); });
+}
+
+table_reading
+table_follower::Decode(const http_answer& aAnswer)
+{
+  const table_reading reading = mAdapter.mDecodeTable(aAnswer);
+  mBoard.mMetrics.Count(
+    Labelled("gateway_store_read_bytes_total", "table", mTable),
+    static_cast<double>(aAnswer.mBody.size()));
+  if (aAnswer.mBody.size() > kLargeAnswer || aAnswer.mArrival > kSlowAnswer) {
+    Log(log_level::Info,
+        "store_answer",
+        { { "table", mTable },
+          { "rows", reading.mRows.size() },
+          { "bytes", aAnswer.mBody.size() },
+          { "arrival_ms", Milliseconds(aAnswer.mArrival) },
+          { "held_revision", mRevision.value_or(0) },
+          { "revision", reading.mRevision } });
+  }
+  return reading;
 }
 
 void
@@ -113,11 +141,10 @@
   const duration shared =
     kWaitForEachEntry * static_cast<int>(mBoard.mPeers.size() + 1);
   const duration wait = std::clamp(shared, kShortestWait, kLongestWait);
-  mCaller.Call(mAdapter.mReadChanges(mTable, *mRevision, wait),
-               wait + kWaitSlack,
-               [this](const http_answer& aAnswer) {
-                 OnChanges(mAdapter.mDecodeTable(aAnswer));
-               });
+  mCaller.Call(
+    mAdapter.mReadChanges(mTable, *mRevision, wait),
+    wait + kWaitSlack,
+    [this](const http_answer& aAnswer) { OnChanges(Decode(aAnswer)); });
 }
 
 void
--- a/Libraries/LibGateway/TableFollower.h
+++ b/Libraries/LibGateway/TableFollower.h
@@ -36,6 +36,8 @@
 
 private:
   void ReadWhole(const std::string& aFromKey);
+  /// Reads an answer; logs what took long, or carried much.
+  table_reading Decode(const http_answer& aAnswer);
   void OnWhole(table_reading aReading);
   void ReadChanges();
   void OnChanges(const table_reading& aReading);
--- a/Libraries/LibNet/HttpClientCall.cpp
+++ b/Libraries/LibNet/HttpClientCall.cpp
@@ -46,6 +46,8 @@
     mChannel->SetOwner(this);
   }
   mReader.Restart();
+  mReceived = 0;
+  mAsked = mLoop.Now();
   mChannel->Write(mWaiting.front().mBytes);
   mTimer = mLoop.After(mWaiting.front().mTimeout, [this]() {
     mTimer = 0;
@@ -63,6 +65,12 @@
   mBusy = false;
 }
 
+duration
+http_caller::Asking() const
+{
+  return mBusy ? mLoop.Now() - mAsked : duration::zero();
+}
+
 void
 http_caller::DropChannel()
 {
@@ -92,6 +100,8 @@
     DropChannel();
     return;
   }
+  mFirstByte = mReceived == 0 ? mLoop.Now() : mFirstByte;
+  mReceived += aChannel.Input().size();
   const read_state state = mReader.Read(aChannel.Input());
   if (state == read_state::Head || state == read_state::Body) {
     return;
@@ -101,7 +111,9 @@
     Settle({});
     return;
   }
-  const http_answer answer{ mReader.Head().mStatus, std::move(mReader.Body()) };
+  const http_answer answer{ mReader.Head().mStatus,
+                            std::move(mReader.Body()),
+                            mLoop.Now() - mFirstByte };
   if (!mReader.Head().mKeepAlive) {
     DropChannel();
   }
--- a/Libraries/LibNet/HttpClientCall.h
+++ b/Libraries/LibNet/HttpClientCall.h
@@ -26,6 +26,7 @@
 {
   unsigned mStatus = 0; ///< 0: no answer came.
   std::string mBody;
+  duration mArrival{}; ///< From its first byte to its last.
 
   bool operator==(const http_answer&) const = default;
 };
@@ -44,6 +45,10 @@
   void Call(const http_call& aCall, duration aTimeout, answered aAnswered);
   /// Drops the connection and all calls; none of them is answered any more.
   void Abandon();
+  /// Bytes of the answer to the open call that have come; 0 without a call.
+  std::size_t Received() const { return mBusy ? mReceived : 0; }
+  /// How long the open call has been out; 0 without a call.
+  duration Asking() const;
 
   void OnInput(tcp_channel& aChannel) override;
   void OnEnd(tcp_channel& aChannel, channel_end aEnd) override;
@@ -65,6 +70,9 @@
   http_reader mReader;
   std::deque<waiting> mWaiting;
   bool mBusy = false;
+  std::size_t mReceived = 0;
+  time_point mAsked{};
+  time_point mFirstByte{};
   timer_id mTimer = 0;
 };
 
