--- /dev/null
+++ b/Libraries/LibGateway/BeliefWatch.cpp
@@ -0,0 +1,81 @@
+#include "LibGateway/BeliefWatch.h"
+
+namespace primrose {
+
+belief_watch::belief_watch(event_loop& aLoop,
+                           gateway_board& aBoard,
+                           std::string aName,
+                           held aHeld,
+                           behind aBehind)
+  : mLoop(aLoop)
+  , mBoard(aBoard)
+  , mName(std::move(aName))
+  , mHeld(std::move(aHeld))
+  , mBehind(std::move(aBehind))
+{
+}
+
+belief_watch::~belief_watch()
+{
+  mLoop.Cancel(mTimer);
+}
+
+bool
+belief_watch::Behind() const
+{
+  const std::optional<std::uint64_t> own = mHeld();
+  return own.has_value() && *own < mNewest;
+}
+
+void
+belief_watch::Told(std::uint64_t aNewest)
+{
+  mNewest = aNewest;
+  if (!Behind()) {
+    NoteLevel();
+    return;
+  }
+  std::optional<time_point>& since = mBoard.mBehindSince[mName];
+  since = since.value_or(mLoop.Now());
+  if (mTimer == 0) {
+    Wait();
+  }
+}
+
+void
+belief_watch::Wait()
+{
+  const std::uint64_t own = mHeld().value_or(0);
+  mAskedInVain = own == mHeldBefore ? mAskedInVain : 0;
+  mHeldBefore = own;
+  // What a peer has just been told is on its way here too; only what does not
+  // come shows that this entry's own question has gone silent.
+  const duration patience = BehindPatience(mAskedInVain);
+  mTimer = mLoop.After(patience, [this, patience]() {
+    mTimer = 0;
+    if (!Behind()) {
+      NoteLevel();
+      return;
+    }
+    ++mAskedInVain;
+    mBehind(patience);
+    Wait();
+  });
+}
+
+void
+belief_watch::NoteLevel()
+{
+  std::optional<time_point>& since = mBoard.mBehindSince[mName];
+  // What a peer was told a moment earlier is not worth a line.
+  if (since.has_value() && mLoop.Now() - *since > BehindPatience(0)) {
+    Log(log_level::Warning,
+        "belief_was_behind",
+        { { "belief", mName },
+          { "held", mHeld().value_or(0) },
+          { "behind_ms", Milliseconds(mLoop.Now() - *since) } });
+  }
+  since.reset();
+}
+
+} // namespace primrose
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -16,6 +16,10 @@
 /// peers, so that a restart while the platform is away serves all the same.
 constexpr duration kStoreFirst = std::chrono::milliseconds(250);
 
+/// Peers that are asked in a row while they give no answer. More are not: the
+/// next datagram that shows a newer belief begins anew.
+constexpr unsigned kMostPeersAsked = 3;
+
 constexpr unsigned kGood = 200;
 constexpr unsigned kNotReady = 503;
 
@@ -49,17 +53,8 @@
   , mPeers(aLoop,
            mSettings,
            mBoard,
-           [this](bool aManifest, bool aList) {
-             if (aManifest && mManifestFollower->Reached()) {
-               mManifestFollower->Refresh();
-             }
-             if (aList && mEndpointFollower->Reached()) {
-               mEndpointFollower->Refresh();
-             }
-             if (!mManifestFollower->Reached() ||
-                 !mEndpointFollower->Reached()) {
-               AskPeers();
-             }
+           [this](belief aBelief, duration aPatience) {
+             OnBehind(aBelief, aPatience);
            })
   , mPeerBeliefs(aLoop, mSettings)
   , mContext{ mLoop, mSettings, mAdapter, mBoard, mConnections, mPeers }
@@ -83,16 +78,8 @@
     mSettings.mStore,
     mAdapter.mManifestTable,
     table_follower::listener{
-      [this](const table_reading& aReading) {
-        for (const row_change<std::string>& row : aReading.mRows) {
-          OnManifestRow(row);
-        }
-      },
-      [this](const table_reading& aReading) {
-        for (const row_change<std::string>& row : aReading.mRows) {
-          OnManifestRow(row);
-        }
-      } });
+      [this](const table_reading& aReading) { OnManifests(aReading.mRows); },
+      [this](const table_reading& aReading) { OnManifests(aReading.mRows); } });
   mEndpointFollower = std::make_unique<table_follower>(
     mLoop,
     mAdapter,
@@ -178,11 +165,37 @@
 }
 
 void
-gateway::OnManifestRow(const row_change<std::string>& aRow)
+gateway::OnBehind(belief aBelief, duration aPatience)
 {
-  if (aRow.mKey != mAdapter.mManifestKey || !aRow.mValue.has_value()) {
-    return;
+  table_follower& follower =
+    aBelief == belief::Manifest ? *mManifestFollower : *mEndpointFollower;
+  if (follower.Reached()) {
+    follower.Refresh(aPatience);
+  }
+  if (!follower.Reached()) {
+    mPeersLeftToAsk = kMostPeersAsked;
+    AskPeers();
+  }
+}
+
+void
+gateway::OnManifests(const std::vector<row_change<std::string>>& aRows)
+{
+  // Decoding a version takes a slow entry tens of milliseconds, in which its
+  // streams stand still: only the newest that can be read is decoded.
+  for (auto row = aRows.rbegin(); row != aRows.rend(); ++row) {
+    if (row->mKey != mAdapter.mManifestKey || !row->mValue.has_value()) {
+      continue;
+    }
+    if (TakeManifest(*row)) {
+      return;
+    }
   }
+}
+
+bool
+gateway::TakeManifest(const row_change<std::string>& aRow)
+{
   const outcome<manifest> decoded = Capture<manifest>(
     [this, &aRow]() { return mAdapter.mDecodeManifest(*aRow.mValue); });
   if (!decoded) {
@@ -190,10 +203,10 @@
       log_level::Error,
       "manifest_malformed",
       { { "revision", aRow.mRevision }, { "why", decoded.mFailure.mMessage } });
-    return;
+    return false;
   }
   if (!IsNewer(mBoard.mManifest, *decoded.mValue)) {
-    return;
+    return true;
   }
   Log(log_level::Info,
       "manifest_in_force",
@@ -208,6 +221,7 @@
   mManifestRow = aRow;
   mBoard.mManifest = std::make_shared<const manifest_index>(*decoded.mValue);
   mBoard.mManifestSince = mLoop.Now();
+  return true;
 }
 
 void
@@ -263,6 +277,7 @@
     NoteListing(row.mKey, ApplyRow(mBoard.mEndpoints, row));
   }
   KeepRows(aReading.mRows);
+  mBoard.mListAsOf = std::max(mBoard.mListAsOf, aReading.mRevision);
   if (aWhole) {
     for (const std::string& id :
          ApplyWholeList(mBoard.mEndpoints, rows, aReading.mRevision)) {
@@ -290,23 +305,26 @@
 void
 gateway::AskPeers()
 {
-  if (mBoard.mPeers.empty()) {
+  const std::vector<std::string> ahead = PeersAhead(mBoard);
+  if (ahead.empty() || mPeersLeftToAsk == 0) {
     return;
   }
-  std::map<std::string, peer_entry>::const_iterator peer =
-    mBoard.mPeers.begin();
-  std::advance(
-    peer,
-    static_cast<std::ptrdiff_t>(Below(mBoard.mRandom, mBoard.mPeers.size())));
-  mPeerBeliefs.Ask(peer->first,
-                   [this](const believed_rows& aRows) { TakeBeliefs(aRows); });
+  --mPeersLeftToAsk;
+  mPeerBeliefs.Ask(ahead[Below(mBoard.mRandom, ahead.size())],
+                   [this](const std::optional<believed_rows>& aRows) {
+                     if (aRows.has_value()) {
+                       TakeBeliefs(*aRows);
+                     } else {
+                       AskPeers();
+                     }
+                   });
 }
 
 void
 gateway::TakeBeliefs(const believed_rows& aRows)
 {
   if (aRows.mManifest.has_value()) {
-    OnManifestRow(*aRows.mManifest);
+    OnManifests({ *aRows.mManifest });
   }
   if (aRows.mEndpoints.empty()) {
     return;
@@ -383,7 +401,8 @@
     CheckDrained();
   }
   if ((mBoard.mManifest == nullptr || !mBoard.mEndpointsKnown) &&
-      mPeers.PeersHaveManifest() && mLoop.Now() - mStarted > kStoreFirst) {
+      mLoop.Now() - mStarted > kStoreFirst) {
+    mPeersLeftToAsk = 1;
     AskPeers();
   }
   mTimer = mLoop.After(kTick, [this]() {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -32,10 +32,17 @@
 
 private:
   bool Ready() const;
-  void OnManifestRow(const row_change<std::string>& aRow);
+  /// Peers have known something newer for so long.
+  void OnBehind(belief aBelief, duration aPatience);
+  /// Rows of the manifest's table, the oldest first.
+  void OnManifests(const std::vector<row_change<std::string>>& aRows);
+  /// Puts a manifest in force if it is newer; false if it cannot be read.
+  bool TakeManifest(const row_change<std::string>& aRow);
   void OnEndpoints(const table_reading& aReading, bool aWhole);
   void KeepRows(const std::vector<row_change<std::string>>& aRows);
   void NoteListing(const std::string& aId, listing aListing);
+  /// Asks one of the peers that say they know more, and another if that one
+  /// gives no answer.
   void AskPeers();
   void TakeBeliefs(const believed_rows& aRows);
   believed_rows Beliefs() const;
@@ -56,6 +63,7 @@
   /// The rows as the platform had them, for peers that cannot reach it.
   std::optional<row_change<std::string>> mManifestRow;
   std::map<std::string, row_change<std::string>> mEndpointRows;
+  unsigned mPeersLeftToAsk = 0;
   time_point mStarted{};
   std::unique_ptr<table_follower> mManifestFollower;
   std::unique_ptr<table_follower> mEndpointFollower;
--- a/Libraries/LibGateway/GatewayBoard.h
+++ b/Libraries/LibGateway/GatewayBoard.h
@@ -32,6 +32,8 @@
 {
   std::uint64_t mBoot = 0; ///< New at each of its starts.
   time_point mHeard{};
+  std::uint64_t mManifest = 0; ///< The version in force there, as it said last.
+  std::uint64_t mList = 0;     ///< The newest revision of its list.
 
   bool operator==(const peer_entry&) const = default;
 };
@@ -48,6 +50,9 @@
   time_point mManifestSince{};
   bool mEndpointsKnown = false;
   endpoint_board mEndpoints;
+  /// The store showed the list as of this revision, whether or not a row has
+  /// it.
+  std::uint64_t mListAsOf = 0;
   std::map<std::string, time_point> mStoreReached; ///< By table, the last time.
   /// By belief, since when a peer has known something newer.
   std::map<std::string, std::optional<time_point>> mBehindSince;
@@ -65,6 +70,14 @@
   metrics mMetrics;
 };
 
+/// Up to which revision this entry knows the list of endpoints.
+std::uint64_t
+ListHeld(const gateway_board& aBoard);
+
+/// Peers that say they have a newer manifest or a newer list than this entry.
+std::vector<std::string>
+PeersAhead(const gateway_board& aBoard);
+
 /// Entries that share the repeat budget: this one and the peers heard of, or
 /// those with a row in the platform where that is more. An entry that has just
 /// started and knows of nobody yet must not spend what belongs to all.
--- a/Libraries/LibGateway/PeerBeliefs.cpp
+++ b/Libraries/LibGateway/PeerBeliefs.cpp
@@ -124,7 +124,9 @@
     return;
   }
   mAsking = true;
-  mCaller = std::make_unique<http_caller>(
+  // The question before this one may be what asks, from within its own answer.
+  mLoop.DeleteLater(std::move(mCaller));
+  mCaller = std::make_shared<http_caller>(
     mLoop, ip_address{ aHost, mSettings.mPeers.mPort });
   mCaller->Call(
     { "GET", "/beliefs", "", "", {} },
@@ -143,9 +145,7 @@
           { { "host", aHost },
             { "outcome", rows ? "good" : rows.mFailure.mMessage },
             { "endpoints", rows ? rows.mValue->mEndpoints.size() : 0 } });
-      if (rows) {
-        then(*rows.mValue);
-      }
+      then(rows.mValue);
     });
 }
 
--- a/Libraries/LibGateway/PeerBeliefs.h
+++ b/Libraries/LibGateway/PeerBeliefs.h
@@ -26,7 +26,8 @@
 {
 public:
   using held = std::function<believed_rows()>;
-  using received = std::function<void(const believed_rows&)>;
+  /// Nothing if the peer gave no answer that can be read.
+  using received = std::function<void(const std::optional<believed_rows>&)>;
 
   peer_beliefs(event_loop& aLoop, const gateway_settings& aSettings);
   peer_beliefs(const peer_beliefs&) = delete;
@@ -40,7 +41,7 @@
   event_loop& mLoop;
   const gateway_settings& mSettings;
   std::unique_ptr<tcp_listener> mListener;
-  std::unique_ptr<http_caller> mCaller;
+  std::shared_ptr<http_caller> mCaller;
   bool mAsking = false;
 };
 
--- a/Libraries/LibGateway/PeerNews.cpp
+++ b/Libraries/LibGateway/PeerNews.cpp
@@ -35,6 +35,27 @@
 
 } // namespace
 
+std::uint64_t
+ListHeld(const gateway_board& aBoard)
+{
+  return std::max(aBoard.mEndpoints.mNewestRevision, aBoard.mListAsOf);
+}
+
+std::vector<std::string>
+PeersAhead(const gateway_board& aBoard)
+{
+  const std::uint64_t manifest =
+    aBoard.mManifest == nullptr ? 0 : aBoard.mManifest->Manifest().mVersion;
+  const std::uint64_t list = ListHeld(aBoard);
+  std::vector<std::string> ahead;
+  for (const auto& [host, peer] : aBoard.mPeers) {
+    if (peer.mManifest > manifest || peer.mList > list) {
+      ahead.push_back(host);
+    }
+  }
+  return ahead;
+}
+
 std::size_t
 EntryCount(const gateway_board& aBoard)
 {
@@ -48,11 +69,27 @@
 peer_news::peer_news(event_loop& aLoop,
                      const gateway_settings& aSettings,
                      gateway_board& aBoard,
-                     behind aBehind)
+                     const behind& aBehind)
   : mLoop(aLoop)
   , mSettings(aSettings)
   , mBoard(aBoard)
-  , mBehind(std::move(aBehind))
+  , mManifestWatch(
+      aLoop,
+      aBoard,
+      "manifest",
+      [&aBoard]() -> std::optional<std::uint64_t> {
+        if (aBoard.mManifest == nullptr) {
+          return std::nullopt;
+        }
+        return aBoard.mManifest->Manifest().mVersion;
+      },
+      [aBehind](duration aPatience) { aBehind(belief::Manifest, aPatience); })
+  , mListWatch(
+      aLoop,
+      aBoard,
+      "endpoints",
+      [&aBoard]() { return std::optional(ListHeld(aBoard)); },
+      [aBehind](duration aPatience) { aBehind(belief::Endpoints, aPatience); })
 {
 }
 
@@ -60,8 +97,6 @@
 {
   mLoop.Cancel(mFlushTimer);
   mLoop.Cancel(mBeatTimer);
-  mLoop.Cancel(mManifestWatch.mTimer);
-  mLoop.Cancel(mListWatch.mTimer);
 }
 
 result<void>
@@ -264,6 +299,7 @@
 peer_news::Beat()
 {
   ForgetSilent();
+  CompareWithPresent();
   Flush();
   if (mBeats % kCandidateBeats == 0) {
     for (const std::string& host : mCandidates) {
@@ -277,81 +313,26 @@
   });
 }
 
-bool
-peer_news::ManifestBehind() const
-{
-  return mBoard.mManifest != nullptr &&
-         mBoard.mManifest->Manifest().mVersion < mNewestManifest;
-}
-
-bool
-peer_news::ListBehind() const
-{
-  return mBoard.mEndpoints.mNewestRevision < mNewestList;
-}
-
 void
 peer_news::CompareBeliefs(std::uint64_t aManifest, std::uint64_t aList)
 {
   mNewestManifest = std::max(mNewestManifest, aManifest);
   mNewestList = std::max(mNewestList, aList);
-  WatchBehind(
-    mManifestWatch,
-    mBoard.mManifest == nullptr ? 0 : mBoard.mManifest->Manifest().mVersion,
-    [this]() { return ManifestBehind(); },
-    [this]() { mBehind(true, false); });
-  WatchBehind(
-    mListWatch,
-    mBoard.mEndpoints.mNewestRevision,
-    [this]() { return ListBehind(); },
-    [this]() { mBehind(false, true); });
-}
-
-void
-peer_news::WatchBehind(table_watch& aWatch,
-                       std::uint64_t aHeld,
-                       std::function<bool()> aIsBehind,
-                       std::function<void()> aAsk)
-{
-  if (aHeld != aWatch.mHeld) {
-    aWatch.mHeld = aHeld;
-    aWatch.mAskedInVain = 0;
-  }
-  NoteBehind(aWatch, aIsBehind());
-  if (aWatch.mTimer != 0 || !aIsBehind()) {
-    return;
-  }
-  // What a peer has just been told is on its way here too; only what does not
-  // come shows that this entry's own question has gone silent.
-  aWatch.mTimer = mLoop.After(
-    BehindPatience(aWatch.mAskedInVain),
-    [&aWatch, isBehind = std::move(aIsBehind), ask = std::move(aAsk)]() {
-      aWatch.mTimer = 0;
-      if (isBehind()) {
-        ++aWatch.mAskedInVain;
-        ask();
-      }
-    });
+  mManifestWatch.Told(mNewestManifest);
+  mListWatch.Told(mNewestList);
 }
 
 void
-peer_news::NoteBehind(const table_watch& aWatch, bool aBehind)
+peer_news::CompareWithPresent()
 {
-  const time_point now = mLoop.Now();
-  std::optional<time_point>& since = mBoard.mBehindSince[aWatch.mTable];
-  if (aBehind) {
-    since = since.value_or(now);
-    return;
-  }
-  // What a peer was told a moment earlier is not worth a line.
-  if (since.has_value() && now - *since > BehindPatience(0)) {
-    Log(log_level::Warning,
-        "belief_was_behind",
-        { { "belief", aWatch.mTable },
-          { "held", aWatch.mHeld },
-          { "behind_ms", Milliseconds(now - *since) } });
+  // What only a peer knew that is gone can be asked of nobody.
+  mNewestManifest = 0;
+  mNewestList = 0;
+  for (const auto& [host, peer] : mBoard.mPeers) {
+    mNewestManifest = std::max(mNewestManifest, peer.mManifest);
+    mNewestList = std::max(mNewestList, peer.mList);
   }
-  since.reset();
+  CompareBeliefs(mNewestManifest, mNewestList);
 }
 
 void
@@ -396,23 +377,25 @@
     mBoard.mPeers.erase(aFrom.mHost);
     return;
   }
-  HeedPeer(message.mBoot, aFrom.mHost);
+  HeedPeer(message, aFrom.mHost);
   CompareBeliefs(message.mManifest, message.mList);
   TakeNews(message.mNews, aFrom.mHost);
   AddHosts(message.mHosts);
 }
 
 void
-peer_news::HeedPeer(std::uint64_t aBoot, const std::string& aHost)
+peer_news::HeedPeer(const peer_message& aMessage, const std::string& aHost)
 {
   const time_point now = mLoop.Now();
   const auto known = mBoard.mPeers.find(aHost);
   const bool isNew =
-    known == mBoard.mPeers.end() || known->second.mBoot != aBoot;
+    known == mBoard.mPeers.end() || known->second.mBoot != aMessage.mBoot;
   if (known != mBoard.mPeers.end() && isNew) {
     ForgetOwner(mBoard.mLedger, known->second.mBoot, now);
   }
-  mBoard.mPeers[aHost] = { aBoot, now };
+  mBoard.mPeers[aHost] = {
+    aMessage.mBoot, now, aMessage.mManifest, aMessage.mList
+  };
   if (isNew) {
     Log(log_level::Info,
         "peer_found",
--- a/Libraries/LibGateway/PeerNews.h
+++ b/Libraries/LibGateway/PeerNews.h
@@ -2,21 +2,28 @@
 
 /// Datagrams between entries: what each has placed where, and who is there.
 
-#include "LibGateway/GatewayBoard.h"
+#include "LibGateway/BeliefWatch.h"
 #include "LibGateway/PeerWire.h"
 
 namespace primrose {
 
+/// What the store's tables make an entry believe.
+enum class belief : std::uint8_t
+{
+  Manifest,
+  Endpoints,
+};
+
 class peer_news
 {
 public:
-  /// Called when a peer has had a newer manifest or list for a while.
-  using behind = std::function<void(bool aManifest, bool aList)>;
+  /// Called when a peer has had something newer for so long.
+  using behind = std::function<void(belief aBelief, duration aPatience)>;
 
   peer_news(event_loop& aLoop,
             const gateway_settings& aSettings,
             gateway_board& aBoard,
-            behind aBehind);
+            const behind& aBehind);
   ~peer_news();
   peer_news(const peer_news&) = delete;
   peer_news& operator=(const peer_news&) = delete;
@@ -32,8 +39,6 @@
   /// An endpoint broke off, was silent or was not reached.
   void TellTroubled(engine_key aEndpoint);
   void TellLeaving();
-  /// True if a peer has told that it has a manifest.
-  bool PeersHaveManifest() const { return mNewestManifest > 0; }
 
 private:
   void Flush();
@@ -45,30 +50,17 @@
   void Greet(const std::string& aHost);
   std::vector<std::string> PeersToTell(std::size_t aBytes);
   void CountNews(std::size_t aTold, std::size_t aPeers, std::size_t aBytes);
+  /// Compares what this entry holds with what a peer says it holds.
   void CompareBeliefs(std::uint64_t aManifest, std::uint64_t aList);
-  /// A table of which peers know more than this entry.
-  struct table_watch
-  {
-    std::string mTable;
-    timer_id mTimer = 0;
-    std::uint64_t mHeld = 0; ///< The newest that this entry has.
-    unsigned mAskedInVain = 0;
-  };
-  void WatchBehind(table_watch& aWatch,
-                   std::uint64_t aHeld,
-                   std::function<bool()> aIsBehind,
-                   std::function<void()> aAsk);
-  /// Logs how long a table was behind what peers knew, once it is level.
-  void NoteBehind(const table_watch& aWatch, bool aBehind);
-  bool ManifestBehind() const;
-  bool ListBehind() const;
+  /// The same with all peers that are there.
+  void CompareWithPresent();
   /// Takes note of what a peer told of an endpoint; logs if it is avoided for
   /// that.
   void Heed(engine_key aEndpoint,
             const std::string& aHost,
             const std::function<void(endpoint_health&, time_point)>& aNote);
   /// Notes that the peer is there; greets it if it has just started.
-  void HeedPeer(std::uint64_t aBoot, const std::string& aHost);
+  void HeedPeer(const peer_message& aMessage, const std::string& aHost);
   void TakeNews(const told_news& aNews, const std::string& aHost);
   std::string Encode(const told_news& aNews);
 
@@ -78,11 +70,10 @@
   std::unique_ptr<datagram_socket> mSocket;
   std::set<std::string> mCandidates; ///< Hosts not heard from yet.
   told_news mGathered;               ///< Not yet told.
-  behind mBehind;
   std::uint64_t mNewestManifest = 0; ///< That a peer has told of.
   std::uint64_t mNewestList = 0;
-  table_watch mManifestWatch{ "manifest" };
-  table_watch mListWatch{ "endpoints" };
+  belief_watch mManifestWatch;
+  belief_watch mListWatch;
   news_budget mBudget;
   bool mLeaving = false;
   unsigned mBeats = 0;
--- a/Libraries/LibGateway/TableFollower.cpp
+++ b/Libraries/LibGateway/TableFollower.cpp
@@ -3,6 +3,7 @@
 #include "LibGateway/GatewayMetrics.h"
 
 #include <algorithm>
+#include <set>
 
 namespace primrose {
 
@@ -30,6 +31,25 @@
 /// routes, or a tenth of the seconds within which a change is to be in force.
 constexpr std::size_t kLargeAnswer = std::size_t{ 256 } * 1024;
 constexpr duration kSlowAnswer = std::chrono::milliseconds(200);
+/// So many bytes of versions that are replaced within the same answer show that
+/// changes come faster than they are read here, as on a narrow link or after a
+/// pause of the machine. 256 KB take a seventh of a second at 20 Mbit/s.
+constexpr std::size_t kMostReplaced = std::size_t{ 256 } * 1024;
+
+/// Bytes of rows of which the same answer has a later version.
+std::size_t
+ReplacedBytes(const table_reading& aReading)
+{
+  std::set<std::string_view> later;
+  std::size_t bytes = 0;
+  for (auto row = aReading.mRows.rbegin(); row != aReading.mRows.rend();
+       ++row) {
+    if (!later.insert(row->mKey).second && row->mValue.has_value()) {
+      bytes += row->mValue->size();
+    }
+  }
+  return bytes;
+}
 
 } // namespace
 
@@ -60,19 +80,41 @@
 }
 
 void
-table_follower::Refresh()
+table_follower::Refresh(duration aPatience)
 {
+  // A question that was just asked, or whose answer is coming, is not silent.
+  if (mCaller.Busy() &&
+      (mCaller.Received() > 0 || mCaller.Asking() < aPatience)) {
+    Log(log_level::Info,
+        "store_answer_awaited",
+        { { "table", mTable },
+          { "revision", mRevision.value_or(0) },
+          { "asked_ms", Milliseconds(mCaller.Asking()) },
+          { "received_bytes", mCaller.Received() } });
+    return;
+  }
   Log(log_level::Warning,
       "store_asked_anew",
       { { "table", mTable },
         { "revision", mRevision.value_or(0) },
         { "asked_ms", Milliseconds(mCaller.Asking()) },
         { "received_bytes", mCaller.Received() } });
-  mBoard.mMetrics.Count(
-    Labelled("gateway_store_given_up_total", "table", mTable));
+  if (mCaller.Busy()) {
+    mBoard.mMetrics.Count(
+      Labelled("gateway_store_given_up_total", "table", mTable));
+    // A silent path gives no error: unless the question counts as unanswered,
+    // the store never counts as lost here, and no peer is asked.
+    NoteTrouble(table_reading{});
+  }
   mCaller.Abandon();
   mLoop.Cancel(mTimer);
-  if (mRevision.has_value()) {
+  Ask();
+}
+
+void
+table_follower::Ask()
+{
+  if (mRevision.has_value() && !mMissed) {
     ReadChanges();
   } else {
     ReadWhole("");
@@ -129,7 +171,9 @@
     ReadWhole(aReading.mRows.back().mKey + '\x01');
     return;
   }
-  mRevision = mGathered.mRevision;
+  // A reading may be behind what was known; what came before stays known.
+  mRevision = std::max(mRevision.value_or(0), mGathered.mRevision);
+  mMissed = false;
   mListener.mWhole(mGathered);
   mGathered = table_reading{};
   ReadChanges();
@@ -155,12 +199,18 @@
     return;
   }
   NoteReached();
+  mFailures = 0;
   mRevision = std::max(*mRevision, aReading.mRevision);
   if (aReading.mRows.empty()) {
     ReadChanges();
     return;
   }
   mListener.mChanges(aReading);
+  mMissed = ReplacedBytes(aReading) > kMostReplaced;
+  if (mMissed) {
+    Ask();
+    return;
+  }
   mTimer = mLoop.After(kGatherChanges, [this]() {
     mTimer = 0;
     ReadChanges();
@@ -182,18 +232,16 @@
   CountStoreCall(mBoard.mMetrics, table_reading::outcome::Good);
   mReached = true;
   mTroubled = false;
-  mFailures = 0;
 }
 
 void
-table_follower::OnTrouble(const table_reading& aReading)
+table_follower::NoteTrouble(const table_reading& aReading)
 {
   const bool lost = aReading.mOutcome == table_reading::outcome::HistoryLost;
   if (lost) {
     Log(log_level::Warning,
         "store_history_lost",
         { { "table", mTable }, { "revision", mRevision.value_or(0) } });
-    mRevision.reset();
   } else if (!mTroubled) {
     mTroubled = true;
     mTroubledSince = mLoop.Now();
@@ -207,8 +255,15 @@
         { "revision", mRevision.value_or(0) } });
   }
   mReached = mReached && lost;
+  mMissed = true;
   CountStoreCall(mBoard.mMetrics, aReading.mOutcome);
   mBoard.mMetrics.Count("gateway_store_failures_total");
+}
+
+void
+table_follower::OnTrouble(const table_reading& aReading)
+{
+  NoteTrouble(aReading);
   const unsigned doublings = std::min(mFailures++, kMostDoublings);
   const duration longest =
     std::min(kFirstPause * (1U << doublings), kLongestPause);
@@ -216,11 +271,7 @@
     FromSeconds(Seconds(longest) * (0.5 + 0.5 * Uniform(mBoard.mRandom)));
   mTimer = mLoop.After(pause, [this]() {
     mTimer = 0;
-    if (mRevision.has_value()) {
-      ReadChanges();
-    } else {
-      ReadWhole("");
-    }
+    Ask();
   });
 }
 
--- a/Libraries/LibGateway/TableFollower.h
+++ b/Libraries/LibGateway/TableFollower.h
@@ -29,18 +29,22 @@
 
   void Start();
   /// Asks anew at once: somebody else knows of a change that was not heard of
-  /// here, so the question that is open may have gone silent.
-  void Refresh();
+  /// here, so the question that is open may have gone silent. It is left open
+  /// if its answer is coming, or if it is not older than `aPatience`.
+  void Refresh(duration aPatience);
   /// False while the last call failed.
   bool Reached() const { return mReached; }
 
 private:
+  /// The changes since the newest revision that is known, or the whole table.
+  void Ask();
   void ReadWhole(const std::string& aFromKey);
   /// Reads an answer; logs what took long, or carried much.
   table_reading Decode(const http_answer& aAnswer);
   void OnWhole(table_reading aReading);
   void ReadChanges();
   void OnChanges(const table_reading& aReading);
+  void NoteTrouble(const table_reading& aReading);
   void OnTrouble(const table_reading& aReading);
   void NoteReached();
 
@@ -52,6 +56,10 @@
   http_caller mCaller;
   table_reading mGathered;
   std::optional<std::uint64_t> mRevision;
+  /// Changes may have been missed. They are not asked for one after the other,
+  /// which brings each version of each row that there was: the whole table has
+  /// one of each.
+  bool mMissed = false;
   bool mReached = false;
   bool mTroubled = false;
   time_point mTroubledSince{};
--- a/Libraries/LibNet/HttpClientCall.cpp
+++ b/Libraries/LibNet/HttpClientCall.cpp
@@ -1,7 +1,21 @@
 #include "LibNet/HttpClientCall.h"
 
+#include <algorithm>
+
 namespace primrose {
 
+namespace {
+
+/// An answer that has begun may stop for so long: several retransmissions on a
+/// link that loses packets, and a third of the seconds within which a change is
+/// to be in force.
+constexpr duration kLongestStop = std::chrono::seconds(1);
+/// And take so long in all, so that a server that sends a byte now and then
+/// does not hold a call for ever: 16 MB, the most that is read, on 10 Mbit/s.
+constexpr duration kLongestArrival = std::chrono::seconds(13);
+
+} // namespace
+
 http_caller::http_caller(event_loop& aLoop, ip_address aServer)
   : mLoop(aLoop)
   , mServer(std::move(aServer))
@@ -49,7 +63,14 @@
   mReceived = 0;
   mAsked = mLoop.Now();
   mChannel->Write(mWaiting.front().mBytes);
-  mTimer = mLoop.After(mWaiting.front().mTimeout, [this]() {
+  ExpectWithin(mWaiting.front().mTimeout);
+}
+
+void
+http_caller::ExpectWithin(duration aTime)
+{
+  mLoop.Cancel(mTimer);
+  mTimer = mLoop.After(aTime, [this]() {
     mTimer = 0;
     DropChannel();
     Settle({});
@@ -104,6 +125,8 @@
   mReceived += aChannel.Input().size();
   const read_state state = mReader.Read(aChannel.Input());
   if (state == read_state::Head || state == read_state::Body) {
+    const duration left = mFirstByte + kLongestArrival - mLoop.Now();
+    ExpectWithin(std::clamp(left, duration::zero(), kLongestStop));
     return;
   }
   if (state != read_state::Complete) {
--- a/Libraries/LibNet/HttpClientCall.h
+++ b/Libraries/LibNet/HttpClientCall.h
@@ -1,8 +1,11 @@
 #pragma once
 
 /// Calls over one kept connection to one server, one at a time: what the
-/// platform's store is asked through. A call that gets no answer in its time
-/// ends the connection, since a late answer would belong to nobody.
+/// platform's store is asked through. A call whose answer does not begin in its
+/// time, or stops on its way, ends the connection, since a late answer would
+/// belong to nobody. An answer that keeps coming is waited for: how long it
+/// takes depends on its size and on the link, and to ask again would bring the
+/// same bytes once more.
 
 #include "LibNet/HttpReader.h"
 #include "LibNet/TcpChannel.h"
@@ -41,10 +44,13 @@
   http_caller(const http_caller&) = delete;
   http_caller& operator=(const http_caller&) = delete;
 
-  /// `aAnswered` is called exactly once, never from within `Call`.
+  /// `aAnswered` is called exactly once, never from within `Call`; the answer
+  /// has to begin within `aTimeout` of its turn.
   void Call(const http_call& aCall, duration aTimeout, answered aAnswered);
   /// Drops the connection and all calls; none of them is answered any more.
   void Abandon();
+  /// True while a call is open.
+  bool Busy() const { return mBusy; }
   /// Bytes of the answer to the open call that have come; 0 without a call.
   std::size_t Received() const { return mBusy ? mReceived : 0; }
   /// How long the open call has been out; 0 without a call.
@@ -63,6 +69,8 @@
   void SendNext();
   void Settle(const http_answer& aAnswer);
   void DropChannel();
+  /// The open call counts as unanswered after so long without another byte.
+  void ExpectWithin(duration aTime);
 
   event_loop& mLoop;
   ip_address mServer;
--- a/Tests/Gateway/CutOffTest.cpp
+++ b/Tests/Gateway/CutOffTest.cpp
@@ -30,9 +30,12 @@
   CPPUNIT_TEST_SUITE(gateway_cut_off_test);
   CPPUNIT_TEST(CutOffEntryAsksItsPeersAtOnce);
   CPPUNIT_TEST(MissedVersionsComeAsOne);
+  CPPUNIT_TEST(ChangesThatAreManyAreLeftOut);
   CPPUNIT_TEST(AnswerOnItsWayIsNotGivenUp);
   CPPUNIT_TEST_SUITE_END();
 
+  static constexpr std::uint64_t kVersions = 60;
+
   static std::uint64_t Version(const gateway& aEntry)
   {
     return aEntry.Board().mManifest == nullptr
@@ -78,19 +81,26 @@
     CPPUNIT_ASSERT_EQUAL(200U, caller.Status());
   }
 
+  /// Versions of 60 KB that come while the store is silent for the entry.
+  static void PutMissed(world& aWorld)
+  {
+    constexpr std::size_t kRoutes = 250;
+    for (std::uint64_t version = 4; version < 4 + kVersions; ++version) {
+      aWorld.PutManifest(version, "added", kRoutes);
+    }
+  }
+
   /// However many versions there were meanwhile, the newest is read and no
   /// other: what an entry missed must not take longer to come the more it is.
   void MissedVersionsComeAsOne()
   {
     world w;
     w.Start();
+    w.Until([&w]() { return w.mStore.Questions("op") == 2; },
+            "the question about changes is open");
     w.mStore.FallSilent();
     const std::size_t handed = w.mStore.Handed("op");
-    constexpr std::uint64_t kVersions = 60;
-    constexpr std::size_t kRoutes = 250;
-    for (std::uint64_t version = 4; version < 4 + kVersions; ++version) {
-      w.PutManifest(version, "added", kRoutes);
-    }
+    PutMissed(w);
     w.mStore.SetMood(standin_store::mood::Good);
     w.Until([&w]() { return Version(*w.mGateway) == 3 + kVersions; },
             "the newest version");
@@ -98,6 +108,20 @@
     CPPUNIT_ASSERT_EQUAL(200U, w.Answered(w.Request("r1", "added")).Status());
   }
 
+  /// An entry that stood still asks for the changes as if nothing had been. One
+  /// answer of 1 MB tells it how far it is behind; the rest it does not read.
+  void ChangesThatAreManyAreLeftOut()
+  {
+    world w;
+    w.Start();
+    const std::size_t handed = w.mStore.Handed("op");
+    PutMissed(w);
+    w.Until([&w]() { return Version(*w.mGateway) == 3 + kVersions; },
+            "the newest version");
+    constexpr std::size_t kInOneAnswer = 20;
+    CPPUNIT_ASSERT(w.mStore.Handed("op") <= handed + kInOneAnswer + 2);
+  }
+
   /// Bytes that come show that neither the store nor the path is silent. Here
   /// each answer takes 3 s on its way: longer than any answer is awaited that
   /// has not begun.
