The first question after a change is held for a drawn time

Suspected, not seen: a change answers the questions of all entries at one moment, so they asked again together, and with 22 peers or more each let the store hold the next question for 10 s, relying on some other entry to hear first. If their connections go silent all at once (new ones work), nobody hears for 10.5 s.

Change: after a change the question is held for a drawn part of the time, from 0.45 s; those after it stay spread. Both patiences with the store stand in LibFleet/StorePatience now.

Test: SomebodySoonFindsTheStoreSilent: with the draw the first of 4 to 350 entries asks anew within 2.3 s in 99 of 100 times; without it after 10 s.

--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -13,3 +13,4 @@
 #include "LibFleet/Manifest.h"
 #include "LibFleet/NewsBudget.h"
 #include "LibFleet/Silence.h"
+#include "LibFleet/StorePatience.h"
--- a/Libraries/LibFleet/Silence.cpp
+++ b/Libraries/LibFleet/Silence.cpp
@@ -23,13 +23,6 @@
 constexpr int kCallersPauses = 8;
 constexpr double kShareOfCallers = 0.65;
 
-/// How long a peer may know more before the platform is asked anew: what a peer
-/// has just been told is on its way here too. At most 1.8 s, so that a question
-/// that went silent costs less than the seconds within which a change is to be
-/// in force.
-constexpr duration kBehindPatience = std::chrono::milliseconds(450);
-constexpr unsigned kMostDoublings = 2;
-
 constexpr double kMsPerSecond = 1e3;
 
 } // namespace
@@ -49,12 +42,6 @@
     FromSeconds(kShareOfCallers * Seconds(callers)));
 }
 
-duration
-BehindPatience(unsigned aAskedInVain)
-{
-  return kBehindPatience * (1U << std::min(aAskedInVain, kMostDoublings));
-}
-
 duration
 PausePatience(duration aAllowedPause)
 {
--- a/Libraries/LibFleet/Silence.h
+++ b/Libraries/LibFleet/Silence.h
@@ -13,13 +13,6 @@
 duration
 FirstEventPatience(const engine_work& aWork, double aExpectedMs, bool aDivided);
 
-/// Until the platform is asked anew for a table of which a peer knows more,
-/// after so many such questions that brought nothing newer. Each gives up the
-/// one before, so a question must be given longer than the last: what an entry
-/// missed while it was cut off may take a second to arrive on a narrow link.
-duration
-BehindPatience(unsigned aAskedInVain);
-
 /// Between two events of a stream that may pause for so long.
 duration
 PausePatience(duration aAllowedPause);
--- /dev/null
+++ b/Libraries/LibFleet/StorePatience.cpp
@@ -0,0 +1,44 @@
+#include "LibFleet/StorePatience.h"
+
+#include <algorithm>
+
+namespace primrose {
+
+namespace {
+
+/// One entry of the fleet in such a span hears whether the store is silent.
+constexpr duration kWaitForEachEntry = std::chrono::milliseconds(450);
+/// A lone entry has nobody to tell it, so this, and what an answer may take,
+/// bounds how old its copy gets. More often would cost calls on quiet days.
+constexpr duration kShortestWait = std::chrono::milliseconds(1800);
+constexpr duration kLongestWait = std::chrono::seconds(10);
+
+/// What a peer has just been told is on its way here too. At most 1.8 s, so
+/// that a question that went silent costs less than the seconds within which a
+/// change is to be in force.
+constexpr duration kBehindPatience = std::chrono::milliseconds(450);
+constexpr unsigned kMostDoublings = 2;
+
+} // namespace
+
+duration
+QuestionWait(std::size_t aPeers, std::optional<double> aDraw)
+{
+  const duration wait =
+    std::clamp(kWaitForEachEntry * static_cast<int>(aPeers + 1),
+               kShortestWait,
+               kLongestWait);
+  if (!aDraw.has_value()) {
+    return wait;
+  }
+  return kWaitForEachEntry +
+         FromSeconds(*aDraw * Seconds(wait - kWaitForEachEntry));
+}
+
+duration
+BehindPatience(unsigned aAskedInVain)
+{
+  return kBehindPatience * (1U << std::min(aAskedInVain, kMostDoublings));
+}
+
+} // namespace primrose
--- a/Libraries/LibGateway/TableFollower.cpp
+++ b/Libraries/LibGateway/TableFollower.cpp
@@ -9,13 +9,6 @@
 
 namespace {
 
-/// How long the platform may hold a question about changes. A connection that
-/// went silent, or an answer that was lost, shows only when the answer is
-/// overdue, so this bounds how old the copy of a lone entry can be. With peers
-/// each may ask less often: the first to hear of a change tells the others.
-constexpr duration kWaitForEachEntry = std::chrono::milliseconds(450);
-constexpr duration kShortestWait = std::chrono::milliseconds(1800);
-constexpr duration kLongestWait = std::chrono::seconds(10);
 /// After changes the next question waits this long, so that a storm of them
 /// comes in few answers; short against the bounds on changes.
 constexpr duration kGatherChanges = std::chrono::milliseconds(200);
@@ -174,6 +167,7 @@
   // A reading may be behind what was known; what came before stays known.
   mRevision = std::max(mRevision.value_or(0), mGathered.mRevision);
   mMissed = false;
+  mAfterChange = true;
   mListener.mWhole(mGathered);
   mGathered = table_reading{};
   ReadChanges();
@@ -182,9 +176,10 @@
 void
 table_follower::ReadChanges()
 {
-  const duration shared =
-    kWaitForEachEntry * static_cast<int>(mBoard.mPeers.size() + 1);
-  const duration wait = std::clamp(shared, kShortestWait, kLongestWait);
+  const duration wait = QuestionWait(
+    mBoard.mPeers.size(),
+    mAfterChange ? std::optional(Uniform(mBoard.mRandom)) : std::nullopt);
+  mAfterChange = false;
   mCaller.Call(
     mAdapter.mReadChanges(mTable, *mRevision, wait),
     wait + kWaitSlack,
@@ -205,6 +200,7 @@
     ReadChanges();
     return;
   }
+  mAfterChange = true;
   mListener.mChanges(aReading);
   mMissed = ReplacedBytes(aReading) > kMostReplaced;
   if (mMissed) {
--- a/Libraries/LibGateway/TableFollower.h
+++ b/Libraries/LibGateway/TableFollower.h
@@ -60,6 +60,8 @@
   /// which brings each version of each row that there was: the whole table has
   /// one of each.
   bool mMissed = false;
+  /// The last answer came to all entries at one moment.
+  bool mAfterChange = false;
   bool mReached = false;
   bool mTroubled = false;
   time_point mTroubledSince{};
--- a/Tests/Unit/FleetBeliefTest.cpp
+++ b/Tests/Unit/FleetBeliefTest.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(BreakingEndpointIsAvoidedByAllEntries);
   CPPUNIT_TEST(OneEventOfAnotherEntryIsNoSign);
   CPPUNIT_TEST(LongAnswerOfTheStoreIsWaitedFor);
+  CPPUNIT_TEST(SomebodySoonFindsTheStoreSilent);
   CPPUNIT_TEST_SUITE_END();
 
   static endpoint Listed(const std::string& aId)
@@ -185,6 +186,33 @@
     CPPUNIT_ASSERT(BehindPatience(100) < std::chrono::seconds(2));
   }
 
+  /// Symptom, if it were met: no entry has a change for ten seconds, though new
+  /// connections to the store work. Sequence: a change answers the questions of
+  /// all entries; they ask again together; their connections go silent, all of
+  /// them. Cause: each relied on the others to hear first, and all waited for
+  /// the same moment.
+  void SomebodySoonFindsTheStoreSilent()
+  {
+    constexpr int kTimes = 1000;
+    constexpr duration kAsSoonAsAlone = milliseconds(2300);
+    random_engine random(1);
+    for (const std::size_t entries : { 4U, 7U, 27U, 100U, 350U }) {
+      int late = 0;
+      for (int i = 0; i < kTimes; ++i) {
+        duration first = QuestionWait(entries - 1, std::nullopt);
+        for (std::size_t entry = 0; entry < entries; ++entry) {
+          first = std::min(first, QuestionWait(entries - 1, Uniform(random)));
+        }
+        late += first > kAsSoonAsAlone ? 1 : 0;
+      }
+      CPPUNIT_ASSERT(late <= kTimes / 100);
+    }
+    // Without a change they stay spread, and ask as seldom as before.
+    CPPUNIT_ASSERT(QuestionWait(26, std::nullopt) == std::chrono::seconds(10));
+    CPPUNIT_ASSERT(QuestionWait(0, std::nullopt) == milliseconds(1800));
+    CPPUNIT_ASSERT(QuestionWait(26, 1.0) == QuestionWait(26, std::nullopt));
+  }
+
   /// Symptom: half of the engines are left out though they are sound.
   /// Sequence: the connections of one entry's machine are reset; it tells of a
   /// dozen broken streams on each engine. Cause: its trouble was taken for the
