Settings that the platform replaces without a signal are read

Cause: the settings file may change without a signal; only SIGHUP made an entry read it, so its grace, bounds on repeats and seeds grew old until its next start.

Change: the file is looked at each second (LibNet/FileWatch).

Test: SettingsThatChangeWithoutASignalAreSeen.

--- a/Libraries/LibNet/LibNet.h
+++ b/Libraries/LibNet/LibNet.h
@@ -6,6 +6,7 @@
 #include "LibNet/Datagram.h"
 #include "LibNet/EventCursor.h"
 #include "LibNet/EventLoop.h"
+#include "LibNet/FileWatch.h"
 #include "LibNet/HttpClientCall.h"
 #include "LibNet/HttpMessage.h"
 #include "LibNet/HttpReader.h"
--- a/Libraries/LibSettings/ObjectReader.cpp
+++ b/Libraries/LibSettings/ObjectReader.cpp
@@ -1,11 +1,7 @@
 #include "LibSettings/ObjectReader.h"
 
 #include <algorithm>
-#include <cerrno>
-#include <cstring>
-#include <fstream>
 #include <spdlog/fmt/fmt.h>
-#include <sstream>
 
 namespace primrose {
 
@@ -226,24 +222,6 @@
   }
 }
 
-result<std::string>
-ReadFile(const std::string& aPath)
-{
-  errno = 0;
-  std::ifstream file(aPath, std::ios::binary);
-  std::ostringstream text;
-  if (file && file.peek() != std::ifstream::traits_type::eof()) {
-    text << file.rdbuf();
-  }
-  if (!file || text.str().empty()) {
-    return Fail(error_kind::SettingsInvalid,
-                fmt::format("{}: cannot be read: {}",
-                            aPath,
-                            errno != 0 ? strerror(errno) : "it is empty"));
-  }
-  return text.str();
-}
-
 result<void>
 RequireNoProblems(const settings_problems& aProblems,
                   const std::string& aSource)
--- a/Libraries/LibSettings/ObjectReader.h
+++ b/Libraries/LibSettings/ObjectReader.h
@@ -83,8 +83,6 @@
 /// Parses JSON with comments. `aSource` names the text in messages.
 result<json>
 ParseSettings(const std::string& aText, const std::string& aSource);
-result<std::string>
-ReadFile(const std::string& aPath);
 
 /// Fails with `SettingsInvalid` and one line if there are problems.
 result<void>
--- a/Tests/Gateway/BeliefTest.cpp
+++ b/Tests/Gateway/BeliefTest.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(LoneEntrySpendsLittleOfTheBudget);
   CPPUNIT_TEST(BeliefsSurviveTheWire);
   CPPUNIT_TEST(PortsStayFreeForARestart);
+  CPPUNIT_TEST(SettingsThatChangeWithoutASignalAreSeen);
   CPPUNIT_TEST(DrainingEntryFinishesAndRefusesLongWork);
   CPPUNIT_TEST_SUITE_END();
 
@@ -227,6 +228,42 @@
     CPPUNIT_ASSERT_EQUAL(std::string("close"), *flying.Field("connection"));
   }
 
+  /// Symptom: an entry runs by settings that the platform has replaced, until
+  /// its next start. Sequence: the file is written anew, first a part of it,
+  /// and no signal is sent. Cause: only a signal made the entry read it.
+  void SettingsThatChangeWithoutASignalAreSeen()
+  {
+    const std::string path =
+      "/tmp/primrose-watch-" + std::to_string(FreshSeed()) + ".json";
+    const auto write = [&path](const std::string& aText) {
+      std::ofstream(path) << aText;
+    };
+    write("{\"grace\": 8}");
+    event_loop loop;
+    std::vector<std::string> seen;
+    const file_watch watch(loop, path, milliseconds(5), [&seen, &path]() {
+      seen.push_back(
+        *Capture<std::string>([&path]() { return ReadFile(path); }).mValue);
+    });
+    const auto look = [&loop]() {
+      const time_point end = loop.Now() + milliseconds(30);
+      while (loop.Now() < end) {
+        loop.Turn();
+      }
+    };
+    look();
+    CPPUNIT_ASSERT(seen.empty());
+    // Emptied, about to be written.
+    write("");
+    look();
+    CPPUNIT_ASSERT(seen.empty());
+    write("{\"grace\": 5}");
+    look();
+    look();
+    CPPUNIT_ASSERT(seen == std::vector<std::string>{ "{\"grace\": 5}" });
+    std::remove(path.c_str());
+  }
+
   /// Symptom: soak seeds 207 and 213 report dozens of requests lost by a
   /// planned end. Sequence: an entry is restarted and cannot listen, since its
   /// port is in use. Cause: the port was one that the system gives to outgoing
