--- a/Libraries/LibGateway/PeerNews.capnp
+++ b/Libraries/LibGateway/PeerNews.capnp
@@ -1,57 +1,51 @@
 @0xd1b6a3c8e0f47a25;
-#What entries tell each other by datagram.A lost one costs accuracy of
-#placement for some seconds and nothing else : no promise depends on it.
+# What entries tell each other by datagram. A lost one costs accuracy of
+# placement for some seconds and nothing else: no promise depends on it. Not to
+# be laid out by the formatter of the C++ sources, which does not know comments
+# of this kind.
 
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("primrose::wire");
 
-#Whole numbers of a size to suit, since datagrams are packed : what is 0 or
-#small takes no bytes.
-struct PlacedWork
-{
-  sequence @0 : UInt32;
-#Names the placement among those of its entry.engines @1 : List(UInt32);
-#The first one writes;
-  all read.partMicros @2 : UInt32;
-#Reading of each, in microseconds.pauseMs @3 : UInt32;
-#The longest pause that its events may have.tokens @4 : UInt32;
-#Memory that it takes where it writes.lifeMs @5 : UInt32;
-#It is forgotten after this.worthCents @6 : UInt32;
-#Against other requests, in hundredths.holders @7 : List(UInt32);
-#Engines that hold memory for it.holderTokens @8 : UInt32;
-#Memory that each of those holds.objectiveMs @9 : UInt32;
-#Its first event is late after this.elapsedMs @10 : UInt32;
-#Of that, when this was told.
+# Whole numbers of a size to suit, since datagrams are packed: what is 0 or
+# small takes no bytes.
+struct PlacedWork {
+  sequence @0 :UInt32;           # Names the placement among those of its entry.
+  engines @1 :List(UInt32);      # The first one writes; all read.
+  partMicros @2 :UInt32;         # Reading of each, in microseconds.
+  pauseMs @3 :UInt32;            # The longest pause that its events may have.
+  tokens @4 :UInt32;             # Memory that it takes where it writes.
+  lifeMs @5 :UInt32;             # It is forgotten after this.
+  worthCents @6 :UInt32;         # Against other requests, in hundredths.
+  holders @7 :List(UInt32);      # Engines that hold memory for it.
+  holderTokens @8 :UInt32;       # Memory that each of those holds.
+  objectiveMs @9 :UInt32;        # Its first event is late after this.
+  elapsedMs @10 :UInt32;         # Of that, when this was told.
 }
 
-#What an entry believes, as the platform's rows had it: asked for by an entry
-#that cannot reach the platform.
-struct BelievedRow
-{
-  key @0 : Text;
-  revision @1 : UInt64;
-  value @2 : Data;
-  gone @3 : Bool;
+# What an entry believes, as the platform's rows had it: asked for by an entry
+# that cannot reach the platform.
+struct BelievedRow {
+  key @0 :Text;
+  revision @1 :UInt64;
+  value @2 :Data;
+  gone @3 :Bool;
 }
 
-struct PeerBeliefs
-{
-  manifest @0 : BelievedRow;
-  endpoints @1 : List(BelievedRow);
+struct PeerBeliefs {
+  manifest @0 :BelievedRow;
+  endpoints @1 :List(BelievedRow);
 }
 
-struct PeerNews
-{
-  boot @0 : UInt64;
-#Of the entry that tells;
-  new at each start.placed @1 : List(PlacedWork);
-  ended @2 : List(UInt32);
-#Sequences of its own placements.peers @3 : List(Text);
-#Hosts of entries heard of lately.leaving @4 : Bool;
-#The entry is about to end.manifest @6 : UInt64;
-#The version in force there.list @7 : UInt64;
-#Newest revision of its list of endpoints.unread @5 : List(UInt32);
-#Ended before their prompts were read.troubled @9 : List(UInt32);
-#Endpoints that broke, or were not reached.unwilling @8 : List(UInt32);
-#Engines that refused to read for others.
+struct PeerNews {
+  boot @0 :UInt64;               # Of the entry that tells; new at each start.
+  placed @1 :List(PlacedWork);
+  ended @2 :List(UInt32);        # Sequences of its own placements.
+  peers @3 :List(Text);          # Hosts of entries heard of lately.
+  leaving @4 :Bool;              # The entry is about to end.
+  unread @5 :List(UInt32);       # Ended before their prompts were read.
+  manifest @6 :UInt64;           # The version in force there.
+  list @7 :UInt64;               # Newest revision of its list of endpoints.
+  unwilling @8 :List(UInt32);    # Engines that refused to read for others.
+  troubled @9 :List(UInt32);     # Endpoints that broke, or were not reached.
 }
