--- a/Libraries/LibGateway/PeerNews.capnp
+++ b/Libraries/LibGateway/PeerNews.capnp
@@ -43,9 +43,9 @@
   ended @2 :List(UInt32);        # Sequences of its own placements.
   peers @3 :List(Text);          # Hosts of entries heard of lately.
   leaving @4 :Bool;              # The entry is about to end.
-  unread @5 :List(UInt32);       # Ended before their prompts were read.
   manifest @6 :UInt64;           # The version in force there.
   list @7 :UInt64;               # Newest revision of its list of endpoints.
-  unwilling @8 :List(UInt32);    # Engines that refused to read for others.
+  unread @5 :List(UInt32);       # Ended before their prompts were read.
   troubled @9 :List(UInt32);     # Endpoints that broke, or were not reached.
+  unwilling @8 :List(UInt32);    # Engines that refused to read for others.
 }
