--- /dev/null
+++ b/Libraries/LibGateway/EntryRoll.cpp
@@ -0,0 +1,66 @@
+#include "LibGateway/EntryRoll.h"
+
+#include "LibGateway/GatewayMetrics.h"
+
+namespace primrose {
+
+namespace {
+
+constexpr unsigned kGood = 200;
+constexpr duration kTimeout = std::chrono::milliseconds(900);
+constexpr duration kPause = std::chrono::milliseconds(700);
+
+} // namespace
+
+entry_roll::entry_roll(event_loop& aLoop,
+                       const gateway_settings& aSettings,
+                       const gateway_adapter& aAdapter,
+                       gateway_board& aBoard,
+                       learnt aLearnt)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+  , mAdapter(aAdapter)
+  , mBoard(aBoard)
+  , mLearnt(std::move(aLearnt))
+  , mCaller(aLoop, aSettings.mStore)
+{
+}
+
+void
+entry_roll::Register()
+{
+  mCaller.Call(mAdapter.mWriteRow(
+                 mAdapter.mEntryTable, mSettings.mPeers.mHost, mSettings.mName),
+               kTimeout,
+               [this](const http_answer& aAnswer) {
+                 if (aAnswer.mStatus == kGood) {
+                   Learn();
+                   return;
+                 }
+                 (void)mLoop.After(kPause, [this]() { Register(); });
+               });
+}
+
+void
+entry_roll::Learn()
+{
+  mCaller.Call(mAdapter.mReadTable(mAdapter.mEntryTable, ""),
+               kTimeout,
+               [this](const http_answer& aAnswer) {
+                 const table_reading reading = mAdapter.mDecodeTable(aAnswer);
+                 CountStoreCall(mBoard.mMetrics, reading.mOutcome);
+                 if (reading.mOutcome != table_reading::outcome::Good) {
+                   (void)mLoop.After(kPause, [this]() { Learn(); });
+                   return;
+                 }
+                 std::vector<std::string> hosts;
+                 for (const row_change<std::string>& row : reading.mRows) {
+                   hosts.push_back(row.mKey);
+                 }
+                 mBoard.mEntriesListed = hosts.size();
+                 mBoard.mEntriesKnown = true;
+                 mLearnt(hosts);
+               });
+}
+
+} // namespace primrose
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -9,8 +9,6 @@
 
 /// House-keeping: overdue connections, expired placements, the end of a drain.
 constexpr duration kTick = std::chrono::milliseconds(100);
-constexpr duration kRegisterTimeout = std::chrono::milliseconds(900);
-constexpr duration kRegisterPause = std::chrono::milliseconds(700);
 
 /// An entry that starts asks the platform; if that has not answered by now, the
 /// peers, so that a restart while the platform is away serves all the same.
@@ -96,8 +94,15 @@
   mEndpointFollower->Start();
   BOOST_LEAF_CHECK(mPeers.Open());
   BOOST_LEAF_CHECK(mPeerBeliefs.Open([this]() { return Beliefs(); }));
-  mRegistrar = std::make_unique<http_caller>(mLoop, mSettings.mStore);
-  Register();
+  mEntryRoll = std::make_unique<entry_roll>(
+    mLoop,
+    mSettings,
+    mAdapter,
+    mBoard,
+    [this](const std::vector<std::string>& aHosts) {
+      mPeers.AddHosts(aHosts);
+    });
+  mEntryRoll->Register();
   BOOST_LEAF_ASSIGN(
     mCallers,
     tcp_listener::Open(mLoop, mSettings.mCallers, [this](int aSocket) {
@@ -352,45 +357,6 @@
   mPeers.AddHosts(mSettings.mSeeds);
 }
 
-void
-gateway::Register()
-{
-  mRegistrar->Call(
-    mAdapter.mWriteRow(
-      mAdapter.mEntryTable, mSettings.mPeers.mHost, mSettings.mName),
-    kRegisterTimeout,
-    [this](const http_answer& aAnswer) {
-      if (aAnswer.mStatus == kGood) {
-        LearnEntries();
-        return;
-      }
-      (void)mLoop.After(kRegisterPause, [this]() { Register(); });
-    });
-}
-
-void
-gateway::LearnEntries()
-{
-  mRegistrar->Call(
-    mAdapter.mReadTable(mAdapter.mEntryTable, ""),
-    kRegisterTimeout,
-    [this](const http_answer& aAnswer) {
-      const table_reading reading = mAdapter.mDecodeTable(aAnswer);
-      CountStoreCall(mBoard.mMetrics, reading.mOutcome);
-      if (reading.mOutcome != table_reading::outcome::Good) {
-        (void)mLoop.After(kRegisterPause, [this]() { LearnEntries(); });
-        return;
-      }
-      std::vector<std::string> hosts;
-      for (const row_change<std::string>& row : reading.mRows) {
-        hosts.push_back(row.mKey);
-      }
-      mBoard.mEntriesListed = hosts.size();
-      mBoard.mEntriesKnown = true;
-      mPeers.AddHosts(hosts);
-    });
-}
-
 void
 gateway::Tick()
 {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -3,6 +3,7 @@
 /// The whole gateway of one process.
 
 #include "LibGateway/CallerConnection.h"
+#include "LibGateway/EntryRoll.h"
 #include "LibGateway/PeerBeliefs.h"
 #include "LibGateway/TableFollower.h"
 
@@ -46,8 +47,6 @@
   void AskPeers();
   void TakeBeliefs(const believed_rows& aRows);
   believed_rows Beliefs() const;
-  void Register();
-  void LearnEntries();
   void Tick();
   void CheckDrained();
   void AnswerProbe(int aSocket, bool aMetrics);
@@ -67,7 +66,7 @@
   time_point mStarted{};
   std::unique_ptr<table_follower> mManifestFollower;
   std::unique_ptr<table_follower> mEndpointFollower;
-  std::unique_ptr<http_caller> mRegistrar;
+  std::unique_ptr<entry_roll> mEntryRoll;
   std::unique_ptr<tcp_listener> mCallers;
   std::unique_ptr<tcp_listener> mReadiness;
   std::unique_ptr<tcp_listener> mMetrics;
