An entry that starts reads the whole table of entries

Suspected, not seen: the store gives 500 rows in an answer, and the rest was not asked for.

Test: EveryEntryIsLearnt, red before (3 of 8 known).

--- a/Libraries/LibGateway/EntryRoll.cpp
+++ b/Libraries/LibGateway/EntryRoll.cpp
@@ -1,6 +1,7 @@
 #include "LibGateway/EntryRoll.h"
 
 #include "LibGateway/GatewayMetrics.h"
+#include "LibGateway/TableFollower.h"
 
 namespace primrose {
 
@@ -34,7 +35,7 @@
                kTimeout,
                [this](const http_answer& aAnswer) {
                  if (aAnswer.mStatus == kGood) {
-                   Learn();
+                   Learn("");
                    return;
                  }
                  (void)mLoop.After(kPause, [this]() { Register(); });
@@ -42,24 +43,28 @@
 }
 
 void
-entry_roll::Learn()
+entry_roll::Learn(const std::string& aFromKey)
 {
-  mCaller.Call(mAdapter.mReadTable(mAdapter.mEntryTable, ""),
+  mCaller.Call(mAdapter.mReadTable(mAdapter.mEntryTable, aFromKey),
                kTimeout,
-               [this](const http_answer& aAnswer) {
+               [this, aFromKey](const http_answer& aAnswer) {
                  const table_reading reading = mAdapter.mDecodeTable(aAnswer);
                  CountStoreCall(mBoard.mMetrics, reading.mOutcome);
                  if (reading.mOutcome != table_reading::outcome::Good) {
-                   (void)mLoop.After(kPause, [this]() { Learn(); });
+                   (void)mLoop.After(kPause,
+                                     [this, aFromKey]() { Learn(aFromKey); });
                    return;
                  }
-                 std::vector<std::string> hosts;
                  for (const row_change<std::string>& row : reading.mRows) {
-                   hosts.push_back(row.mKey);
+                   mHosts.push_back(row.mKey);
+                 }
+                 if (GoesOn(reading)) {
+                   Learn(NextKey(reading));
+                   return;
                  }
-                 mBoard.mEntriesListed = hosts.size();
+                 mBoard.mEntriesListed = mHosts.size();
                  mBoard.mEntriesKnown = true;
-                 mLearnt(hosts);
+                 mLearnt(mHosts);
                });
 }
 
--- a/Libraries/LibGateway/EntryRoll.h
+++ b/Libraries/LibGateway/EntryRoll.h
@@ -25,13 +25,15 @@
   void Register();
 
 private:
-  void Learn();
+  /// Reads the table from this key on, in as many answers as it takes.
+  void Learn(const std::string& aFromKey);
 
   event_loop& mLoop;
   const gateway_settings& mSettings;
   const gateway_adapter& mAdapter;
   gateway_board& mBoard;
   learnt mLearnt;
+  std::vector<std::string> mHosts;
   http_caller mCaller;
 };
 
--- a/Libraries/LibGateway/TableFollower.cpp
+++ b/Libraries/LibGateway/TableFollower.cpp
@@ -46,6 +46,18 @@
 
 } // namespace
 
+bool
+GoesOn(const table_reading& aReading)
+{
+  return aReading.mTruncated && !aReading.mRows.empty();
+}
+
+std::string
+NextKey(const table_reading& aReading)
+{
+  return aReading.mRows.back().mKey + '\x01';
+}
+
 table_follower::table_follower(event_loop& aLoop,
                                const gateway_adapter& aAdapter,
                                gateway_board& aBoard,
@@ -129,7 +141,7 @@
 table_reading
 table_follower::Decode(const http_answer& aAnswer)
 {
-  const table_reading reading = mAdapter.mDecodeTable(aAnswer);
+  table_reading reading = mAdapter.mDecodeTable(aAnswer);
   mBoard.mMetrics.Count(
     Labelled("gateway_store_read_bytes_total", "table", mTable),
     static_cast<double>(aAnswer.mBody.size()));
@@ -159,9 +171,8 @@
   mGathered.mRevision = first ? aReading.mRevision : mGathered.mRevision;
   mGathered.mRows.insert(
     mGathered.mRows.end(), aReading.mRows.begin(), aReading.mRows.end());
-  if (aReading.mTruncated && !aReading.mRows.empty()) {
-    // The first key that sorts behind the last one given.
-    ReadWhole(aReading.mRows.back().mKey + '\x01');
+  if (GoesOn(aReading)) {
+    ReadWhole(NextKey(aReading));
     return;
   }
   // A reading may be behind what was known; what came before stays known.
--- a/Libraries/LibGateway/TableFollower.h
+++ b/Libraries/LibGateway/TableFollower.h
@@ -7,6 +7,14 @@
 
 namespace primrose {
 
+/// True if the table has more rows than this answer.
+bool
+GoesOn(const table_reading& aReading);
+
+/// Where the next answer begins: the first key that sorts behind the last one.
+std::string
+NextKey(const table_reading& aReading);
+
 class table_follower
 {
 public:
--- a/Tests/Gateway/BeliefTest.cpp
+++ b/Tests/Gateway/BeliefTest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(SilentStoreIsAskedAgain);
   CPPUNIT_TEST(LeavingEndpointGetsNothingNew);
   CPPUNIT_TEST(EntryLeavesItsAddress);
+  CPPUNIT_TEST(EveryEntryIsLearnt);
   CPPUNIT_TEST(EntryWithoutStoreAsksItsPeers);
   CPPUNIT_TEST(NewEntryLearnsWhatIsPlaced);
   CPPUNIT_TEST(LoneEntrySpendsLittleOfTheBudget);
@@ -105,6 +106,23 @@
             "the entry's row");
   }
 
+  /// Symptom, if it were met: after some days of replaced VMs an entry that
+  /// starts knows old hosts only and asks none that is there. Sequence: the
+  /// table of entries has more rows than one answer of the store holds. Cause:
+  /// the rest was not asked for.
+  void EveryEntryIsLearnt()
+  {
+    world w;
+    constexpr std::size_t kOthers = 7;
+    for (std::size_t i = 0; i < kOthers; ++i) {
+      w.mStore.Put("entries", "127.0.1." + std::to_string(i + 1), "entry");
+    }
+    w.mStore.SetPage(3);
+    w.Start();
+    w.Until([&w]() { return w.mGateway->Board().mEntriesKnown; }, "the table");
+    CPPUNIT_ASSERT_EQUAL(kOthers + 1, w.mGateway->Board().mEntriesListed);
+  }
+
   /// Symptom: after a restart during an outage of the store an entry refuses
   /// everything until the store is back, and so does one that the store turns
   /// away. Sequence: the entry starts; the store does not answer; its peers
--- a/Tests/Gateway/Standin.cpp
+++ b/Tests/Gateway/Standin.cpp
@@ -24,6 +24,15 @@
   return encoded;
 }
 
+std::string
+Decoded(const std::string& aText)
+{
+  gchar* const text = g_uri_unescape_string(aText.c_str(), nullptr);
+  std::string decoded = text;
+  g_free(text);
+  return decoded;
+}
+
 std::string
 Parameter(const std::string& aTarget, const std::string& aName)
 {
@@ -211,10 +220,10 @@
 }
 
 std::string
-AnswerText(const json& aRows, std::uint64_t aRevision)
+AnswerText(const json& aRows, std::uint64_t aRevision, bool aTruncated)
 {
   const json body = { { "rows", aRows },
-                      { "truncated", false },
+                      { "truncated", aTruncated },
                       { "schema_ver", aRevision },
                       { "now_ms", 1 } };
   return body.dump();
@@ -223,17 +232,23 @@
 } // namespace
 
 std::string
-standin_store::Whole(const std::string& aTable)
+standin_store::Whole(const std::string& aTable, const std::string& aFrom)
 {
   json rows = json::array();
+  bool truncated = false;
   for (const auto& [name, held] : mRows) {
-    if (name.first == aTable && !held.mGone) {
-      rows.push_back(
-        RowText(aTable, name.second, held.mValue, held.mRevision, false));
+    if (name.first != aTable || held.mGone || name.second < aFrom) {
+      continue;
+    }
+    truncated = rows.size() == mPage;
+    if (truncated) {
+      break;
     }
+    rows.push_back(
+      RowText(aTable, name.second, held.mValue, held.mRevision, false));
   }
   mHanded[aTable] += rows.size();
-  return AnswerText(rows, mRevision);
+  return AnswerText(rows, mRevision, truncated);
 }
 
 std::string
@@ -259,7 +274,7 @@
     return "";
   }
   mHanded[aTable] += rows.size();
-  return AnswerText(rows, revision);
+  return AnswerText(rows, revision, false);
 }
 
 std::shared_ptr<standin_server::connection>
@@ -336,7 +351,9 @@
     return;
   }
   if (path == "/rows-get") {
-    Answer(aConnection, 200, Whole(table));
+    Answer(aConnection,
+           200,
+           Whole(table, Decoded(Parameter(aHead.mTarget, "from"))));
     return;
   }
   if (path == "/rows-tx") {
--- a/Tests/Gateway/Standin.h
+++ b/Tests/Gateway/Standin.h
@@ -70,6 +70,8 @@
   /// Nothing is answered any more, the questions that are open included, and
   /// no connection ends: what a path looks like that was cut.
   void FallSilent();
+  /// At most so many rows in one answer of a whole reading.
+  void SetPage(std::size_t aRows) { mPage = aRows; }
   /// From now on answers go out in slices, as over a narrow link.
   void SetPace(std::size_t aSliceBytes, duration aEvery);
   std::size_t Calls() const { return mCalls; }
@@ -109,7 +111,7 @@
     std::string mRest;
   };
   void Keep(const std::string& aTable, const std::string& aKey, row aRow);
-  std::string Whole(const std::string& aTable);
+  std::string Whole(const std::string& aTable, const std::string& aFrom);
   /// Changes of a table after a revision; empty if there are none.
   std::string Changes(const std::string& aTable, std::uint64_t aAfter);
   void Answer(standin_server::connection& aConnection,
@@ -126,6 +128,7 @@
   std::map<std::string, std::size_t> mQuestions;
   std::map<std::string, std::size_t> mHanded;
   std::vector<slow_answer> mSlow;
+  std::size_t mPage = 500;
   std::size_t mSliceBytes = 0;
   duration mSliceEvery{};
   std::size_t mCutShort = 0;
