--- a/Libraries/LibFleet/Endpoints.h
+++ b/Libraries/LibFleet/Endpoints.h
@@ -66,6 +66,8 @@
   std::uint64_t mRevision = 0;
   endpoint_health mHealth;
   unsigned mOutstanding = 0; ///< This process's own attempts.
+  /// Prompts go to engines that are not only if none that is can be used.
+  bool mPreferred = true;
 
   bool operator==(const known_endpoint&) const = default;
 };
--- /dev/null
+++ b/Libraries/LibFleet/EngineSubset.cpp
@@ -0,0 +1,89 @@
+#include "LibFleet/EngineSubset.h"
+
+#include <algorithm>
+
+namespace primrose {
+
+namespace {
+
+/// Evenly spaced positions in the order of a hash.
+template<typename Key>
+std::vector<std::pair<Key, double>>
+Spaced(std::vector<std::pair<std::uint64_t, Key>> aHashed)
+{
+  std::sort(aHashed.begin(), aHashed.end());
+  std::vector<std::pair<Key, double>> spaced;
+  spaced.reserve(aHashed.size());
+  for (const auto& [hash, key] : aHashed) {
+    spaced.emplace_back(key,
+                        static_cast<double>(spaced.size()) /
+                          static_cast<double>(aHashed.size()));
+  }
+  return spaced;
+}
+
+} // namespace
+
+void
+RankEngines(subset_ring& aRing, const endpoint_board& aBoard)
+{
+  std::map<std::string, std::vector<std::pair<std::uint64_t, engine_key>>>
+    services;
+  for (const auto& [id, known] : aBoard.mEndpoints) {
+    services[known.mListed.mService].emplace_back(Hash(id), EngineKey(id));
+  }
+  aRing.mEngines.clear();
+  for (const auto& [service, hashed] : services) {
+    for (const auto& [key, position] : Spaced(hashed)) {
+      aRing.mEngines[key] = { position, hashed.size() };
+    }
+  }
+}
+
+void
+RankEntries(subset_ring& aRing, const std::vector<std::string>& aHosts)
+{
+  std::vector<std::pair<std::uint64_t, std::string>> hashed;
+  hashed.reserve(aHosts.size());
+  for (const std::string& host : aHosts) {
+    hashed.emplace_back(Hash(host), host);
+  }
+  aRing.mEntries.clear();
+  for (const auto& [host, position] : Spaced(hashed)) {
+    aRing.mEntries[host] = position;
+  }
+}
+
+double
+PreferredShare(std::size_t aEntries, std::size_t aEngines)
+{
+  const double entries = static_cast<double>(std::max<std::size_t>(aEntries, 1));
+  const double engines = static_cast<double>(std::max<std::size_t>(aEngines, 1));
+  return std::min(
+    1.0, std::max(kEntriesPerEngine / entries, kEnginesPerEntry / engines));
+}
+
+bool
+Prefers(const subset_ring& aRing, const std::string& aHost, engine_key aEngine)
+{
+  const auto entry = aRing.mEntries.find(aHost);
+  const auto engine = aRing.mEngines.find(aEngine);
+  if (entry == aRing.mEntries.end() || engine == aRing.mEngines.end()) {
+    return true;
+  }
+  const double ahead = engine->second.mPosition - entry->second;
+  return (ahead < 0 ? ahead + 1 : ahead) <
+         PreferredShare(aRing.mEntries.size(), engine->second.mEngines);
+}
+
+void
+MarkPreferred(endpoint_board& aBoard,
+              const subset_ring& aRing,
+              const std::string& aHost)
+{
+  for (auto& [id, known] : aBoard.mEndpoints) {
+    known.mPreferred = Prefers(aRing, aHost, EngineKey(id));
+  }
+}
+
+} // namespace primrose
--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -10,6 +10,7 @@
 #include "LibFleet/EngineCost.h"
 #include "LibFleet/EngineLedger.h"
 #include "LibFleet/EnginePlacement.h"
+#include "LibFleet/EngineSubset.h"
 #include "LibFleet/Manifest.h"
 #include "LibFleet/NewsBudget.h"
 #include "LibFleet/Silence.h"
--- a/Libraries/LibFleet/PlacementCandidates.cpp
+++ b/Libraries/LibFleet/PlacementCandidates.cpp
@@ -76,10 +76,20 @@
                  time_point aNow)
 {
   static const engine_load kIdle{};
+  const auto usable = [&aWork, &aTried](const std::string& aId,
+                                        const known_endpoint& aKnown) {
+    return Usable(aKnown, aWork.mService) &&
+           std::find(aTried.begin(), aTried.end(), aId) == aTried.end();
+  };
+  const bool anyPreferred = std::any_of(
+    aBoard.mEndpoints.begin(),
+    aBoard.mEndpoints.end(),
+    [&usable](const auto& aEntry) {
+      return aEntry.second.mPreferred && usable(aEntry.first, aEntry.second);
+    });
   std::vector<engine_candidate> candidates;
   for (auto& [id, known] : aBoard.mEndpoints) {
-    if (!Usable(known, aWork.mService) ||
-        std::find(aTried.begin(), aTried.end(), id) != aTried.end()) {
+    if ((anyPreferred && !known.mPreferred) || !usable(id, known)) {
       continue;
     }
     const auto found = aLedger.mEngines.find(EngineKey(id));
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -405,8 +405,11 @@
   if (mPlacement.has_value()) {
     const placement_end end =
       mEventsHere ? placement_end::Read : placement_end::Unread;
+    const auto placed = mContext.mBoard.mLedger.mPlacements.find(*mPlacement);
+    if (placed != mContext.mBoard.mLedger.mPlacements.end()) {
+      mContext.mPeers.TellEnded(*mPlacement, end, placed->second.mEngines);
+    }
     NoteEnded(mContext.mBoard.mLedger, *mPlacement, end, mContext.mLoop.Now());
-    mContext.mPeers.TellEnded(*mPlacement, end);
     mPlacement.reset();
   }
 }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -9,6 +9,9 @@
 
 /// House-keeping: overdue connections, expired placements, the end of a drain.
 constexpr duration kTick = std::chrono::milliseconds(100);
+/// Between two lines on what this entry knows of the fleet: a few hundred bytes
+/// each, and new enough to look at while a fleet is slow.
+constexpr duration kKnowledgePeriod = std::chrono::seconds(30);
 
 /// An entry that starts asks the platform; if that has not answered by now, the
 /// peers, so that a restart while the platform is away serves all the same.
@@ -90,6 +93,7 @@
         OnEndpoints(aReading, false);
       } });
   mStarted = mLoop.Now();
+  mKnowledgeLogged = mStarted;
   mManifestFollower->Start();
   mEndpointFollower->Start();
   BOOST_LEAF_CHECK(mPeers.Open());
@@ -291,6 +295,7 @@
     }
     mBoard.mEndpointsKnown = true;
   }
+  RankSubsets(mBoard, mSettings.mPeers.mHost);
 }
 
 believed_rows
@@ -366,6 +371,10 @@
   if (mBoard.mDraining) {
     CheckDrained();
   }
+  if (mLoop.Now() - mKnowledgeLogged >= kKnowledgePeriod) {
+    mKnowledgeLogged = mLoop.Now();
+    LogKnowledge(mBoard, mKnowledgeLogged);
+  }
   if ((mBoard.mManifest == nullptr || !mBoard.mEndpointsKnown) &&
       mLoop.Now() - mStarted > kStoreFirst) {
     mPeersLeftToAsk = 1;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -64,6 +64,7 @@
   std::map<std::string, row_change<std::string>> mEndpointRows;
   unsigned mPeersLeftToAsk = 0;
   time_point mStarted{};
+  time_point mKnowledgeLogged{};
   std::unique_ptr<table_follower> mManifestFollower;
   std::unique_ptr<table_follower> mEndpointFollower;
   std::unique_ptr<entry_roll> mEntryRoll;
--- a/Libraries/LibGateway/GatewayBoard.h
+++ b/Libraries/LibGateway/GatewayBoard.h
@@ -57,6 +57,7 @@
   /// By belief, since when a peer has known something newer.
   std::map<std::string, std::optional<time_point>> mBehindSince;
   engine_ledger mLedger;
+  subset_ring mRing; ///< Engines as listed, entries as heard from.
   std::map<std::string, repeat_record> mRepeats; ///< By service.
   std::map<std::string, peer_entry> mPeers;      ///< By host.
   bool mEntriesKnown = false;     ///< The platform's rows of them were read.
@@ -78,6 +79,11 @@
 std::vector<std::string>
 PeersAhead(const gateway_board& aBoard);
 
+/// Brings the ring, and what is preferred by the entry at this host, up to the
+/// lists of endpoints and of peers.
+void
+RankSubsets(gateway_board& aBoard, const std::string& aOwnHost);
+
 /// Entries that share the repeat budget: this one and the peers heard of, or
 /// those with a row in the platform where that is more. An entry that has just
 /// started and knows of nobody yet must not spend what belongs to all.
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -48,6 +48,58 @@
   return "";
 }
 
+std::string_view
+NameOf(peer_traffic aTraffic)
+{
+  switch (aTraffic) {
+    case peer_traffic::NewsSent:
+      return "news_sent";
+    case peer_traffic::BeatsSent:
+      return "beats_sent";
+    case peer_traffic::Received:
+      return "received";
+  }
+  return "";
+}
+
+std::string
+PeerBytesSeries(peer_traffic aTraffic)
+{
+  return Labelled("gateway_peer_bytes_total", "kind", NameOf(aTraffic));
+}
+
+std::string
+StoreCallsSeries(table_reading::outcome aOutcome)
+{
+  return Labelled("gateway_store_calls_total", "outcome", NameOf(aOutcome));
+}
+
+std::int64_t
+Counted(const metrics& aMetrics, const std::string& aName)
+{
+  return static_cast<std::int64_t>(aMetrics.Value(aName));
+}
+
+/// How long ago the peer that has been silent longest was heard.
+duration
+LongestPeerSilence(const gateway_board& aBoard, time_point aNow)
+{
+  duration longest{};
+  for (const auto& [host, peer] : aBoard.mPeers) {
+    longest = std::max(longest, aNow - peer.mHeard);
+  }
+  return longest;
+}
+
+std::int64_t
+CountPreferred(const endpoint_board& aBoard)
+{
+  return std::count_if(
+    aBoard.mEndpoints.begin(), aBoard.mEndpoints.end(), [](const auto& aEntry) {
+      return aEntry.second.mPreferred;
+    });
+}
+
 } // namespace
 
 void
@@ -63,7 +115,11 @@
       aBoard.mEndpoints.mEndpoints.begin(),
       aBoard.mEndpoints.mEndpoints.end(),
       [aNow](const auto& aEntry) { return Avoided(aEntry.second, aNow); })));
+  out.Set("gateway_endpoints_preferred",
+          static_cast<double>(CountPreferred(aBoard.mEndpoints)));
   out.Set("gateway_peers", static_cast<double>(aBoard.mPeers.size()));
+  out.Set("gateway_peer_silence_seconds_most",
+          Seconds(LongestPeerSilence(aBoard, aNow)));
   out.Set("gateway_log_lines_dropped_total",
           static_cast<double>(DroppedLogLines()));
   out.Set("gateway_manifest_age_seconds",
@@ -95,11 +151,47 @@
   }
 }
 
+void
+CountPeerBytes(metrics& aMetrics, peer_traffic aTraffic, std::size_t aBytes)
+{
+  aMetrics.Count(PeerBytesSeries(aTraffic), static_cast<double>(aBytes));
+}
+
+void
+LogKnowledge(const gateway_board& aBoard, time_point aNow)
+{
+  const metrics& counted = aBoard.mMetrics;
+  std::int64_t failedCalls = 0;
+  for (const table_reading::outcome failed :
+       { table_reading::outcome::HistoryLost,
+         table_reading::outcome::Refused,
+         table_reading::outcome::NoAnswer }) {
+    failedCalls += Counted(counted, StoreCallsSeries(failed));
+  }
+  Log(log_level::Info,
+      "knowledge",
+      { { "peers", aBoard.mPeers.size() },
+        { "peer_silence_most_ms",
+          Milliseconds(LongestPeerSilence(aBoard, aNow)) },
+        { "endpoints", aBoard.mEndpoints.mEndpoints.size() },
+        { "endpoints_preferred", CountPreferred(aBoard.mEndpoints) },
+        { "placed", aBoard.mLastPlacement },
+        { "placed_heard", Counted(counted, "gateway_placements_heard_total") },
+        { "news_sent_bytes",
+          Counted(counted, PeerBytesSeries(peer_traffic::NewsSent)) },
+        { "beats_sent_bytes",
+          Counted(counted, PeerBytesSeries(peer_traffic::BeatsSent)) },
+        { "received_bytes",
+          Counted(counted, PeerBytesSeries(peer_traffic::Received)) },
+        { "store_calls",
+          Counted(counted, StoreCallsSeries(table_reading::outcome::Good)) },
+        { "store_calls_failed", failedCalls } });
+}
+
 void
 CountStoreCall(metrics& aMetrics, table_reading::outcome aOutcome)
 {
-  aMetrics.Count(
-    Labelled("gateway_store_calls_total", "outcome", NameOf(aOutcome)));
+  aMetrics.Count(StoreCallsSeries(aOutcome));
 }
 
 } // namespace primrose
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -27,6 +27,23 @@
 void
 CountStream(metrics& aMetrics, const stream_times& aTimes);
 
+/// What a datagram to or from another entry carries.
+enum class peer_traffic : std::uint8_t
+{
+  NewsSent,
+  BeatsSent,
+  Received,
+};
+
+/// Counts the bytes that entries exchange, without the heads of packets.
+void
+CountPeerBytes(metrics& aMetrics, peer_traffic aTraffic, std::size_t aBytes);
+
+/// Logs what this entry knows of the others and of the engines, how old it is,
+/// and what that has cost since its start.
+void
+LogKnowledge(const gateway_board& aBoard, time_point aNow);
+
 /// Counts a call to the platform's store by its outcome.
 void
 CountStoreCall(metrics& aMetrics, table_reading::outcome aOutcome);
--- a/Libraries/LibGateway/PeerNews.cpp
+++ b/Libraries/LibGateway/PeerNews.cpp
@@ -1,5 +1,7 @@
 #include "LibGateway/PeerNews.h"
 
+#include "LibGateway/GatewayMetrics.h"
+
 #include <algorithm>
 #include <iterator>
 
@@ -56,6 +58,18 @@
   return ahead;
 }
 
+void
+RankSubsets(gateway_board& aBoard, const std::string& aOwnHost)
+{
+  std::vector<std::string> hosts{ aOwnHost };
+  for (const auto& [host, peer] : aBoard.mPeers) {
+    hosts.push_back(host);
+  }
+  RankEntries(aBoard.mRing, hosts);
+  RankEngines(aBoard.mRing, aBoard.mEndpoints);
+  MarkPreferred(aBoard.mEndpoints, aBoard.mRing, aOwnHost);
+}
+
 std::size_t
 EntryCount(const gateway_board& aBoard)
 {
@@ -129,12 +143,16 @@
 peer_news::TellPlaced(const placement& aPlaced)
 {
   mGathered.mPlaced.push_back(aPlaced);
+  Concern(aPlaced.mEngines);
   FlushWithin(kGather);
 }
 
 void
-peer_news::TellEnded(placement_key aKey, placement_end aEnd)
+peer_news::TellEnded(placement_key aKey,
+                     placement_end aEnd,
+                     const std::vector<engine_key>& aEngines)
 {
+  Concern(aEngines);
   (aEnd == placement_end::Read ? mGathered.mEnded : mGathered.mUnread)
     .push_back(aKey);
   FlushWithin(kGatherEnds);
@@ -144,6 +162,7 @@
 peer_news::TellUnwilling(engine_key aEngine)
 {
   mGathered.mUnwilling.push_back(aEngine);
+  Concern({ aEngine });
   FlushWithin(kGather);
 }
 
@@ -175,14 +194,19 @@
 peer_news::TellTroubled(engine_key aEndpoint)
 {
   mGathered.mTroubled.push_back(aEndpoint);
+  Concern({ aEndpoint });
   FlushWithin(kGather);
 }
 
 void
 peer_news::TellLeaving()
 {
-  mLeaving = true;
   Flush();
+  mLeaving = true;
+  const std::string bytes = Encode({});
+  for (const auto& [host, peer] : mBoard.mPeers) {
+    mSocket->Send(bytes, { host, mSettings.mPeers.mPort });
+  }
 }
 
 void
@@ -235,29 +259,69 @@
   mLoop.Cancel(mFlushTimer);
   mFlushTimer = 0;
   const std::string bytes = Encode(mGathered);
+  const std::vector<std::string> concerned = Concerned();
   mGathered = told_news{};
-  for (const std::string& host : PeersToTell(bytes.size())) {
+  mConcerned.clear();
+  for (const std::string& host : PeersToTell(concerned, bytes.size())) {
     mSocket->Send(bytes, { host, mSettings.mPeers.mPort });
   }
 }
 
+void
+peer_news::Concern(const std::vector<engine_key>& aEngines)
+{
+  mConcerned.insert(aEngines.begin(), aEngines.end());
+}
+
 std::vector<std::string>
-peer_news::PeersToTell(std::size_t aBytes)
+peer_news::Concerned()
 {
   std::vector<std::string> hosts;
-  hosts.reserve(mBoard.mPeers.size());
   for (const auto& [host, peer] : mBoard.mPeers) {
-    hosts.push_back(host);
+    if (std::any_of(mConcerned.begin(),
+                    mConcerned.end(),
+                    [this, &host](engine_key aEngine) {
+                      return Prefers(mBoard.mRing, host, aEngine);
+                    })) {
+      hosts.push_back(host);
+    }
   }
+  return hosts;
+}
+
+void
+peer_news::TellBeat()
+{
+  // Whoever hears of no placement of this entry hears a beat now and then, each
+  // in its turn.
+  const std::string bytes = Encode({});
   const std::size_t told =
-    TakePeersToTell(mBudget, hosts.size(), aBytes, mLoop.Now());
-  CountNews(told, hosts.size(), aBytes);
-  if (told == hosts.size()) {
-    return hosts;
+    mBoard.mPeers.size() <= kAlwaysTold ? mBoard.mPeers.size() : kFewestTold;
+  std::map<std::string, peer_entry>::const_iterator next =
+    mBoard.mPeers.upper_bound(mLastBeatTold);
+  for (std::size_t i = 0; i < told; ++i, ++next) {
+    if (next == mBoard.mPeers.end()) {
+      next = mBoard.mPeers.begin();
+    }
+    mLastBeatTold = next->first;
+    mSocket->Send(bytes, { next->first, mSettings.mPeers.mPort });
+    CountPeerBytes(mBoard.mMetrics, peer_traffic::BeatsSent, bytes.size());
+  }
+}
+
+std::vector<std::string>
+peer_news::PeersToTell(const std::vector<std::string>& aHosts,
+                       std::size_t aBytes)
+{
+  const std::size_t told =
+    TakePeersToTell(mBudget, aHosts.size(), aBytes, mLoop.Now());
+  CountNews(told, aHosts.size(), aBytes);
+  if (told == aHosts.size()) {
+    return aHosts;
   }
   std::vector<std::string> drawn;
-  std::sample(hosts.begin(),
-              hosts.end(),
+  std::sample(aHosts.begin(),
+              aHosts.end(),
               std::back_inserter(drawn),
               told,
               mBoard.mRandom);
@@ -269,8 +333,7 @@
 {
   mBoard.mMetrics.Count(
     Labelled("gateway_news_total", "told", aTold == aPeers ? "all" : "some"));
-  mBoard.mMetrics.Count("gateway_news_bytes_total",
-                        static_cast<double>(aTold * aBytes));
+  CountPeerBytes(mBoard.mMetrics, peer_traffic::NewsSent, aTold * aBytes);
 }
 
 void
@@ -300,7 +363,7 @@
 {
   ForgetSilent();
   CompareWithPresent();
-  Flush();
+  TellBeat();
   if (mBeats % kCandidateBeats == 0) {
     for (const std::string& host : mCandidates) {
       mSocket->Send(Encode({}), { host, mSettings.mPeers.mPort });
@@ -353,6 +416,7 @@
     ForgetOwner(mBoard.mLedger, peer->second.mBoot, now);
     mCandidates.insert(peer->first);
     peer = mBoard.mPeers.erase(peer);
+    RankSubsets(mBoard, mSettings.mPeers.mHost);
   }
 }
 
@@ -360,6 +424,7 @@
 peer_news::OnNews(std::string_view aBytes, const ip_address& aFrom)
 {
   const time_point now = mLoop.Now();
+  CountPeerBytes(mBoard.mMetrics, peer_traffic::Received, aBytes.size());
   const outcome<peer_message> read =
     Capture<peer_message>([aBytes, now]() { return DecodeNews(aBytes, now); });
   if (!read) {
@@ -375,6 +440,7 @@
   mCandidates.erase(aFrom.mHost);
   if (message.mLeaving) {
     mBoard.mPeers.erase(aFrom.mHost);
+    RankSubsets(mBoard, mSettings.mPeers.mHost);
     return;
   }
   HeedPeer(message, aFrom.mHost);
@@ -397,6 +463,7 @@
     aMessage.mBoot, now, aMessage.mManifest, aMessage.mList
   };
   if (isNew) {
+    RankSubsets(mBoard, mSettings.mPeers.mHost);
     Log(log_level::Info,
         "peer_found",
         { { "host", aHost }, { "peers", mBoard.mPeers.size() } });
@@ -408,6 +475,8 @@
 peer_news::TakeNews(const told_news& aNews, const std::string& aHost)
 {
   const time_point now = mLoop.Now();
+  mBoard.mMetrics.Count("gateway_placements_heard_total",
+                        static_cast<double>(aNews.mPlaced.size()));
   for (const placement& placed : aNews.mPlaced) {
     NotePlaced(mBoard.mLedger, placed, now);
   }
--- a/Libraries/LibGateway/PeerNews.h
+++ b/Libraries/LibGateway/PeerNews.h
@@ -32,7 +32,10 @@
   /// Hosts of entries that were learnt from elsewhere.
   void AddHosts(const std::vector<std::string>& aHosts);
   void TellPlaced(const placement& aPlaced);
-  void TellEnded(placement_key aKey, placement_end aEnd);
+  /// `aEngines` are those that were told when it was placed.
+  void TellEnded(placement_key aKey,
+                 placement_end aEnd,
+                 const std::vector<engine_key>& aEngines);
   /// An engine refused to read for others: those who are told leave it out too,
   /// instead of being refused in their turn.
   void TellUnwilling(engine_key aEngine);
@@ -48,7 +51,13 @@
   void OnNews(std::string_view aBytes, const ip_address& aFrom);
   void ForgetSilent();
   void Greet(const std::string& aHost);
-  std::vector<std::string> PeersToTell(std::size_t aBytes);
+  /// What is gathered concerns those who prefer these engines.
+  void Concern(const std::vector<engine_key>& aEngines);
+  std::vector<std::string> Concerned();
+  void TellBeat();
+  /// As many of these as the budget allows.
+  std::vector<std::string> PeersToTell(const std::vector<std::string>& aHosts,
+                                       std::size_t aBytes);
   void CountNews(std::size_t aTold, std::size_t aPeers, std::size_t aBytes);
   /// Compares what this entry holds with what a peer says it holds.
   void CompareBeliefs(std::uint64_t aManifest, std::uint64_t aList);
@@ -70,6 +79,8 @@
   std::unique_ptr<datagram_socket> mSocket;
   std::set<std::string> mCandidates; ///< Hosts not heard from yet.
   told_news mGathered;               ///< Not yet told.
+  std::set<engine_key> mConcerned;   ///< Engines of what is gathered.
+  std::string mLastBeatTold;
   std::uint64_t mNewestManifest = 0; ///< That a peer has told of.
   std::uint64_t mNewestList = 0;
   belief_watch mManifestWatch;
