--- a/Libraries/LibFleet/NewsBudget.cpp
+++ b/Libraries/LibFleet/NewsBudget.cpp
@@ -14,6 +14,12 @@
 
 } // namespace
 
+std::size_t
+PeersPerBeat(std::size_t aPeers)
+{
+  return aPeers <= kAlwaysTold ? aPeers : kFewestTold;
+}
+
 std::size_t
 TakePeersToTell(news_budget& aBudget,
                 std::size_t aPeers,
--- a/Libraries/LibFleet/NewsBudget.h
+++ b/Libraries/LibFleet/NewsBudget.h
@@ -18,6 +18,10 @@
 /// stands in docs/CAPACITY.md.
 inline constexpr std::size_t kFewestTold = 12;
 
+/// The peers that an entry shows at each beat that it is there.
+std::size_t
+PeersPerBeat(std::size_t aPeers);
+
 /// What one entry may still send; empty at the clock's epoch.
 struct news_budget
 {
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -4,7 +4,7 @@
 
 #include "LibGateway/Attempt.h"
 #include "LibGateway/MemoryHold.h"
-#include "LibGateway/PeerNews.h"
+#include "LibGateway/NewsOutbox.h"
 
 #include <memory>
 
@@ -18,7 +18,7 @@
   const gateway_adapter& mAdapter;
   gateway_board& mBoard;
   endpoint_connections& mConnections;
-  peer_news& mPeers;
+  news_outbox& mOutbox;
 };
 
 /// The caller's connection, as an exchange sees it.
--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -45,7 +45,7 @@
   NoteSign(aEndpoint.mHealth, aSign, now);
   if (aSign == endpoint_sign::Broke || aSign == endpoint_sign::Silent ||
       aSign == endpoint_sign::Unreachable) {
-    mContext.mPeers.TellTroubled(EngineKey(aEndpoint.mListed.mId));
+    mContext.mOutbox.TellTroubled(EngineKey(aEndpoint.mListed.mId));
   }
   if (!was && Avoided(aEndpoint, now)) {
     Log(log_level::Warning,
@@ -78,7 +78,7 @@
 exchange::LeaveOutHelper(known_endpoint& aHelper, const std::string& aWhy)
 {
   Sign(aHelper, endpoint_sign::Unwilling);
-  mContext.mPeers.TellUnwilling(EngineKey(aHelper.mListed.mId));
+  mContext.mOutbox.TellUnwilling(EngineKey(aHelper.mListed.mId));
   LeaveEndpoint();
   // The engine that was sent the prompt did nothing and may be sent it again:
   // this is none of the attempts that the route allows.
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -155,7 +155,7 @@
     static_cast<double>(aChoice.mHolders) * aChoice.mHolderTokens;
   placed.mExpires = mDeadline;
   NotePlaced(board.mLedger, placed, mContext.mLoop.Now());
-  mContext.mPeers.TellPlaced(placed);
+  mContext.mOutbox.TellPlaced(placed);
   mPlacement = placed.mKey;
   mExpectedMs = aChoice.mFirstEventMs;
   Log(log_level::Info,
@@ -407,7 +407,7 @@
       mEventsHere ? placement_end::Read : placement_end::Unread;
     const auto placed = mContext.mBoard.mLedger.mPlacements.find(*mPlacement);
     if (placed != mContext.mBoard.mLedger.mPlacements.end()) {
-      mContext.mPeers.TellEnded(*mPlacement, end, placed->second.mEngines);
+      mContext.mOutbox.TellEnded(*mPlacement, end, placed->second.mEngines);
     }
     NoteEnded(mContext.mBoard.mLedger, *mPlacement, end, mContext.mLoop.Now());
     mPlacement.reset();
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -60,14 +60,16 @@
   , mSettings(aSettings)
   , mAdapter(aAdapter)
   , mConnections(aLoop, mBoard)
+  , mOutbox(aLoop, mSettings, mBoard)
   , mPeers(aLoop,
            mSettings,
            mBoard,
+           mOutbox,
            [this](belief aBelief, duration aPatience) {
              OnBehind(aBelief, aPatience);
            })
   , mPeerBeliefs(aLoop, mSettings)
-  , mContext{ mLoop, mSettings, mAdapter, mBoard, mConnections, mPeers }
+  , mContext{ mLoop, mSettings, mAdapter, mBoard, mConnections, mOutbox }
 {
   mBoard.mBoot = FreshSeed();
   mBoard.mRandom.seed(mBoard.mBoot);
@@ -433,7 +435,7 @@
       "stopped",
       { { "open_requests", mBoard.mOpenRequests },
         { "drained_ms", Milliseconds(drained) } });
-  mPeers.TellLeaving();
+  mOutbox.TellLeaving();
   mLoop.Quit();
 }
 
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -5,6 +5,7 @@
 #include "LibGateway/CallerConnection.h"
 #include "LibGateway/EntryRoll.h"
 #include "LibGateway/PeerBeliefs.h"
+#include "LibGateway/PeerNews.h"
 #include "LibGateway/TableFollower.h"
 
 namespace primrose {
@@ -56,6 +57,7 @@
   gateway_adapter mAdapter;
   gateway_board mBoard;
   endpoint_connections mConnections;
+  news_outbox mOutbox;
   peer_news mPeers;
   peer_beliefs mPeerBeliefs;
   gateway_context mContext;
--- a/Libraries/LibGateway/PeerNews.cpp
+++ b/Libraries/LibGateway/PeerNews.cpp
@@ -3,36 +3,25 @@
 #include "LibGateway/GatewayMetrics.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace primrose {
 
 namespace {
 
-/// News of one such span goes in one datagram: short against a pass of an
-/// engine (50 ms), long against the time between two placements in a burst.
-constexpr duration kGather = std::chrono::milliseconds(3);
-/// An end only frees a place, and half of what a datagram costs is its heads:
-/// it waits this long for a placement to go with. A pass takes 50 ms.
-constexpr duration kGatherEnds = std::chrono::milliseconds(30);
 /// How often an entry shows that it is there, and after how many times the
 /// usual span between two of its beats a silent one counts as gone.
 constexpr duration kBeat = std::chrono::seconds(1);
 constexpr unsigned kSilentBeats = 4;
 /// Hosts not heard from are asked every so many beats.
 constexpr unsigned kCandidateBeats = 3;
-/// Placements in one datagram, so that it fits into one packet.
-constexpr std::size_t kMostPlaced = 8;
-/// Hosts named in one datagram.
-constexpr std::size_t kMostHosts = 16;
 
 /// The usual span between two beats of one peer, as this entry hears them.
 duration
 SpanBetweenBeats(std::size_t aPeers)
 {
-  return aPeers <= kAlwaysTold
-           ? kBeat
-           : kBeat * static_cast<int>(1 + aPeers / kFewestTold);
+  const std::size_t told = std::max<std::size_t>(PeersPerBeat(aPeers), 1);
+  return kBeat *
+         static_cast<int>(std::max<std::size_t>((aPeers + told - 1) / told, 1));
 }
 
 } // namespace
@@ -83,10 +72,12 @@
 peer_news::peer_news(event_loop& aLoop,
                      const gateway_settings& aSettings,
                      gateway_board& aBoard,
+                     news_outbox& aOutbox,
                      const behind& aBehind)
   : mLoop(aLoop)
   , mSettings(aSettings)
   , mBoard(aBoard)
+  , mOutbox(aOutbox)
   , mManifestWatch(
       aLoop,
       aBoard,
@@ -109,7 +100,6 @@
 
 peer_news::~peer_news()
 {
-  mLoop.Cancel(mFlushTimer);
   mLoop.Cancel(mBeatTimer);
 }
 
@@ -123,6 +113,7 @@
                       [this](std::string_view aBytes, const ip_address& aFrom) {
                         OnNews(aBytes, aFrom);
                       }));
+  mOutbox.Open(*mSocket);
   AddHosts(mSettings.mSeeds);
   Beat();
   return {};
@@ -133,39 +124,12 @@
 {
   for (const std::string& host : aHosts) {
     if (host != mSettings.mPeers.mHost && !mBoard.mPeers.contains(host) &&
-        mCandidates.insert(host).second && mSocket != nullptr) {
-      mSocket->Send(Encode({}), { host, mSettings.mPeers.mPort });
+        mCandidates.insert(host).second) {
+      mOutbox.Beat(host);
     }
   }
 }
 
-void
-peer_news::TellPlaced(const placement& aPlaced)
-{
-  mGathered.mPlaced.push_back(aPlaced);
-  Concern(aPlaced.mEngines);
-  FlushWithin(kGather);
-}
-
-void
-peer_news::TellEnded(placement_key aKey,
-                     placement_end aEnd,
-                     const std::vector<engine_key>& aEngines)
-{
-  Concern(aEngines);
-  (aEnd == placement_end::Read ? mGathered.mEnded : mGathered.mUnread)
-    .push_back(aKey);
-  FlushWithin(kGatherEnds);
-}
-
-void
-peer_news::TellUnwilling(engine_key aEngine)
-{
-  mGathered.mUnwilling.push_back(aEngine);
-  Concern({ aEngine });
-  FlushWithin(kGather);
-}
-
 void
 peer_news::Heed(engine_key aEndpoint,
                 const std::string& aHost,
@@ -190,183 +154,15 @@
   }
 }
 
-void
-peer_news::TellTroubled(engine_key aEndpoint)
-{
-  mGathered.mTroubled.push_back(aEndpoint);
-  Concern({ aEndpoint });
-  FlushWithin(kGather);
-}
-
-void
-peer_news::TellLeaving()
-{
-  Flush();
-  mLeaving = true;
-  const std::string bytes = Encode({});
-  for (const auto& [host, peer] : mBoard.mPeers) {
-    mSocket->Send(bytes, { host, mSettings.mPeers.mPort });
-  }
-}
-
-void
-peer_news::FlushWithin(duration aSpan)
-{
-  if (mGathered.mPlaced.size() >= kMostPlaced) {
-    Flush();
-    return;
-  }
-  const time_point due = mLoop.Now() + aSpan;
-  if (mFlushTimer != 0 && mFlushAt <= due) {
-    return;
-  }
-  mLoop.Cancel(mFlushTimer);
-  mFlushAt = due;
-  mFlushTimer = mLoop.After(aSpan, [this]() {
-    mFlushTimer = 0;
-    Flush();
-  });
-}
-
-std::string
-peer_news::Encode(const told_news& aNews)
-{
-  peer_message message;
-  message.mBoot = mBoard.mBoot;
-  message.mLeaving = mLeaving;
-  message.mManifest =
-    mBoard.mManifest == nullptr ? 0 : mBoard.mManifest->Manifest().mVersion;
-  message.mList = mBoard.mEndpoints.mNewestRevision;
-  message.mNews = aNews;
-  if (aNews == told_news{}) {
-    // A beat: it also says who else is there.
-    const std::size_t hosts = std::min(kMostHosts, mBoard.mPeers.size());
-    std::map<std::string, peer_entry>::const_iterator peer =
-      mBoard.mPeers.begin();
-    std::advance(peer,
-                 static_cast<std::ptrdiff_t>(
-                   Below(mBoard.mRandom, mBoard.mPeers.size() - hosts + 1)));
-    for (std::size_t i = 0; i < hosts; ++i, ++peer) {
-      message.mHosts.push_back(peer->first);
-    }
-  }
-  return EncodeNews(message, mLoop.Now());
-}
-
-void
-peer_news::Flush()
-{
-  mLoop.Cancel(mFlushTimer);
-  mFlushTimer = 0;
-  const std::string bytes = Encode(mGathered);
-  const std::vector<std::string> concerned = Concerned();
-  mGathered = told_news{};
-  mConcerned.clear();
-  for (const std::string& host : PeersToTell(concerned, bytes.size())) {
-    mSocket->Send(bytes, { host, mSettings.mPeers.mPort });
-  }
-}
-
-void
-peer_news::Concern(const std::vector<engine_key>& aEngines)
-{
-  mConcerned.insert(aEngines.begin(), aEngines.end());
-}
-
-std::vector<std::string>
-peer_news::Concerned()
-{
-  std::vector<std::string> hosts;
-  for (const auto& [host, peer] : mBoard.mPeers) {
-    if (std::any_of(mConcerned.begin(),
-                    mConcerned.end(),
-                    [this, &host](engine_key aEngine) {
-                      return Prefers(mBoard.mRing, host, aEngine);
-                    })) {
-      hosts.push_back(host);
-    }
-  }
-  return hosts;
-}
-
-void
-peer_news::TellBeat()
-{
-  // Whoever hears of no placement of this entry hears a beat now and then, each
-  // in its turn.
-  const std::string bytes = Encode({});
-  const std::size_t told =
-    mBoard.mPeers.size() <= kAlwaysTold ? mBoard.mPeers.size() : kFewestTold;
-  std::map<std::string, peer_entry>::const_iterator next =
-    mBoard.mPeers.upper_bound(mLastBeatTold);
-  for (std::size_t i = 0; i < told; ++i, ++next) {
-    if (next == mBoard.mPeers.end()) {
-      next = mBoard.mPeers.begin();
-    }
-    mLastBeatTold = next->first;
-    mSocket->Send(bytes, { next->first, mSettings.mPeers.mPort });
-    CountPeerBytes(mBoard.mMetrics, peer_traffic::BeatsSent, bytes.size());
-  }
-}
-
-std::vector<std::string>
-peer_news::PeersToTell(const std::vector<std::string>& aHosts,
-                       std::size_t aBytes)
-{
-  const std::size_t told =
-    TakePeersToTell(mBudget, aHosts.size(), aBytes, mLoop.Now());
-  CountNews(told, aHosts.size(), aBytes);
-  if (told == aHosts.size()) {
-    return aHosts;
-  }
-  std::vector<std::string> drawn;
-  std::sample(aHosts.begin(),
-              aHosts.end(),
-              std::back_inserter(drawn),
-              told,
-              mBoard.mRandom);
-  return drawn;
-}
-
-void
-peer_news::CountNews(std::size_t aTold, std::size_t aPeers, std::size_t aBytes)
-{
-  mBoard.mMetrics.Count(
-    Labelled("gateway_news_total", "told", aTold == aPeers ? "all" : "some"));
-  CountPeerBytes(mBoard.mMetrics, peer_traffic::NewsSent, aTold * aBytes);
-}
-
-void
-peer_news::Greet(const std::string& aHost)
-{
-  // A new peer knows nothing of what this entry has placed, and would take
-  // busy engines for idle ones.
-  std::vector<placement> own;
-  for (const auto& [key, placed] : mBoard.mLedger.mPlacements) {
-    if (placed.mOwner != mBoard.mBoot) {
-      continue;
-    }
-    own.push_back(placed);
-    // Reading that was placed a while ago is mostly done.
-    own.back().mPartMs = 0;
-    if (own.size() == kMostPlaced) {
-      mSocket->Send(Encode({ own, {}, {}, {} }),
-                    { aHost, mSettings.mPeers.mPort });
-      own.clear();
-    }
-  }
-  mSocket->Send(Encode({ own, {}, {}, {} }), { aHost, mSettings.mPeers.mPort });
-}
-
 void
 peer_news::Beat()
 {
   ForgetSilent();
   CompareWithPresent();
-  TellBeat();
+  mOutbox.Beat();
   if (mBeats % kCandidateBeats == 0) {
     for (const std::string& host : mCandidates) {
-      mSocket->Send(Encode({}), { host, mSettings.mPeers.mPort });
+      mOutbox.Beat(host);
     }
   }
   ++mBeats;
@@ -467,7 +263,7 @@
     Log(log_level::Info,
         "peer_found",
         { { "host", aHost }, { "peers", mBoard.mPeers.size() } });
-    Greet(aHost);
+    mOutbox.Greet(aHost);
   }
 }
 
