--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -72,7 +72,7 @@
   choice.mFirstEventMs =
     chosen.mReadMs + kPassesToFirstEvent * chosen.mWriter->mPassMs;
   choice.mHarm = chosen.mHarm;
-  choice.mPriceOfSecond = PriceOfSecond(aPlacing.mCandidates, aPlacing.mTiming);
+  choice.mPriceOfSecond = PriceOfSecond(aPlacing.mCandidates);
   choice.mVerdict = Judge(choice, aPlacing.mWork, aPlacing.mReadingMs);
   return choice;
 }
--- a/Libraries/LibFleet/PlacementPrices.cpp
+++ b/Libraries/LibFleet/PlacementPrices.cpp
@@ -32,14 +32,16 @@
 /// allowed pause, or than two seconds.
 constexpr double kAbandonedPauses = 8;
 constexpr double kAbandonedMs = 2000;
-/// What a second of one engine is worth when all are busy: short prompts earn
-/// about this. It falls to nothing while half of the engines are idle.
+/// What a second of one engine is worth when all have much to read: short
+/// prompts earn about this.
 constexpr double kWorthOfBusySecond = 8;
-constexpr double kFreeShare = 0.5;
-constexpr double kBusyShare = 0.9;
-/// Reading that makes an engine count as busy, and writers.
-constexpr double kBusyBacklogMs = 100;
-constexpr double kBusyWritersShare = 0.56;
+/// Reading that waits on the mean engine when a second is worth that much. A
+/// prompt that comes then waits a quarter to two thirds of the objectives of
+/// long prompts; below it most are in time, and what they take from others is
+/// in the harm already. Counting engines that have anything to read, instead of
+/// how much, refused 0.47 of the dossiers in bursts of them before 78 engines,
+/// 0.32 so, at the same worth of all requests together.
+constexpr double kFullBacklogMs = 1000;
 /// Share of a request's worth that its caller loses when it is turned away,
 /// beside the answer itself: it comes back and is owed an answer all the same.
 constexpr double kLostWhenRefused = 0.3;
@@ -136,21 +138,14 @@
 }
 
 double
-PriceOfSecond(const std::vector<engine_candidate>& aCandidates,
-              const engine_timing& aTiming)
+PriceOfSecond(const std::vector<engine_candidate>& aCandidates)
 {
-  const double writers = kBusyWritersShare * aTiming.mSlots;
-  const std::size_t busy = static_cast<std::size_t>(
-    std::count_if(aCandidates.begin(),
-                  aCandidates.end(),
-                  [writers](const engine_candidate& aOne) {
-                    return aOne.mBacklogMs > kBusyBacklogMs ||
-                           static_cast<double>(aOne.mRequests) >= writers;
-                  }));
-  const double share =
-    static_cast<double>(busy) / static_cast<double>(aCandidates.size());
-  return kWorthOfBusySecond *
-         std::clamp((share - kFreeShare) / (kBusyShare - kFreeShare), 0.0, 1.0);
+  double backlog = 0;
+  for (const engine_candidate& one : aCandidates) {
+    backlog += one.mBacklogMs;
+  }
+  const double mean = backlog / static_cast<double>(aCandidates.size());
+  return kWorthOfBusySecond * std::clamp(mean / kFullBacklogMs, 0.0, 1.0);
 }
 
 engine_verdict
--- a/Libraries/LibFleet/PlacementPrices.h
+++ b/Libraries/LibFleet/PlacementPrices.h
@@ -39,11 +39,10 @@
               const engine_timing& aTiming,
               const engine_work& aWork);
 
-/// What a second of reading takes from other requests, by how busy the engines
-/// are.
+/// What a second of reading takes from requests that come next, by how much the
+/// engines have to read. There is at least one candidate.
 double
-PriceOfSecond(const std::vector<engine_candidate>& aCandidates,
-              const engine_timing& aTiming);
+PriceOfSecond(const std::vector<engine_candidate>& aCandidates);
 
 /// Whether reading this prompt gains its caller more than it takes from the
 /// callers of others.
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -126,6 +126,8 @@
   CPPUNIT_TEST(LongPromptAvoidsTightStreams);
   CPPUNIT_TEST(LongPromptHarmsFewEnginesMuch);
   CPPUNIT_TEST(BusyFleetTurnsGiantAway);
+  CPPUNIT_TEST(PromptThatHarmsNobodyIsTakenThoughAllEnginesRead);
+  CPPUNIT_TEST(FleetThatIsFarBehindTurnsLargeAway);
   CPPUNIT_TEST(IdleFleetReadsGiantWithHolders);
   CPPUNIT_TEST(PromptGoesWhereMemoryIs);
   CPPUNIT_TEST(TurnedAwayIsToldWhenItIsWelcome);
@@ -238,6 +240,49 @@
                    engine_verdict::TurnAway);
   }
 
+  /// Symptom: in a burst of dossiers half of them are refused, nearly all of
+  /// more than 200,000 tokens, with a first event expected at half of the
+  /// objective and nobody harmed. Sequence: each engine reads a part of some
+  /// dossier; its parts are done within a fifth of a second. Cause: a second of
+  /// reading was priced by how many engines have anything to read, not by how
+  /// much.
+  void PromptThatHarmsNobodyIsTakenThoughAllEnginesRead()
+  {
+    fleet f;
+    PutReading(f, 200);
+    for (const double tokens : { 190000.0, 274000.0, 300000.0 }) {
+      const engine_choice choice = f.Choose(Review(tokens));
+      CPPUNIT_ASSERT(choice.mFirstEventMs < 2500);
+      CPPUNIT_ASSERT(choice.mVerdict == engine_verdict::Send);
+    }
+  }
+
+  /// Symptom: all dossiers of a burst are late. Sequence: more reading is asked
+  /// for than there is; all of it is taken on. Cause: nothing is refused until
+  /// each prompt by itself is late, and the backlog stays there.
+  void FleetThatIsFarBehindTurnsLargeAway()
+  {
+    fleet f;
+    PutReading(f, 1200);
+    CPPUNIT_ASSERT(f.Choose(Review(300000)).mVerdict ==
+                   engine_verdict::TurnAway);
+    CPPUNIT_ASSERT(f.Choose(Review(60000)).mVerdict == engine_verdict::Send);
+  }
+
+  /// Every engine reads for so long, for prompts that lose nothing by more.
+  static void PutReading(fleet& aFleet, double aMs)
+  {
+    for (std::size_t engine = 0; engine < kEngines; ++engine) {
+      placement placed;
+      placed.mKey = ++aFleet.mLast;
+      placed.mEngines = { EngineKey("engine-" + std::to_string(engine)) };
+      placed.mPartMs = aMs;
+      placed.mLongestPause = milliseconds(9000);
+      placed.mExpires = kStart + std::chrono::hours(1);
+      NotePlaced(aFleet.mLedger, placed, kStart);
+    }
+  }
+
   void IdleFleetReadsGiantWithHolders()
   {
     fleet f;
