Many entries that the store turns away each wait longer

Ruled out: the list's changes (a release of 79 engines), gathered already. Change: the longest pause after failures is 16 ms an entry, 0.5 to 2 s; up to 31 entries as before. The first that reaches the store tells the others. The test is red before at 350 entries (960 calls a second for each table).

--- a/Libraries/LibFleet/StorePatience.cpp
+++ b/Libraries/LibFleet/StorePatience.cpp
@@ -24,6 +24,16 @@
 constexpr duration kBehindPatience = std::chrono::milliseconds(450);
 constexpr unsigned kMostDoublings = 2;
 
+/// Pauses after failures: short enough that a return is noticed well within the
+/// bounds on changes. While the store turns hundreds of entries away, each of
+/// them takes its turn in 16 ms, so that together they make 60 calls a second
+/// for each table, of the 2,000 that it serves.
+constexpr duration kFirstPause = std::chrono::milliseconds(60);
+constexpr duration kLongestPause = std::chrono::milliseconds(500);
+constexpr duration kPauseForEachEntry = std::chrono::milliseconds(16);
+constexpr duration kLongestPauseOfMany = std::chrono::seconds(2);
+constexpr unsigned kMostPauseDoublings = 6;
+
 } // namespace
 
 duration
@@ -47,4 +57,16 @@
   return kBehindPatience * (1U << std::min(aAskedInVain, kMostDoublings));
 }
 
+duration
+PauseAfterFailure(unsigned aFailures, std::size_t aPeers, double aDraw)
+{
+  const duration most =
+    std::clamp(kPauseForEachEntry * static_cast<int>(aPeers + 1),
+               kLongestPause,
+               kLongestPauseOfMany);
+  const unsigned doublings = std::min(aFailures, kMostPauseDoublings);
+  const duration longest = std::min(kFirstPause * (1U << doublings), most);
+  return FromSeconds(Seconds(longest) * (0.5 + 0.5 * aDraw));
+}
+
 } // namespace primrose
--- a/Libraries/LibFleet/StorePatience.h
+++ b/Libraries/LibFleet/StorePatience.h
@@ -26,4 +26,11 @@
 duration
 BehindPatience(unsigned aAskedInVain);
 
+/// Until an entry with so many peers asks again after so many failures in a
+/// row; `aDraw` (0 to 1) spreads entries that failed at one moment. Of many
+/// entries each waits longer: the first that reaches the store again tells the
+/// others, who then ask a peer at once.
+duration
+PauseAfterFailure(unsigned aFailures, std::size_t aPeers, double aDraw);
+
 } // namespace primrose
--- a/Libraries/LibGateway/TableFollower.cpp
+++ b/Libraries/LibGateway/TableFollower.cpp
@@ -12,11 +12,6 @@
 constexpr duration kWaitSlack = std::chrono::milliseconds(500);
 /// A whole reading takes some milliseconds; a slow platform up to 250.
 constexpr duration kReadTimeout = std::chrono::milliseconds(900);
-/// Pauses after a failure: short enough that a return is noticed well within
-/// the bounds on changes, with jitter so that entries do not ask together.
-constexpr duration kFirstPause = std::chrono::milliseconds(60);
-constexpr duration kLongestPause = std::chrono::milliseconds(500);
-constexpr unsigned kMostDoublings = 4;
 /// Answers over these are logged: a few versions of a manifest of some hundred
 /// routes, or a tenth of the seconds within which a change is to be in force.
 constexpr std::size_t kLargeAnswer = std::size_t{ 256 } * 1024;
@@ -276,11 +271,8 @@
 table_follower::OnTrouble(const table_reading& aReading)
 {
   NoteTrouble(aReading);
-  const unsigned doublings = std::min(mFailures++, kMostDoublings);
-  const duration longest =
-    std::min(kFirstPause * (1U << doublings), kLongestPause);
-  const duration pause =
-    FromSeconds(Seconds(longest) * (0.5 + 0.5 * Uniform(mBoard.mRandom)));
+  const duration pause = PauseAfterFailure(
+    mFailures++, mBoard.mPeers.size(), Uniform(mBoard.mRandom));
   mTimer = mLoop.After(pause, [this]() {
     mTimer = 0;
     Ask();
--- a/Tests/Unit/FleetBeliefTest.cpp
+++ b/Tests/Unit/FleetBeliefTest.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(OneEventOfAnotherEntryIsNoSign);
   CPPUNIT_TEST(LongAnswerOfTheStoreIsWaitedFor);
   CPPUNIT_TEST(SomebodySoonFindsTheStoreSilent);
+  CPPUNIT_TEST(SomebodySoonFindsTheStoreBack);
   CPPUNIT_TEST_SUITE_END();
 
   static endpoint Listed(const std::string& aId)
@@ -215,6 +216,33 @@
     CPPUNIT_ASSERT(QuestionWait(26, 1.0) == QuestionWait(26, std::nullopt));
   }
 
+  /// Symptom: while the store turns 350 entries away they make all the calls
+  /// that it serves. Cause: each asked twice a second, however many they were.
+  /// Some entry must find the store back within a second all the
+  /// same, since changes are to be in force within two.
+  void SomebodySoonFindsTheStoreBack()
+  {
+    constexpr unsigned kAway = 8;
+    random_engine random(3);
+    for (const std::size_t entries : { 1U, 4U, 27U, 103U, 350U }) {
+      double calls = 0;
+      duration first = std::chrono::hours(1);
+      for (std::size_t entry = 0; entry < entries; ++entry) {
+        duration at{};
+        unsigned failures = 0;
+        for (; at < std::chrono::seconds(kAway); ++failures) {
+          at += PauseAfterFailure(failures, entries - 1, Uniform(random));
+        }
+        calls += failures;
+        first = std::min<duration>(first, at - std::chrono::seconds(kAway));
+      }
+      CPPUNIT_ASSERT(first < std::chrono::seconds(1));
+      // A quarter of the 2,000 reads that the store serves, for each of two
+      // tables.
+      CPPUNIT_ASSERT(calls / kAway < 500);
+    }
+  }
+
   /// Symptom: half of the engines are left out though they are sound.
   /// Sequence: the connections of one entry's machine are reset; it tells of a
   /// dozen broken streams on each engine. Cause: its trouble was taken for the
