The price of its reading refuses no prompt for its size alone

Of prompts over 400,000 tokens harm was 53 to 62, the price 69 to 113, the gain 83 to 112. Ruled out (trials): pricing by kind or by lot needs each kind's usual size, of which one of 103 entries sees one in 18 s. Change: the price takes no larger share of a prompt's gain than the share of a full backlog that there is. LargestIsNotRefusedForItsSizeAlone is red before.

--- a/Libraries/LibFleet/PlacementPrices.cpp
+++ b/Libraries/LibFleet/PlacementPrices.cpp
@@ -154,10 +154,17 @@
   if (aChoice.mVerdict == engine_verdict::NoMemory) {
     return aChoice.mVerdict;
   }
-  const double gain = (1 + kLostWhenRefused) * aWork.mWorth -
-                      LateCost(aChoice.mFirstEventMs, aWork);
-  const double taken =
-    aChoice.mHarm + aChoice.mPriceOfSecond * aReadingMs / kMsPerSecond;
+  const double mostGain = (1 + kLostWhenRefused) * aWork.mWorth;
+  const double gain = mostGain - LateCost(aChoice.mFirstEventMs, aWork);
+  // Reading grows with the square of a prompt, what it gains does not: priced
+  // by the second alone, the largest tenth was served half as often as others
+  // of its kind (0.44 to 0.92 on a day of bursts before 172 engines). So the
+  // price takes no larger share of what a prompt gains than the share of a full
+  // backlog that there is.
+  const double price =
+    std::min(aChoice.mPriceOfSecond * aReadingMs / kMsPerSecond,
+             aChoice.mPriceOfSecond / kWorthOfBusySecond * mostGain);
+  const double taken = aChoice.mHarm + price;
   return gain >= taken ? engine_verdict::Send : engine_verdict::TurnAway;
 }
 
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -128,6 +128,7 @@
   CPPUNIT_TEST(BusyFleetTurnsGiantAway);
   CPPUNIT_TEST(PromptThatHarmsNobodyIsTakenThoughAllEnginesRead);
   CPPUNIT_TEST(FleetThatIsFarBehindTurnsLargeAway);
+  CPPUNIT_TEST(LargestIsNotRefusedForItsSizeAlone);
   CPPUNIT_TEST(IdleFleetReadsGiantWithHolders);
   CPPUNIT_TEST(PromptGoesWhereMemoryIs);
   CPPUNIT_TEST(TurnedAwayIsToldWhenItIsWelcome);
@@ -269,6 +270,20 @@
     CPPUNIT_ASSERT(f.Choose(Review(60000)).mVerdict == engine_verdict::Send);
   }
 
+  /// Symptom: in bursts no review over 500,000 tokens is served, of all reviews
+  /// nine of ten; a caller that has only such reviews gets nothing. Sequence:
+  /// the engines are some tenths of a second behind all the while. Cause:
+  /// reading grows with the square of a prompt, so the price of a second
+  /// refused it at any backlog.
+  void LargestIsNotRefusedForItsSizeAlone()
+  {
+    fleet f;
+    PutReading(f, 400);
+    for (const double tokens : { 150000.0, 300000.0, 600000.0 }) {
+      CPPUNIT_ASSERT(f.Choose(Review(tokens)).mVerdict == engine_verdict::Send);
+    }
+  }
+
   /// Every engine reads for so long, for prompts that lose nothing by more.
   static void PutReading(fleet& aFleet, double aMs)
   {
