The ring is brought up to date once for all that came since the last time

Cause: each peer that an entry hears of at its start ranked all entries and engines anew; 350 times at the size to design for.

--- a/Libraries/LibFleet/Endpoints.h
+++ b/Libraries/LibFleet/Endpoints.h
@@ -66,7 +66,8 @@
   std::uint64_t mRevision = 0;
   endpoint_health mHealth;
   unsigned mOutstanding = 0; ///< This process's own attempts.
-  /// Prompts go to engines that are not only if none that is can be used.
+  /// Where this is false, other entries place; this one does only while none
+  /// where it is true can be used.
   bool mPreferred = true;
 
   bool operator==(const known_endpoint&) const = default;
--- a/Libraries/LibFleet/EngineSubset.h
+++ b/Libraries/LibFleet/EngineSubset.h
@@ -35,8 +35,8 @@
 /// than another are spread; few enough that telling them keeps to the bytes
 /// that operators allow.
 inline constexpr double kEntriesPerEngine = 32;
-/// Engines that each entry prefers at least: two times what the longest prompts
-/// are divided over, so that they have a choice.
+/// Engines that each entry prefers at least: over twice the 17 that the longest
+/// prompts are divided over, so that they have a choice.
 inline constexpr double kEnginesPerEntry = 40;
 
 /// Where an engine stands among those of its service.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -308,7 +308,7 @@
     }
     mBoard.mEndpointsKnown = true;
   }
-  RankSubsets(mBoard, mSettings.mPeers.mHost);
+  mBoard.mRingStale = true;
 }
 
 believed_rows
@@ -384,6 +384,11 @@
   if (mBoard.mDraining) {
     CheckDrained();
   }
+  // Once for all that came since the last time: an entry that starts hears of
+  // hundreds of others within a second. Until then they count as preferred.
+  if (mBoard.mRingStale) {
+    RankSubsets(mBoard, mSettings.mPeers.mHost);
+  }
   if (mLoop.Now() - mKnowledgeLogged >= kKnowledgePeriod) {
     mKnowledgeLogged = mLoop.Now();
     LogKnowledge(mBoard, mKnowledgeLogged);
--- a/Libraries/LibGateway/GatewayBoard.h
+++ b/Libraries/LibGateway/GatewayBoard.h
@@ -57,7 +57,8 @@
   /// By belief, since when a peer has known something newer.
   std::map<std::string, std::optional<time_point>> mBehindSince;
   engine_ledger mLedger;
-  subset_ring mRing; ///< Engines as listed, entries as heard from.
+  subset_ring mRing;       ///< Engines as listed, entries as heard from.
+  bool mRingStale = false; ///< One of the two lists has changed since.
   std::map<std::string, repeat_record> mRepeats; ///< By service.
   std::map<std::string, peer_entry> mPeers;      ///< By host.
   bool mEntriesKnown = false;     ///< The platform's rows of them were read.
--- a/Libraries/LibGateway/NewsOutbox.cpp
+++ b/Libraries/LibGateway/NewsOutbox.cpp
@@ -177,11 +177,12 @@
 {
   std::vector<std::string> hosts;
   for (const auto& [host, peer] : mBoard.mPeers) {
-    if (std::any_of(mConcerned.begin(),
-                    mConcerned.end(),
-                    [this, &host](engine_key aEngine) {
-                      return Prefers(mBoard.mRing, host, aEngine);
-                    })) {
+    const std::string& peerHost = host;
+    const bool concerned = std::any_of(
+      mConcerned.begin(), mConcerned.end(), [&](engine_key aEngine) {
+        return Prefers(mBoard.mRing, peerHost, aEngine);
+      });
+    if (concerned) {
       hosts.push_back(host);
     }
   }
--- a/Libraries/LibGateway/PeerNews.cpp
+++ b/Libraries/LibGateway/PeerNews.cpp
@@ -57,6 +57,7 @@
   RankEntries(aBoard.mRing, hosts);
   RankEngines(aBoard.mRing, aBoard.mEndpoints);
   MarkPreferred(aBoard.mEndpoints, aBoard.mRing, aOwnHost);
+  aBoard.mRingStale = false;
 }
 
 std::size_t
@@ -212,7 +213,7 @@
     ForgetOwner(mBoard.mLedger, peer->second.mBoot, now);
     mCandidates.insert(peer->first);
     peer = mBoard.mPeers.erase(peer);
-    RankSubsets(mBoard, mSettings.mPeers.mHost);
+    mBoard.mRingStale = true;
   }
 }
 
@@ -236,7 +237,7 @@
   mCandidates.erase(aFrom.mHost);
   if (message.mLeaving) {
     mBoard.mPeers.erase(aFrom.mHost);
-    RankSubsets(mBoard, mSettings.mPeers.mHost);
+    mBoard.mRingStale = true;
     return;
   }
   HeedPeer(message, aFrom.mHost);
@@ -259,7 +260,7 @@
     aMessage.mBoot, now, aMessage.mManifest, aMessage.mList
   };
   if (isNew) {
-    RankSubsets(mBoard, mSettings.mPeers.mHost);
+    mBoard.mRingStale = true;
     Log(log_level::Info,
         "peer_found",
         { { "host", aHost }, { "peers", mBoard.mPeers.size() } });
