--- a/Tests/Gateway/BeliefTest.cpp
+++ b/Tests/Gateway/BeliefTest.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(EveryEntryIsLearnt);
   CPPUNIT_TEST(EntryWithoutStoreAsksItsPeers);
   CPPUNIT_TEST(NewEntryLearnsWhatIsPlaced);
+  CPPUNIT_TEST(PlacementIsToldToThoseWhomItConcerns);
   CPPUNIT_TEST(LoneEntrySpendsLittleOfTheBudget);
   CPPUNIT_TEST(BeliefsSurviveTheWire);
   CPPUNIT_TEST(PortsStayFreeForARestart);
@@ -200,6 +201,83 @@
             "its end");
   }
 
+  /// Symptom: entries before hundreds of engines give a full engine more, or
+  /// spend several times the bytes that they may. Cause: a placement is not
+  /// told to all who prefer its engine, or to others too. Here sixty peers.
+  void PlacementIsToldToThoseWhomItConcerns()
+  {
+    constexpr std::size_t kPeers = 60;
+    constexpr std::size_t kEngines = 100;
+    world w;
+    w.mModel.mAnswer = nullptr;
+    for (std::size_t i = 0; i < kEngines; ++i) {
+      w.List("i-" + std::to_string(i), "model", w.mModel.mServer.Address());
+    }
+    w.mSettings.mPeers.mPort = w.FreePort();
+    w.Start();
+    std::map<std::string, std::size_t> heard;
+    std::vector<std::unique_ptr<datagram_socket>> peers;
+    for (std::size_t i = 1; i <= kPeers; ++i) {
+      const std::string host = "127.0.3." + std::to_string(i);
+      peers.push_back(OpenPeer(w, host, heard[host]));
+      peer_message beat;
+      beat.mBoot = i;
+      peers.back()->Send(EncodeNews(beat, w.mLoop.Now()), w.mSettings.mPeers);
+    }
+    const gateway_board& board = w.mGateway->Board();
+    w.Until(
+      [&board]() {
+        return board.mPeers.size() == kPeers && !board.mRingStale &&
+               board.mRing.mEngines.size() > kEngines;
+      },
+      "all peers and engines");
+    (void)w.Ask(w.Request("r1", "stream", "Token-Usage: 3000,50\r\n"));
+    w.Until([&board]() { return board.mLedger.mPlacements.size() == 1; },
+            "the placement");
+    const engine_key engine =
+      board.mLedger.mPlacements.begin()->second.mEngines.front();
+    CPPUNIT_ASSERT(Prefers(board.mRing, w.mSettings.mPeers.mHost, engine));
+    std::size_t concerned = 0;
+    for (const auto& [host, placements] : heard) {
+      concerned += Prefers(board.mRing, host, engine) ? 1U : 0U;
+    }
+    CPPUNIT_ASSERT(concerned > kPeers / 3 && concerned < kPeers);
+    w.Until(
+      [&heard, concerned]() {
+        return concerned ==
+               static_cast<std::size_t>(std::count_if(
+                 heard.begin(), heard.end(), [](const auto& aEntry) {
+                   return aEntry.second > 0;
+                 }));
+      },
+      "the news at as many peers as it concerns");
+    for (const auto& [host, placements] : heard) {
+      const std::size_t expected = Prefers(board.mRing, host, engine) ? 1 : 0;
+      CPPUNIT_ASSERT_EQUAL(expected, placements);
+    }
+  }
+
+  /// A peer that counts the placements that it is told.
+  static std::unique_ptr<datagram_socket> OpenPeer(world& aWorld,
+                                                   const std::string& aHost,
+                                                   std::size_t& aPlaced)
+  {
+    event_loop& loop = aWorld.mLoop;
+    outcome<std::unique_ptr<datagram_socket>> opened =
+      Capture<std::unique_ptr<datagram_socket>>([&]() {
+        return datagram_socket::Open(
+          loop,
+          ip_address{ aHost, aWorld.mSettings.mPeers.mPort },
+          [&loop, &aPlaced](std::string_view aBytes, const ip_address&) {
+            const outcome<peer_message> read = Capture<peer_message>(
+              [&]() { return DecodeNews(aBytes, loop.Now()); });
+            aPlaced += read ? read.mValue->mNews.mPlaced.size() : 0;
+          });
+      });
+    CPPUNIT_ASSERT(static_cast<bool>(opened));
+    return std::move(*opened.mValue);
+  }
+
   /// Symptom: repeats over the operator's bound right after all entries were
   /// killed. Sequence: each starts, knows of no other, and spends the whole of
   /// the fixed part. Cause: an entry that knows nobody took itself for alone.
