--- a/Tests/Unit/NewsTest.cpp
+++ b/Tests/Unit/NewsTest.cpp
@@ -111,42 +111,101 @@
     }
   }
 
-  /// What one entry sends to its peers.
-  static double BytesPerSecond(std::size_t aEntries,
-                               std::size_t aEngines,
-                               double aPerSecond)
+  /// The ring of a fleet, and what its first entry prefers.
+  struct sized_fleet
   {
-    constexpr int kSeconds = 600;
-    constexpr std::size_t kOneInLong = 50;
-    constexpr std::size_t kParts = 17;
-    subset_ring ring;
-    endpoint_board board;
-    std::vector<std::string> hosts;
+    std::vector<std::string> mHosts;
+    subset_ring mRing;
+    std::vector<engine_key> mPreferred;
+  };
+
+  static sized_fleet FleetOf(std::size_t aEntries, std::size_t aEngines)
+  {
+    sized_fleet fleet;
     for (std::size_t i = 0; i < aEntries; ++i) {
-      hosts.push_back("10.4." + std::to_string(i / 100) + "." +
-                      std::to_string(100 + i % 100));
+      fleet.mHosts.push_back("10.4." + std::to_string(i / 100) + "." +
+                             std::to_string(100 + i % 100));
     }
+    endpoint_board board;
     for (std::size_t i = 0; i < aEngines; ++i) {
       endpoint listed;
       listed.mId = "i-" + std::to_string(1000000 + i);
       (void)ApplyRow(board, { listed.mId, 1, listed });
     }
-    RankEngines(ring, board);
-    RankEntries(ring, hosts);
-    MarkPreferred(board, ring, hosts.front());
-    std::vector<engine_key> preferred;
+    RankEngines(fleet.mRing, board);
+    RankEntries(fleet.mRing, fleet.mHosts);
+    MarkPreferred(board, fleet.mRing, fleet.mHosts.front());
     for (const auto& [id, known] : board.mEndpoints) {
       if (known.mPreferred) {
-        preferred.push_back(EngineKey(id));
+        fleet.mPreferred.push_back(EngineKey(id));
       }
     }
-    peer_message beat;
-    beat.mBoot = kBoot;
-    beat.mManifest = 17;
-    beat.mList = 4321;
-    beat.mHosts.assign(hosts.begin(), hosts.begin() + 16);
-    const std::size_t beatBytes = EncodeNews(beat, kStart).size();
-    beat.mHosts.clear();
+    return fleet;
+  }
+
+  /// Peers of the first entry that prefer one of these engines.
+  static std::size_t CountConcerned(const sized_fleet& aFleet,
+                                    const std::vector<engine_key>& aEngines)
+  {
+    return static_cast<std::size_t>(std::count_if(
+      aFleet.mHosts.begin() + 1,
+      aFleet.mHosts.end(),
+      [&](const std::string& aHost) {
+        return std::any_of(
+          aEngines.begin(), aEngines.end(), [&](engine_key aEngine) {
+            return Prefers(aFleet.mRing, aHost, aEngine);
+          });
+      }));
+  }
+
+  /// A message without anything in it.
+  static peer_message EmptyMessage()
+  {
+    peer_message message;
+    message.mBoot = kBoot;
+    message.mManifest = 17;
+    message.mList = 4321;
+    return message;
+  }
+
+  /// Bytes of one placement and of its end, to all whom they concern.
+  static std::size_t BytesOfRequest(const sized_fleet& aFleet,
+                                    std::size_t aParts,
+                                    news_budget& aBudget,
+                                    random_engine& aRandom,
+                                    time_point aNow)
+  {
+    placement placed = ShortPlacement();
+    placed.mEngines.clear();
+    std::sample(aFleet.mPreferred.begin(),
+                aFleet.mPreferred.end(),
+                std::back_inserter(placed.mEngines),
+                aParts,
+                aRandom);
+    peer_message news = EmptyMessage();
+    news.mNews.mPlaced = { placed };
+    peer_message end = EmptyMessage();
+    end.mNews.mEnded = { placed.mKey };
+    const std::size_t concerned = CountConcerned(aFleet, placed.mEngines);
+    std::size_t sent = 0;
+    for (const peer_message& one : { news, end }) {
+      const std::size_t bytes = EncodeNews(one, aNow).size();
+      sent += bytes * TakePeersToTell(aBudget, concerned, bytes, aNow);
+    }
+    return sent;
+  }
+
+  /// What one entry sends to its peers.
+  static double BytesPerSecond(std::size_t aEntries,
+                               std::size_t aEngines,
+                               double aPerSecond)
+  {
+    constexpr std::size_t kSeconds = 600;
+    constexpr std::size_t kOneInLong = 50;
+    constexpr std::size_t kParts = 17;
+    constexpr std::size_t kHostsInBeat = 16;
+    constexpr std::size_t kBeatsPerNamedHosts = 4;
+    const sized_fleet fleet = FleetOf(aEntries, aEngines);
     news_budget budget;
     random_engine random(5);
     std::size_t sent = 0;
@@ -155,32 +214,17 @@
     for (std::size_t i = 0; i < requests; ++i) {
       const time_point now =
         kStart + FromSeconds(static_cast<double>(i) / aPerSecond);
-      placement placed = ShortPlacement();
-      placed.mEngines.clear();
-      std::sample(preferred.begin(),
-                  preferred.end(),
-                  std::back_inserter(placed.mEngines),
-                  i % kOneInLong == 0 ? kParts : 1,
-                  random);
-      peer_message news = beat;
-      news.mNews.mPlaced = { placed };
-      peer_message end = beat;
-      end.mNews.mEnded = { placed.mKey };
-      const std::size_t concerned = static_cast<std::size_t>(std::count_if(
-        hosts.begin() + 1, hosts.end(), [&](const std::string& aHost) {
-          return std::any_of(
-            placed.mEngines.begin(),
-            placed.mEngines.end(),
-            [&](engine_key aEngine) { return Prefers(ring, aHost, aEngine); });
-        }));
-      for (const peer_message& one : { news, end }) {
-        const std::size_t bytes = EncodeNews(one, now).size();
-        sent += bytes * TakePeersToTell(budget, concerned, bytes, now);
-      }
+      const std::size_t parts = i % kOneInLong == 0 ? kParts : 1;
+      sent += BytesOfRequest(fleet, parts, budget, random, now);
     }
+    peer_message beat = EmptyMessage();
+    const std::size_t plain = EncodeNews(beat, kStart).size();
+    beat.mHosts.assign(fleet.mHosts.begin(),
+                       fleet.mHosts.begin() + kHostsInBeat);
+    const std::size_t naming = EncodeNews(beat, kStart).size();
     const std::size_t beats = PeersPerBeat(aEntries - 1) * kSeconds;
-    sent +=
-      beats / 4 * beatBytes + beats * 3 / 4 * EncodeNews(beat, kStart).size();
+    sent += beats * (naming + (kBeatsPerNamedHosts - 1) * plain) /
+            kBeatsPerNamedHosts;
     return static_cast<double>(sent) / kSeconds;
   }
 
