--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -119,6 +119,31 @@
   return PlaceDivided({ candidates, aTiming, aWork, reading });
 }
 
+placement
+PlacementOf(const engine_choice& aChoice,
+            const engine_work& aWork,
+            placement_key aKey)
+{
+  placement placed;
+  placed.mKey = aKey;
+  placed.mEngines.push_back(EngineKey(aChoice.mWriter->mListed.mId));
+  for (const known_endpoint* const reader : aChoice.mReaders) {
+    placed.mEngines.push_back(EngineKey(reader->mListed.mId));
+  }
+  placed.mPartMs = aChoice.mPartMs;
+  placed.mLongestPause = aWork.mLongestPause;
+  placed.mWorth = aWork.mWorth;
+  placed.mObjective = aWork.mObjective;
+  placed.mHolderTokens = aChoice.mHolderTokens;
+  for (std::size_t i = 0; i < aChoice.mHolders; ++i) {
+    placed.mHolders.push_back(placed.mEngines[i + 1]);
+  }
+  placed.mTokens =
+    aWork.mPromptTokens + aWork.mAnswerTokens -
+    static_cast<double>(aChoice.mHolders) * aChoice.mHolderTokens;
+  return placed;
+}
+
 duration
 UntilWelcome(endpoint_board& aBoard,
              const engine_ledger& aLedger,
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -76,6 +76,13 @@
                std::string_view aDataCentre,
                time_point aNow);
 
+/// What the ledger is to know of a choice that is carried out. Whose it is,
+/// when its caller asked and when it expires is left to who carries it out.
+placement
+PlacementOf(const engine_choice& aChoice,
+            const engine_work& aWork,
+            placement_key aKey);
+
 /// After which time a prompt that is turned away now would be taken, if nothing
 /// else came; `aLongest` if not before.
 duration
--- a/Libraries/LibFleet/EngineSubset.cpp
+++ b/Libraries/LibFleet/EngineSubset.cpp
@@ -22,6 +22,16 @@
   return spaced;
 }
 
+/// True if the arc that begins at `aFrom`, of one of so many entries, holds the
+/// engine.
+bool
+ArcHolds(double aFrom, std::size_t aEntries, const engine_place& aEngine)
+{
+  const double ahead = aEngine.mPosition - aFrom;
+  return (ahead < 0 ? ahead + 1 : ahead) <
+         PreferredShare(aEntries, aEngine.mEngines);
+}
+
 } // namespace
 
 void
@@ -73,9 +83,35 @@
   if (entry == aRing.mEntries.end() || engine == aRing.mEngines.end()) {
     return true;
   }
-  const double ahead = engine->second.mPosition - entry->second;
-  return (ahead < 0 ? ahead + 1 : ahead) <
-         PreferredShare(aRing.mEntries.size(), engine->second.mEngines);
+  return ArcHolds(entry->second, aRing.mEntries.size(), engine->second);
+}
+
+std::vector<std::string>
+HostsThatPrefer(const subset_ring& aRing,
+                const std::vector<std::string>& aHosts,
+                const std::vector<engine_key>& aEngines)
+{
+  std::vector<engine_place> places;
+  places.reserve(aEngines.size());
+  for (const engine_key engine : aEngines) {
+    const auto found = aRing.mEngines.find(engine);
+    if (found == aRing.mEngines.end()) {
+      return aHosts;
+    }
+    places.push_back(found->second);
+  }
+  std::vector<std::string> hosts;
+  for (const std::string& host : aHosts) {
+    const auto entry = aRing.mEntries.find(host);
+    if (entry == aRing.mEntries.end() ||
+        std::any_of(
+          places.begin(), places.end(), [&](const engine_place& aPlace) {
+            return ArcHolds(entry->second, aRing.mEntries.size(), aPlace);
+          })) {
+      hosts.push_back(host);
+    }
+  }
+  return hosts;
 }
 
 void
--- a/Libraries/LibFleet/EngineSubset.h
+++ b/Libraries/LibFleet/EngineSubset.h
@@ -22,6 +22,7 @@
 
 #include "LibFleet/Endpoints.h"
 #include "LibFleet/EngineLedger.h"
+#include "LibFleet/NewsBudget.h"
 
 #include <map>
 #include <string>
@@ -32,9 +33,9 @@
 
 /// Entries that prefer each engine: enough that no engine is left to nobody
 /// when half of them die, and that the requests which one entry gets more of
-/// than another are spread; few enough that telling them keeps to the bytes
-/// that operators allow.
-inline constexpr double kEntriesPerEngine = 32;
+/// than another are spread; few enough that each of them is always told of a
+/// placement there within the bytes that operators allow.
+inline constexpr double kEntriesPerEngine = kAlwaysTold;
 /// Engines that each entry prefers at least: over twice the 17 that the longest
 /// prompts are divided over, so that they have a choice.
 inline constexpr double kEnginesPerEntry = 40;
@@ -72,6 +73,13 @@
 bool
 Prefers(const subset_ring& aRing, const std::string& aHost, engine_key aEngine);
 
+/// Those of the hosts whose entries prefer any of the engines, which are one at
+/// least. Each engine is looked up once, however many the hosts are.
+std::vector<std::string>
+HostsThatPrefer(const subset_ring& aRing,
+                const std::vector<std::string>& aHosts,
+                const std::vector<engine_key>& aEngines);
+
 /// Marks the endpoints that the entry at this host prefers.
 void
 MarkPreferred(endpoint_board& aBoard,
--- a/Libraries/LibFleet/NewsBudget.h
+++ b/Libraries/LibFleet/NewsBudget.h
@@ -1,18 +1,19 @@
 #pragma once
 
-/// How many of its peers an entry tells what it has placed.
+/// How many of the peers whom a placement concerns (LibFleet/EngineSubset) an
+/// entry tells of it.
 ///
-/// What it costs to tell everybody depends on how many requests the whole fleet
-/// takes a second, not on the number of entries, so it is bounded by bytes. A
-/// bound on each second alone fails when it matters: in a burst each entry
-/// would know a third of the placements, and several would give the same engine
-/// its last slot. So what quiet seconds did not need may be spent in a burst.
+/// A prompt that is divided concerns more peers than a short one, so what that
+/// costs is bounded by bytes. A bound on each second alone fails when it
+/// matters: in a burst each entry would know a third of the placements, and
+/// several would give the same engine its last slot. So what quiet seconds did
+/// not need may be spent in a burst.
 
 #include "LibCore/LibCore.h"
 
 namespace primrose {
 
-/// Up to so many peers, each is told everything, whatever it costs.
+/// Up to so many peers, each is told, whatever it costs.
 inline constexpr std::size_t kAlwaysTold = 32;
 /// However little is left, so many are told; what that is worth at 300 entries
 /// stands in docs/CAPACITY.md.
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -134,25 +134,10 @@
 exchange::NotePlacement(const engine_choice& aChoice, const engine_work& aWork)
 {
   gateway_board& board = mContext.mBoard;
-  placement placed;
-  placed.mKey = PlacementKey(board.mBoot, ++board.mLastPlacement);
+  placement placed = PlacementOf(
+    aChoice, aWork, PlacementKey(board.mBoot, ++board.mLastPlacement));
   placed.mOwner = board.mBoot;
-  placed.mEngines.push_back(EngineKey(aChoice.mWriter->mListed.mId));
-  for (const known_endpoint* const reader : aChoice.mReaders) {
-    placed.mEngines.push_back(EngineKey(reader->mListed.mId));
-  }
-  placed.mPartMs = aChoice.mPartMs;
-  placed.mLongestPause = aWork.mLongestPause;
-  placed.mWorth = aWork.mWorth;
   placed.mBegan = mBegan;
-  placed.mObjective = aWork.mObjective;
-  placed.mHolderTokens = aChoice.mHolderTokens;
-  for (std::size_t i = 0; i < aChoice.mHolders; ++i) {
-    placed.mHolders.push_back(placed.mEngines[i + 1]);
-  }
-  placed.mTokens =
-    aWork.mPromptTokens + aWork.mAnswerTokens -
-    static_cast<double>(aChoice.mHolders) * aChoice.mHolderTokens;
   placed.mExpires = mDeadline;
   NotePlaced(board.mLedger, placed, mContext.mLoop.Now());
   mContext.mOutbox.TellPlaced(placed);
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -233,9 +233,7 @@
   Log(log_level::Info,
       "manifest_in_force",
       { { "version", decoded.mValue->mVersion },
-        { "before",
-          mBoard.mManifest == nullptr ? 0
-                                      : mBoard.mManifest->Manifest().mVersion },
+        { "before", ManifestHeld(mBoard) },
         { "routes", decoded.mValue->mRoutes.size() },
         { "organisations", decoded.mValue->mOrganisations.size() } });
   mBoard.mMetrics.Set("gateway_manifest_version",
--- a/Libraries/LibGateway/GatewayBoard.h
+++ b/Libraries/LibGateway/GatewayBoard.h
@@ -72,10 +72,17 @@
   metrics mMetrics;
 };
 
+/// The version in force here; 0: none yet.
+std::uint64_t
+ManifestHeld(const gateway_board& aBoard);
+
 /// Up to which revision this entry knows the list of endpoints.
 std::uint64_t
 ListHeld(const gateway_board& aBoard);
 
+std::vector<std::string>
+PeerHosts(const gateway_board& aBoard);
+
 /// Peers that say they have a newer manifest or a newer list than this entry.
 std::vector<std::string>
 PeersAhead(const gateway_board& aBoard);
--- a/Libraries/LibGateway/NewsOutbox.cpp
+++ b/Libraries/LibGateway/NewsOutbox.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace primrose {
 
@@ -125,8 +126,7 @@
   peer_message message;
   message.mBoot = mBoard.mBoot;
   message.mLeaving = mLeaving;
-  message.mManifest =
-    mBoard.mManifest == nullptr ? 0 : mBoard.mManifest->Manifest().mVersion;
+  message.mManifest = ManifestHeld(mBoard);
   message.mList = mBoard.mEndpoints.mNewestRevision;
   return message;
 }
@@ -155,11 +155,13 @@
 {
   mLoop.Cancel(mFlushTimer);
   mFlushTimer = 0;
+  if (mConcerned.empty()) {
+    return;
+  }
   peer_message message = Message();
-  message.mNews = mGathered;
-  const std::vector<std::string> concerned = Concerned();
-  mGathered = told_news{};
-  mConcerned.clear();
+  message.mNews = std::exchange(mGathered, {});
+  const std::vector<std::string> concerned = HostsThatPrefer(
+    mBoard.mRing, PeerHosts(mBoard), std::exchange(mConcerned, {}));
   const std::string bytes = EncodeNews(message, mLoop.Now());
   for (const std::string& host : PeersToTell(concerned, bytes.size())) {
     Send(bytes, host);
@@ -169,24 +171,7 @@
 void
 news_outbox::Concern(const std::vector<engine_key>& aEngines)
 {
-  mConcerned.insert(aEngines.begin(), aEngines.end());
-}
-
-std::vector<std::string>
-news_outbox::Concerned() const
-{
-  std::vector<std::string> hosts;
-  for (const auto& [host, peer] : mBoard.mPeers) {
-    const std::string& peerHost = host;
-    const bool concerned = std::any_of(
-      mConcerned.begin(), mConcerned.end(), [&](engine_key aEngine) {
-        return Prefers(mBoard.mRing, peerHost, aEngine);
-      });
-    if (concerned) {
-      hosts.push_back(host);
-    }
-  }
-  return hosts;
+  mConcerned.insert(mConcerned.end(), aEngines.begin(), aEngines.end());
 }
 
 std::vector<std::string>
--- a/Libraries/LibGateway/NewsOutbox.h
+++ b/Libraries/LibGateway/NewsOutbox.h
@@ -44,7 +44,6 @@
   void FlushWithin(duration aSpan);
   /// What is gathered concerns those who prefer these engines.
   void Concern(const std::vector<engine_key>& aEngines);
-  std::vector<std::string> Concerned() const;
   /// As many of these as the budget allows.
   std::vector<std::string> PeersToTell(const std::vector<std::string>& aHosts,
                                        std::size_t aBytes);
@@ -56,9 +55,9 @@
   const gateway_settings& mSettings;
   gateway_board& mBoard;
   datagram_socket* mSocket = nullptr;
-  told_news mGathered;             ///< Not yet told.
-  std::set<engine_key> mConcerned; ///< Engines of what is gathered.
-  std::string mLastBeatTold;       ///< The host.
+  told_news mGathered;                ///< Not yet told.
+  std::vector<engine_key> mConcerned; ///< Engines of what is gathered.
+  std::string mLastBeatTold;          ///< The host.
   unsigned mBeats = 0;
   news_budget mBudget;
   bool mLeaving = false;
--- a/Libraries/LibGateway/PeerNews.cpp
+++ b/Libraries/LibGateway/PeerNews.cpp
@@ -19,24 +19,41 @@
 duration
 SpanBetweenBeats(std::size_t aPeers)
 {
-  const std::size_t told = std::max<std::size_t>(PeersPerBeat(aPeers), 1);
-  return kBeat *
-         static_cast<int>(std::max<std::size_t>((aPeers + told - 1) / told, 1));
+  const std::size_t told = PeersPerBeat(aPeers);
+  return told == aPeers ? kBeat
+                        : kBeat * static_cast<int>((aPeers + told - 1) / told);
 }
 
 } // namespace
 
+std::uint64_t
+ManifestHeld(const gateway_board& aBoard)
+{
+  return aBoard.mManifest == nullptr ? 0
+                                     : aBoard.mManifest->Manifest().mVersion;
+}
+
 std::uint64_t
 ListHeld(const gateway_board& aBoard)
 {
   return std::max(aBoard.mEndpoints.mNewestRevision, aBoard.mListAsOf);
 }
 
+std::vector<std::string>
+PeerHosts(const gateway_board& aBoard)
+{
+  std::vector<std::string> hosts;
+  hosts.reserve(aBoard.mPeers.size());
+  for (const auto& [host, peer] : aBoard.mPeers) {
+    hosts.push_back(host);
+  }
+  return hosts;
+}
+
 std::vector<std::string>
 PeersAhead(const gateway_board& aBoard)
 {
-  const std::uint64_t manifest =
-    aBoard.mManifest == nullptr ? 0 : aBoard.mManifest->Manifest().mVersion;
+  const std::uint64_t manifest = ManifestHeld(aBoard);
   const std::uint64_t list = ListHeld(aBoard);
   std::vector<std::string> ahead;
   for (const auto& [host, peer] : aBoard.mPeers) {
@@ -50,10 +67,8 @@
 void
 RankSubsets(gateway_board& aBoard, const std::string& aOwnHost)
 {
-  std::vector<std::string> hosts{ aOwnHost };
-  for (const auto& [host, peer] : aBoard.mPeers) {
-    hosts.push_back(host);
-  }
+  std::vector<std::string> hosts = PeerHosts(aBoard);
+  hosts.push_back(aOwnHost);
   RankEntries(aBoard.mRing, hosts);
   RankEngines(aBoard.mRing, aBoard.mEndpoints);
   MarkPreferred(aBoard.mEndpoints, aBoard.mRing, aOwnHost);
@@ -87,7 +102,7 @@
         if (aBoard.mManifest == nullptr) {
           return std::nullopt;
         }
-        return aBoard.mManifest->Manifest().mVersion;
+        return ManifestHeld(aBoard);
       },
       [aBehind](duration aPatience) { aBehind(belief::Manifest, aPatience); })
   , mListWatch(
--- a/Tests/Unit/NewsTest.cpp
+++ b/Tests/Unit/NewsTest.cpp
@@ -1,4 +1,5 @@
 #include "LibGateway/PeerWire.h"
+#include "RingFixture.h"
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
@@ -111,53 +112,29 @@
     }
   }
 
-  /// The ring of a fleet, and what its first entry prefers.
+  /// The ring of a fleet, the peers of its first entry, and what that prefers.
   struct sized_fleet
   {
-    std::vector<std::string> mHosts;
     subset_ring mRing;
+    std::vector<std::string> mPeers;
     std::vector<engine_key> mPreferred;
   };
 
   static sized_fleet FleetOf(std::size_t aEntries, std::size_t aEngines)
   {
+    std::vector<std::string> hosts = test::Hosts(aEntries);
+    const endpoint_board board = test::Engines(aEngines);
     sized_fleet fleet;
-    for (std::size_t i = 0; i < aEntries; ++i) {
-      fleet.mHosts.push_back("10.4." + std::to_string(i / 100) + "." +
-                             std::to_string(100 + i % 100));
-    }
-    endpoint_board board;
-    for (std::size_t i = 0; i < aEngines; ++i) {
-      endpoint listed;
-      listed.mId = "i-" + std::to_string(1000000 + i);
-      (void)ApplyRow(board, { listed.mId, 1, listed });
-    }
-    RankEngines(fleet.mRing, board);
-    RankEntries(fleet.mRing, fleet.mHosts);
-    MarkPreferred(board, fleet.mRing, fleet.mHosts.front());
-    for (const auto& [id, known] : board.mEndpoints) {
-      if (known.mPreferred) {
-        fleet.mPreferred.push_back(EngineKey(id));
-      }
+    fleet.mRing = test::Ring(hosts, board);
+    for (const std::string& id :
+         test::PreferredBy(fleet.mRing, hosts.front(), board)) {
+      fleet.mPreferred.push_back(EngineKey(id));
     }
+    hosts.erase(hosts.begin());
+    fleet.mPeers = std::move(hosts);
     return fleet;
   }
 
-  /// Peers of the first entry that prefer one of these engines.
-  static std::size_t CountConcerned(const sized_fleet& aFleet,
-                                    const std::vector<engine_key>& aEngines)
-  {
-    return static_cast<std::size_t>(std::count_if(
-      aFleet.mHosts.begin() + 1,
-      aFleet.mHosts.end(),
-      [&](const std::string& aHost) {
-        return std::any_of(
-          aEngines.begin(), aEngines.end(), [&](engine_key aEngine) {
-            return Prefers(aFleet.mRing, aHost, aEngine);
-          });
-      }));
-  }
-
   /// A message without anything in it.
   static peer_message EmptyMessage()
   {
@@ -186,7 +163,8 @@
     news.mNews.mPlaced = { placed };
     peer_message end = EmptyMessage();
     end.mNews.mEnded = { placed.mKey };
-    const std::size_t concerned = CountConcerned(aFleet, placed.mEngines);
+    const std::size_t concerned =
+      HostsThatPrefer(aFleet.mRing, aFleet.mPeers, placed.mEngines).size();
     std::size_t sent = 0;
     for (const peer_message& one : { news, end }) {
       const std::size_t bytes = EncodeNews(one, aNow).size();
@@ -219,8 +197,7 @@
     }
     peer_message beat = EmptyMessage();
     const std::size_t plain = EncodeNews(beat, kStart).size();
-    beat.mHosts.assign(fleet.mHosts.begin(),
-                       fleet.mHosts.begin() + kHostsInBeat);
+    beat.mHosts.assign(kHostsInBeat, "10.255.255.255");
     const std::size_t naming = EncodeNews(beat, kStart).size();
     const std::size_t beats = PeersPerBeat(aEntries - 1) * kSeconds;
     sent += beats * (naming + (kBeatsPerNamedHosts - 1) * plain) /
--- a/Tests/Unit/SubsetTest.cpp
+++ b/Tests/Unit/SubsetTest.cpp
@@ -1,13 +1,14 @@
-#include "LibFleet/LibFleet.h"
+#include "RingFixture.h"
+#include "SampleEngine.h"
 
 #include <algorithm>
 #include <cmath>
 #include <cppunit/extensions/HelperMacros.h>
 #include <deque>
 #include <random>
-#include <set>
 
 using namespace primrose;
+using namespace primrose::test;
 using std::chrono::milliseconds;
 
 namespace {
@@ -15,77 +16,19 @@
 constexpr time_point kStart{ std::chrono::hours(1) };
 constexpr std::size_t kSlots = 10;
 
-std::vector<std::string>
-Hosts(std::size_t aCount)
-{
-  std::vector<std::string> hosts;
-  for (std::size_t i = 0; i < aCount; ++i) {
-    hosts.push_back("10.1." + std::to_string(i / 200) + "." +
-                    std::to_string(i % 200 + 1));
-  }
-  return hosts;
-}
-
-endpoint_board
-Engines(std::size_t aCount)
-{
-  endpoint_board board;
-  for (std::size_t i = 0; i < aCount; ++i) {
-    endpoint listed;
-    listed.mId = "engine-" + std::to_string(i);
-    listed.mService = "model";
-    listed.mDataCentre = "a";
-    (void)ApplyRow(board, { listed.mId, 1, listed });
-  }
-  return board;
-}
-
-subset_ring
-Ring(const std::vector<std::string>& aHosts, const endpoint_board& aBoard)
-{
-  subset_ring ring;
-  RankEngines(ring, aBoard);
-  RankEntries(ring, aHosts);
-  return ring;
-}
-
-std::set<std::string>
-PreferredBy(const subset_ring& aRing,
-            const std::string& aHost,
-            endpoint_board aBoard)
-{
-  MarkPreferred(aBoard, aRing, aHost);
-  std::set<std::string> ids;
-  for (const auto& [id, known] : aBoard.mEndpoints) {
-    if (known.mPreferred) {
-      ids.insert(id);
-    }
-  }
-  return ids;
-}
-
 std::size_t
 CountPreferring(const subset_ring& aRing,
                 const std::vector<std::string>& aHosts,
                 const std::string& aEngine)
 {
-  return static_cast<std::size_t>(
-    std::count_if(aHosts.begin(), aHosts.end(), [&](const std::string& aHost) {
-      return Prefers(aRing, aHost, EngineKey(aEngine));
-    }));
+  return HostsThatPrefer(aRing, aHosts, { EngineKey(aEngine) }).size();
 }
 
 engine_timing
 Timing()
 {
-  engine_timing timing;
+  engine_timing timing = SampleEngine();
   timing.mSlots = kSlots;
-  timing.mMemoryTokens = 315000;
-  timing.mTokensReadPerMs = 177;
-  timing.mMsPerMillionPairs = 0.184;
-  timing.mStepMs = 0.85;
-  timing.mStepMsPerRequest = 0.00425;
-  timing.mStepMsPerThousand = 0.00285;
   timing.mStepsPerPass = 80;
   timing.mUsualAnswerTokens = 1900;
   return timing;
@@ -95,15 +38,13 @@
 class burst
 {
 public:
-  burst(std::size_t aEntries, std::size_t aEngines, bool aSubsets)
+  burst(std::size_t aEntries, std::size_t aEngines)
     : mHosts(Hosts(aEntries))
     , mRing(Ring(mHosts, Engines(aEngines)))
   {
     for (const std::string& host : mHosts) {
-      mEntries.push_back({ Engines(aEngines), {}, {} });
-      if (aSubsets) {
-        MarkPreferred(mEntries.back().mBoard, mRing, host);
-      }
+      mEntries.push_back({ Engines(aEngines), {} });
+      MarkPreferred(mEntries.back().mBoard, mRing, host);
     }
   }
 
@@ -114,15 +55,8 @@
     entry& at = mEntries[aEntry];
     const engine_choice choice =
       *PlaceOnEngines(at.mBoard, at.mLedger, Timing(), aWork, {}, "a", aNow);
-    placement placed;
-    placed.mKey = ++mLast;
-    placed.mEngines = { EngineKey(choice.mWriter->mListed.mId) };
-    placed.mPartMs = choice.mPartMs;
-    placed.mLongestPause = aWork.mLongestPause;
-    placed.mWorth = aWork.mWorth;
+    placement placed = PlacementOf(choice, aWork, ++mLast);
     placed.mBegan = aNow;
-    placed.mObjective = aWork.mObjective;
-    placed.mTokens = aWork.mPromptTokens + aWork.mAnswerTokens;
     placed.mExpires = kStart + std::chrono::hours(1);
     NotePlaced(at.mLedger, placed, aNow);
     mOnTheWay.push_back({ aNow + kNewsDelay, aEntry, placed });
@@ -137,7 +71,6 @@
   {
     endpoint_board mBoard;
     engine_ledger mLedger;
-    time_point mUntil{};
   };
   struct news
   {
@@ -228,8 +161,8 @@
     const endpoint_board oneMore = Engines(173);
     const subset_ring withOneMore = Ring(hosts, oneMore);
     for (const std::string& host : hosts) {
-      const std::set<std::string> old = PreferredBy(before, host, board);
-      for (const std::set<std::string>& now :
+      const std::vector<std::string> old = PreferredBy(before, host, board);
+      for (const std::vector<std::string>& now :
            { PreferredBy(after, host, board),
              PreferredBy(withOneMore, host, oneMore) }) {
         std::vector<std::string> kept;
@@ -326,7 +259,7 @@
     // Three of four slots are taken at the end.
     constexpr std::size_t kPrompts = kEngines * kSlots * 3 / 4;
     constexpr duration kGap = std::chrono::microseconds(1613);
-    burst world(kEntries, kEngines, true);
+    burst world(kEntries, kEngines);
     random_engine random(11);
     std::size_t waiting = 0;
     for (std::size_t i = 0; i < kPrompts; ++i) {
--- a/Utilities/Bench/GatewayCosts.cpp
+++ b/Utilities/Bench/GatewayCosts.cpp
@@ -1,6 +1,8 @@
 /// What the gateway's decisions cost on each request and each event of a
 /// stream, against the number of engines.
 
+#include "SampleEngine.h"
+
 #include "LibFleet/LibFleet.h"
 #include "LibNet/LibNet.h"
 #include "platform/Platform.h"
@@ -16,23 +18,6 @@
 constexpr double kShortPrompt = 5000;
 constexpr double kLongPrompt = 154000;
 
-/// The engine of both deployments.
-engine_timing
-Timing()
-{
-  engine_timing timing;
-  timing.mSlots = 16;
-  timing.mMemoryTokens = 315000;
-  timing.mTokensReadPerMs = 177;
-  timing.mMsPerMillionPairs = 0.184;
-  timing.mStepMs = 0.85;
-  timing.mStepMsPerRequest = 0.00425;
-  timing.mStepMsPerThousand = 0.00285;
-  timing.mStepsPerPass = 51;
-  timing.mUsualAnswerTokens = 1600;
-  return timing;
-}
-
 engine_work
 Work(double aTokens)
 {
@@ -86,7 +71,7 @@
 PlaceAgainstEngines(benchmark::State& aState, double aTokens)
 {
   busy_fleet fleet(aState.range(0));
-  const engine_timing timing = Timing();
+  const engine_timing timing = SampleEngine();
   const engine_work work = Work(aTokens);
   for (auto _ : aState) {
     benchmark::DoNotOptimize(PlaceOnEngines(
--- /dev/null
+++ b/Utilities/Bench/SampleEngine.h
@@ -0,0 +1,26 @@
+#pragma once
+
+/// An engine as the users' deployments declare theirs, for tests and
+/// measurements of placement.
+
+#include "LibFleet/EngineCost.h"
+
+namespace primrose {
+
+inline engine_timing
+SampleEngine()
+{
+  engine_timing timing;
+  timing.mSlots = 16;
+  timing.mMemoryTokens = 315000;
+  timing.mTokensReadPerMs = 177;
+  timing.mMsPerMillionPairs = 0.184;
+  timing.mStepMs = 0.85;
+  timing.mStepMsPerRequest = 0.00425;
+  timing.mStepMsPerThousand = 0.00285;
+  timing.mStepsPerPass = 51;
+  timing.mUsualAnswerTokens = 1600;
+  return timing;
+}
+
+} // namespace primrose
