--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -13,5 +13,6 @@
 #include "LibFleet/EngineSubset.h"
 #include "LibFleet/Manifest.h"
 #include "LibFleet/NewsBudget.h"
+#include "LibFleet/RequestDigest.h"
 #include "LibFleet/Silence.h"
 #include "LibFleet/StorePatience.h"
--- a/Libraries/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/Attempt.h
@@ -57,6 +57,8 @@
   const answer_facts& Facts() const { return mFacts; }
   std::string& Body() { return mReader.Body(); }
   bool Sent() const { return mSent; }
+  /// The head of a proper answer has come.
+  bool AnswerBegun() const { return mHeadTaken; }
   time_point SentAt() const { return mSentAt; }
 
   void OnConnected(tcp_channel& aChannel) override;
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -108,6 +108,7 @@
   if (!Authenticate()) {
     return false;
   }
+  mDigest = DigestOf({ mFacts.mHost, mHead.mTarget, mOrganisation, mBody });
   mService = mManifest->FindService(
     ChooseService(*mRoute, Uniform(mContext.mBoard.mRandom)));
   if (mService == nullptr) {
@@ -283,6 +284,7 @@
       { "route", mRoute == nullptr ? "" : mRoute->mName },
       { "kind", mRoute == nullptr ? "" : KindName(mRoute->mKind) },
       { "organisation", mOrganisation },
+      { "digest", DigestText(mDigest) },
       { "outcome", aOutcome },
       { "why", aWhy },
       { "endpoint", mTried.empty() ? "" : mTried.back() },
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -125,6 +125,7 @@
   const route* mRoute = nullptr;
   const service* mService = nullptr;
   std::string mOrganisation;
+  request_digest mDigest = 0;
   time_point mBegan{};
   time_point mDeadline{};
   std::shared_ptr<attempt> mAttempt;
