--- a/Tests/Gateway/Standin.cpp
+++ b/Tests/Gateway/Standin.cpp
@@ -110,6 +110,17 @@
   return ended;
 }
 
+void
+standin_server::End()
+{
+  for (const std::shared_ptr<connection>& one : mConnections) {
+    one->mChannel->Close();
+    one->mEnded = true;
+  }
+  // It may be what calls this.
+  mLoop.DeleteLater(std::move(mListener));
+}
+
 standin_store::standin_store(event_loop& aLoop)
   : mLoop(aLoop)
   , mServer(
--- a/Tests/Gateway/Standin.h
+++ b/Tests/Gateway/Standin.h
@@ -38,6 +38,8 @@
   }
   /// Connections that the other side has closed.
   std::size_t Ended() const;
+  /// The process ends: its connections close, and new ones are refused.
+  void End();
 
   event_loop& mLoop;
   handler mHandler;
