--- a/Libraries/LibFleet/Quarantine.cpp
+++ b/Libraries/LibFleet/Quarantine.cpp
@@ -226,7 +226,7 @@
 HeldState(const quarantine& aBoard)
 {
   // A sum does not depend on the order.
-  std::uint64_t state = 0;
+  std::uint64_t state = 1;
   for (const auto& [request, hold] : aBoard.mHeld) {
     state += Hash(DigestText(request), hold.mTrials);
   }
--- a/Libraries/LibFleet/Quarantine.h
+++ b/Libraries/LibFleet/Quarantine.h
@@ -147,8 +147,7 @@
 std::vector<held_request>
 AllHeld(const quarantine& aBoard, time_point aNow);
 
-/// The same at two entries that hold the same with the same trials; 0 if
-/// nothing is held.
+/// The same at two entries that hold the same with the same trials; never 0.
 std::uint64_t
 HeldState(const quarantine& aBoard);
 
--- a/Libraries/LibGateway/CrashWatch.cpp
+++ b/Libraries/LibGateway/CrashWatch.cpp
@@ -338,10 +338,10 @@
 crash_watch::HearState(std::uint64_t aState, const std::string& aHost)
 {
   // A datagram may be lost, an entry may have been cut off or just have
-  // started: it would send what all others hold. Each datagram shows whether
-  // its sender holds the same.
+  // started: it would send what all others hold. Each beat shows whether its
+  // sender holds the same.
   const time_point now = mLoop.Now();
-  if (mBoard.mQuarantine.mHeld.empty() ||
+  if (aState == 0 || mBoard.mQuarantine.mHeld.empty() ||
       aState == HeldState(mBoard.mQuarantine)) {
     return;
   }
--- a/Libraries/LibGateway/NewsOutbox.cpp
+++ b/Libraries/LibGateway/NewsOutbox.cpp
@@ -208,7 +208,6 @@
   message.mLeaving = mLeaving;
   message.mManifest = ManifestHeld(mBoard);
   message.mList = mBoard.mEndpoints.mNewestRevision;
-  message.mHeldState = HeldState(mBoard.mQuarantine);
   return message;
 }
 
@@ -216,6 +215,7 @@
 news_outbox::EncodeBeat(bool aNamesHosts)
 {
   peer_message message = Message();
+  message.mHeldState = HeldState(mBoard.mQuarantine);
   if (!aNamesHosts) {
     return EncodeNews(message, mLoop.Now());
   }
--- a/Libraries/LibGateway/PeerNews.capnp
+++ b/Libraries/LibGateway/PeerNews.capnp
@@ -65,5 +65,6 @@
   crashes @10 :List(CrashReport);
   held @11 :List(HeldRequest);
   cleared @12 :List(UInt64);     # Digests of requests that were answered.
-  heldState @13 :UInt64;         # Equal where the same requests are held.
+  heldState @13 :UInt64;         # Equal where the same requests are held; beats
+                                 # say it, else 0.
 }
--- a/Libraries/LibGateway/PeerWire.h
+++ b/Libraries/LibGateway/PeerWire.h
@@ -31,7 +31,7 @@
   bool mLeaving = false;
   std::uint64_t mManifest = 0;  ///< The version in force there.
   std::uint64_t mList = 0;      ///< Newest revision of its list of endpoints.
-  std::uint64_t mHeldState = 0; ///< Of the requests that it holds.
+  std::uint64_t mHeldState = 0; ///< Of what it holds; 0: it does not say.
   told_news mNews;
   std::vector<std::string> mHosts; ///< Of entries that it knows.
 
