--- a/Tests/Gateway/CrashTest.cpp
+++ b/Tests/Gateway/CrashTest.cpp
@@ -333,8 +333,8 @@
       (void)entries.Answered(kCrashing);
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, entries.mPool.mSends);
-    CPPUNIT_ASSERT(
-      entries.mWorld.mGateway->Board().mQuarantine.mSuspects.empty());
+    const quarantine& held = entries.mWorld.mGateway->Board().mQuarantine;
+    CPPUNIT_ASSERT(held.mSuspects.empty() && held.mHeld.empty());
   }
 
   /// Symptom: a request takes the machines of its engines with it, and goes on
--- a/Tests/Unit/NewsTest.cpp
+++ b/Tests/Unit/NewsTest.cpp
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(LongOverloadKeepsToItsBytes);
   CPPUNIT_TEST(QuietFleetIsToldAlways);
   CPPUNIT_TEST(EntryKeepsToItsBytesAtAnySize);
+  CPPUNIT_TEST(EndsOfEndpointsKeepToTheBytes);
   CPPUNIT_TEST(ShortPlacementIsShort);
   CPPUNIT_TEST(NewsComeBackAsTheyWere);
   CPPUNIT_TEST(BytesThatAreNoNewsAreRefused);
@@ -196,6 +197,7 @@
       sent += BytesOfRequest(fleet, parts, budget, random, now);
     }
     peer_message beat = EmptyMessage();
+    beat.mHeldState = kBoot;
     const std::size_t plain = EncodeNews(beat, kStart).size();
     beat.mHosts.assign(kHostsInBeat, "10.255.255.255");
     const std::size_t naming = EncodeNews(beat, kStart).size();
@@ -205,6 +207,66 @@
     return static_cast<double>(sent) / kSeconds;
   }
 
+  /// What an entry sends of ends of endpoints: reports, in as many datagrams,
+  /// to all its peers.
+  static std::size_t BytesOfReports(std::size_t aPeers,
+                                    std::size_t aReports,
+                                    std::size_t aDatagrams)
+  {
+    random_engine random(7);
+    std::size_t bytes = 0;
+    for (std::size_t i = 0; i < aDatagrams; ++i) {
+      peer_message message = EmptyMessage();
+      const std::size_t here =
+        (aReports * (i + 1)) / aDatagrams - (aReports * i) / aDatagrams;
+      for (std::size_t j = 0; j < here; ++j) {
+        message.mNews.mCrashes.push_back(
+          { random(), static_cast<engine_key>(random()), false });
+      }
+      bytes += aPeers * EncodeNews(message, kStart).size();
+    }
+    return bytes;
+  }
+
+  /// Each entry hears of each end, wherever it is seen. An hour in which one
+  /// engine in ten ends, each with all its slots in use, and then all of them
+  /// at once, beside the usual news: on the mean within what operators allow,
+  /// and the worst second within the narrowest link.
+  void EndsOfEndpointsKeepToTheBytes()
+  {
+    struct size
+    {
+      std::size_t mEntries;
+      std::size_t mEngines;
+      std::size_t mSlots;
+      double mPerSecond; ///< Requests that one entry takes.
+    };
+    constexpr double kMostBytesPerSecond = 15e3;
+    constexpr double kNarrowestLink = 20e6 / 8;
+    constexpr double kHour = 3600;
+    /// Ends that come together are seen over some tenths of a second.
+    constexpr std::size_t kDatagramsOfAll = 10;
+    for (const size& one : { size{ 15, 23, 10, 3.0 },
+                             size{ 103, 172, 10, 3.1 },
+                             size{ 350, 1200, 10, 4.0 } }) {
+      const std::size_t peers = one.mEntries - 1;
+      const std::size_t inFlight = one.mEngines * one.mSlots / one.mEntries + 1;
+      // By one entry: of each engine that ends alone, at most one report.
+      const std::size_t alone =
+        one.mEngines / 10 * std::min(one.mSlots, one.mEntries) / one.mEntries +
+        1;
+      const double all =
+        static_cast<double>(BytesOfReports(peers, inFlight, kDatagramsOfAll));
+      const double hour =
+        all + static_cast<double>(BytesOfReports(peers, alone, alone));
+      CPPUNIT_ASSERT(all < kNarrowestLink);
+      CPPUNIT_ASSERT(
+        BytesPerSecond(one.mEntries, one.mEngines, one.mPerSecond) +
+          hour / kHour <
+        kMostBytesPerSecond);
+    }
+  }
+
   void QuietFleetIsToldAlways()
   {
     const std::vector<std::size_t> told =
@@ -247,6 +309,11 @@
       message.mNews.mUnread = { PlacementKey(aBoot, 2) };
       message.mNews.mUnwilling = { EngineKey(aHost) };
       message.mNews.mTroubled = { EngineKey(aHost), 7 };
+      message.mNews.mCrashes = { { aBoot, EngineKey(aHost), true },
+                                 { 7, 8, false } };
+      message.mNews.mHeld = { { aBoot, 2, std::chrono::seconds(86399) } };
+      message.mNews.mCleared = { aBoot, 9 };
+      message.mHeldState = *rc::gen::arbitrary<std::uint64_t>();
       message.mHosts = { "10.1.0.9", "10.2.0.4" };
       const std::string bytes = EncodeNews(message, kStart);
       const outcome<peer_message> read =
