--- a/Libraries/LibGateway/CrashWatch.cpp
+++ b/Libraries/LibGateway/CrashWatch.cpp
@@ -256,6 +256,15 @@
 void
 crash_watch::HearCrash(const crash_report& aReport, const std::string& aHost)
 {
+  // What this entry had there ended with it, also if its caller had just left
+  // and nothing broke here.
+  const auto cases =
+    std::find_if(mCases.begin(), mCases.end(), [&aReport](const auto& aEntry) {
+      return EngineKey(aEntry.first) == aReport.mEndpoint;
+    });
+  if (cases != mCases.end()) {
+    OnGone(std::string(cases->first), "told");
+  }
   switch (NoteCrash(mBoard.mQuarantine, aReport, mLoop.Now())) {
     case crash_effect::Held:
       OnHeld(aReport.mRequest, aHost);
--- a/Tests/Gateway/CrashTest.cpp
+++ b/Tests/Gateway/CrashTest.cpp
@@ -133,6 +133,7 @@
   CPPUNIT_TEST(ResetConnectionIsNoEnd);
   CPPUNIT_TEST(EndpointThatLeavesAsPlannedIsNoEnd);
   CPPUNIT_TEST(DarkEndpointIsAnEndOnceItIsOffTheList);
+  CPPUNIT_TEST(EndThatAnotherEntrySawIsBelieved);
   CPPUNIT_TEST(RequestThatWasAnsweringIsServedAtLast);
   CPPUNIT_TEST(LookupAskedByManyOutlivesItsEndpoints);
   CPPUNIT_TEST_SUITE_END();
@@ -367,6 +368,24 @@
       "both entries suspect it");
   }
 
+  /// Symptom: a request ends more endpoints than the entries count. Sequence:
+  /// its caller leaves just before the endpoint ends, so nothing breaks at this
+  /// entry; what another entry had there does. Cause: each entry went by what
+  /// it found out by itself.
+  void EndThatAnotherEntrySawIsBelieved()
+  {
+    constexpr request_digest kLeft = 0xabc;
+    world w;
+    lone_watch one(w, 0);
+    (void)ApplyRow(one.mBoard.mEndpoints,
+                   { "i-desk", 1, endpoint{ "i-desk", {}, "desk", "a", 1 } });
+    one.mWatch.OnBroken({ kLeft, "i-desk", false, false });
+    CPPUNIT_ASSERT(one.mBoard.mQuarantine.mSuspects.empty());
+    one.mWatch.HearCrash({ 7, EngineKey("i-desk"), false }, "peer");
+    CPPUNIT_ASSERT(one.mBoard.mQuarantine.mSuspects.contains(kLeft));
+    CPPUNIT_ASSERT(one.mBoard.mQuarantine.mSuspects.contains(7));
+  }
+
   /// A summary saw three engines end within 0.6 s, each time some events
   /// further on; two had ended for another cause, one under the request beside
   /// it. The fourth answered it. Three ends alone would have refused its
