--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -95,6 +95,7 @@
   void WatchSilence(duration aLimit);
   void WatchStall(const attempt& aAttempt);
   void OnSilence();
+  void LogSilence() const;
   /// What the endpoint is known to have to read before it writes again.
   duration KnownReading(const attempt& aAttempt) const;
   void OnDeadline();
@@ -114,6 +115,8 @@
   /// Tells the crash watch of an attempt that ends without a whole answer.
   void NoteBroken(const attempt& aAttempt, bool aBrokeOff);
   void NoteLoad(const attempt& aAttempt);
+  /// The endpoint works: something came from it.
+  void NoteHeard(const attempt& aAttempt);
   void Sign(const attempt& aAttempt, endpoint_sign aSign);
   void Sign(known_endpoint& aEndpoint, endpoint_sign aSign);
   /// The engine that a refusal names, if it is another than the one that sent
--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -112,9 +112,20 @@
   }
 }
 
+void
+exchange::NoteHeard(const attempt& aAttempt)
+{
+  const auto known =
+    mContext.mBoard.mEndpoints.mEndpoints.find(aAttempt.Endpoint().mId);
+  if (known != mContext.mBoard.mEndpoints.mEndpoints.end()) {
+    known->second.mHeard = mContext.mLoop.Now();
+  }
+}
+
 void
 exchange::OnAnswerHead(attempt& aAttempt)
 {
+  NoteHeard(aAttempt);
   NoteLoad(aAttempt);
   mStreaming =
     mRoute->mKind == call_kind::Stream && IsGood(aAttempt.Head().mStatus);
@@ -139,6 +150,7 @@
     return;
   }
   const time_point now = mContext.mLoop.Now();
+  NoteHeard(aAttempt);
   mEventsHere = true;
   if (!mHeadWritten) {
     mFirstEventAt = now;
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -307,6 +307,7 @@
     WatchSilence(reading + kWorthWaitingFor);
     return;
   }
+  LogSilence();
   Sign(*mAttempt, endpoint_sign::Silent);
   NoteBroken(*mAttempt, true);
   mMayHaveRun = mMayHaveRun || mAttempt->Sent();
@@ -314,6 +315,32 @@
   Retry("silent");
 }
 
+void
+exchange::LogSilence() const
+{
+  const time_point now = mContext.mLoop.Now();
+  const std::string& id = mAttempt->Endpoint().mId;
+  const auto known = mContext.mBoard.mEndpoints.mEndpoints.find(id);
+  const bool listed = known != mContext.mBoard.mEndpoints.mEndpoints.end();
+  const auto load = mContext.mBoard.mLedger.mEngines.find(EngineKey(id));
+  const bool given = load != mContext.mBoard.mLedger.mEngines.end();
+  Log(log_level::Info,
+      "endpoint_silent",
+      { { "request", mFacts.mId },
+        { "endpoint", id },
+        { "expected_ms", mExpectedMs },
+        { "waited_ms", Milliseconds(now - mAttempt->SentAt()) },
+        { "events", mCursor.Count() },
+        { "helpers", mHelpers },
+        { "reading_left_ms", given ? BacklogMs(load->second, now) : 0 },
+        { "writing", given ? load->second.mWriting.size() : 0 },
+        { "own_attempts", listed ? known->second.mOutstanding : 0 },
+        { "heard_ms",
+          listed && known->second.mHeard != time_point{}
+            ? Milliseconds(now - known->second.mHeard)
+            : -1 } });
+}
+
 duration
 exchange::KnownReading(const attempt& aAttempt) const
 {
