--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -118,6 +118,7 @@
   CPPUNIT_TEST(PromptThatHarmsNobodyIsTakenThoughAllEnginesRead);
   CPPUNIT_TEST(FleetThatIsFarBehindTurnsLargeAway);
   CPPUNIT_TEST(LargestIsNotRefusedForItsSizeAlone);
+  CPPUNIT_TEST(GiantTakesNoEnginesFromABurst);
   CPPUNIT_TEST(IdleFleetReadsGiantWithHolders);
   CPPUNIT_TEST(PromptGoesWhereMemoryIs);
   CPPUNIT_TEST(TurnedAwayIsToldWhenItIsWelcome);
@@ -273,6 +274,38 @@
     }
   }
 
+  /// In a burst of short prompts (91 a second before 16 engines) one prompt of
+  /// 529,205 tokens came in a lull of reading. It was placed on four engines,
+  /// on each of which few streams were written, for 7.2 s each (`part_ms=7188.8
+  /// harm=14.6511`; where it was turned away the day was sound). For these
+  /// seconds a fourth of the engines took nothing; the others had 20 requests
+  /// and more in 16 slots, first events came after 0.6 to 1.1 s, were taken for
+  /// silence, and what waited was asked for again elsewhere. It was judged by
+  /// what engines were doing at that moment, and nobody read; what came in the
+  /// seven seconds was not there yet.
+  void GiantTakesNoEnginesFromABurst()
+  {
+    constexpr double kGiant = 529205;
+    fleet f;
+    for (std::size_t engine = 0; engine < kEngines; ++engine) {
+      const int clips = engine < 4 ? 2 : 9;
+      for (int i = 0; i < clips; ++i) {
+        f.PutClip(engine);
+      }
+    }
+    CPPUNIT_ASSERT(f.Choose(Review(kGiant)).mVerdict ==
+                   engine_verdict::TurnAway);
+    // With few streams anywhere it is read, by so many engines that none of
+    // them is held for long.
+    fleet calm;
+    for (std::size_t engine = 0; engine < 3; ++engine) {
+      calm.PutClip(engine);
+    }
+    const engine_choice choice = calm.Choose(Review(kGiant));
+    CPPUNIT_ASSERT(choice.mVerdict == engine_verdict::Send);
+    CPPUNIT_ASSERT(choice.mPartMs < 2000);
+  }
+
   void IdleFleetReadsGiantWithHolders()
   {
     fleet f;
