--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -116,7 +116,8 @@
                Hash(aOther.mEndpoint->mListed.mId, seed);
       });
   }
-  return PlaceDivided({ candidates, aTiming, aWork, reading });
+  return PlaceDivided(
+    { candidates, aTiming, aWork, reading, SlotsTaken(candidates, aTiming) });
 }
 
 placement
--- a/Libraries/LibFleet/PlacementDivision.cpp
+++ b/Libraries/LibFleet/PlacementDivision.cpp
@@ -137,7 +137,9 @@
       made.mReaders.push_back(one);
     }
   }
-  made.mHarm += DelayOfOthers(aEngines, made.mPartMs);
+  made.mHarm +=
+    DelayOfOthers(aEngines, made.mPartMs) +
+    HoldingHarm(aPlacing.mSlotsTaken, made.mPartMs, aEngines.size());
   made.mReadMs = wait + made.mPartMs;
   AddHolders(made, work);
   const double first =
--- a/Libraries/LibFleet/PlacementDivision.h
+++ b/Libraries/LibFleet/PlacementDivision.h
@@ -29,7 +29,8 @@
   const std::vector<engine_candidate>& mCandidates;
   const engine_timing& mTiming;
   const engine_work& mWork;
-  double mReadingMs = 0; ///< Of the whole prompt on one engine.
+  double mReadingMs = 0;  ///< Of the whole prompt on one engine.
+  double mSlotsTaken = 0; ///< The share of all engines' slots.
 };
 
 /// The cheapest of all numbers of parts; one that has memory goes before one
--- a/Libraries/LibFleet/PlacementPrices.cpp
+++ b/Libraries/LibFleet/PlacementPrices.cpp
@@ -148,6 +148,28 @@
   return kWorthOfBusySecond * std::clamp(mean / kFullBacklogMs, 0.0, 1.0);
 }
 
+double
+HoldingHarm(double aSlotsTaken, double aPartMs, std::size_t aParts)
+{
+  // Symptom: a burst of short prompts finds engines full that bore it before.
+  // Those that read a long part take nothing for as long; what will come is in
+  // no sum, and in a lull of reading a second seems to be worth nothing. Who
+  // writes now tells how much comes.
+  const double held = std::max(0.0, aPartMs - kAbandonedMs) / kMsPerSecond;
+  return kWorthOfBusySecond * aSlotsTaken * held * static_cast<double>(aParts);
+}
+
+double
+SlotsTaken(const std::vector<engine_candidate>& aCandidates,
+           const engine_timing& aTiming)
+{
+  double taken = 0;
+  for (const engine_candidate& one : aCandidates) {
+    taken += std::min(1.0, static_cast<double>(one.mRequests) / aTiming.mSlots);
+  }
+  return taken / static_cast<double>(aCandidates.size());
+}
+
 engine_verdict
 Judge(const engine_choice& aChoice, const engine_work& aWork, double aReadingMs)
 {
@@ -161,6 +183,8 @@
   // of its kind (0.44 to 0.92 on a day of bursts before 172 engines). So the
   // price takes no larger share of what a prompt gains than the share of a full
   // backlog that there is.
+  // What holds engines for long is in the harm: that is a bound on the length
+  // of its parts, of which there can be more.
   const double price =
     std::min(aChoice.mPriceOfSecond * aReadingMs / kMsPerSecond,
              aChoice.mPriceOfSecond / kWorthOfBusySecond * mostGain);
--- a/Libraries/LibFleet/PlacementPrices.h
+++ b/Libraries/LibFleet/PlacementPrices.h
@@ -44,6 +44,18 @@
 double
 PriceOfSecond(const std::vector<engine_candidate>& aCandidates);
 
+/// What parts of this length, one on each of so many engines, take from
+/// requests that come while they are read, by the share of all slots that is
+/// taken now.
+double
+HoldingHarm(double aSlotsTaken, double aPartMs, std::size_t aParts);
+
+/// The share of the engines' slots that requests take. There is at least one
+/// candidate.
+double
+SlotsTaken(const std::vector<engine_candidate>& aCandidates,
+           const engine_timing& aTiming);
+
 /// Whether reading this prompt gains its caller more than it takes from the
 /// callers of others.
 engine_verdict
