--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -96,6 +96,9 @@
   void WatchStall(const attempt& aAttempt);
   void OnSilence();
   void LogSilence() const;
+  /// All of the engine's slots are taken, as far as is known, and something
+  /// came from it lately, for whichever of this entry's requests.
+  bool IsFullAndWorks(const attempt& aAttempt) const;
   /// What the endpoint is known to have to read before it writes again.
   duration KnownReading(const attempt& aAttempt) const;
   void OnDeadline();
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -11,6 +11,10 @@
 constexpr double kSilenceOfObjective = 0.6;
 /// Times that engines may refuse to set memory aside for one request.
 constexpr std::size_t kMostMemoryRefusals = 3;
+/// An engine that writes sends something for each stream at each of its passes,
+/// which take some tens of milliseconds, and several hundred beside long
+/// reading.
+constexpr duration kWorksIfHeardWithin = std::chrono::milliseconds(600);
 /// Reading that explains a silence.
 constexpr duration kWorthWaitingFor = std::chrono::milliseconds(100);
 
@@ -307,6 +311,13 @@
     WatchSilence(reading + kWorthWaitingFor);
     return;
   }
+  if (IsFullAndWorks(*mAttempt)) {
+    // The request waits for a slot. To avoid the engine, or to ask for the
+    // prompt again elsewhere, gives the others more to do, until they are
+    // silent in their turn.
+    WatchSilence(kWorksIfHeardWithin);
+    return;
+  }
   LogSilence();
   Sign(*mAttempt, endpoint_sign::Silent);
   NoteBroken(*mAttempt, true);
@@ -315,6 +326,22 @@
   Retry("silent");
 }
 
+bool
+exchange::IsFullAndWorks(const attempt& aAttempt) const
+{
+  const gateway_board& board = mContext.mBoard;
+  const std::string& id = aAttempt.Endpoint().mId;
+  const auto known = board.mEndpoints.mEndpoints.find(id);
+  const auto load = board.mLedger.mEngines.find(EngineKey(id));
+  if (!mService->mEngine.has_value() ||
+      known == board.mEndpoints.mEndpoints.end() ||
+      load == board.mLedger.mEngines.end()) {
+    return false;
+  }
+  return load->second.mWriting.size() >= mService->mEngine->mSlots &&
+         mContext.mLoop.Now() - known->second.mHeard < kWorksIfHeardWithin;
+}
+
 void
 exchange::LogSilence() const
 {
