--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -11,6 +11,10 @@
 constexpr double kSilenceOfObjective = 0.6;
 /// Times that engines may refuse to set memory aside for one request.
 constexpr std::size_t kMostMemoryRefusals = 3;
+/// An engine that writes sends something for each stream at each of its passes,
+/// which take some tens of milliseconds, and several hundred beside long
+/// reading.
+constexpr duration kWorksIfHeardWithin = std::chrono::milliseconds(600);
 /// Reading that explains a silence.
 constexpr duration kWorthWaitingFor = std::chrono::milliseconds(100);
 
@@ -307,6 +311,14 @@
     WatchSilence(reading + kWorthWaitingFor);
     return;
   }
+  if (IsFullAndWorks(*mAttempt)) {
+    // The request waits for a slot. To avoid the engine, or to ask for the
+    // prompt again elsewhere, gives the others more to do, until they are
+    // silent in their turn.
+    WatchSilence(kWorksIfHeardWithin);
+    return;
+  }
+  LogSilence();
   Sign(*mAttempt, endpoint_sign::Silent);
   NoteBroken(*mAttempt, true);
   mMayHaveRun = mMayHaveRun || mAttempt->Sent();
@@ -314,6 +326,48 @@
   Retry("silent");
 }
 
+bool
+exchange::IsFullAndWorks(const attempt& aAttempt) const
+{
+  const gateway_board& board = mContext.mBoard;
+  const std::string& id = aAttempt.Endpoint().mId;
+  const auto known = board.mEndpoints.mEndpoints.find(id);
+  const auto load = board.mLedger.mEngines.find(EngineKey(id));
+  if (!mService->mEngine.has_value() ||
+      known == board.mEndpoints.mEndpoints.end() ||
+      load == board.mLedger.mEngines.end()) {
+    return false;
+  }
+  return load->second.mWriting.size() >= mService->mEngine->mSlots &&
+         mContext.mLoop.Now() - known->second.mHeard < kWorksIfHeardWithin;
+}
+
+void
+exchange::LogSilence() const
+{
+  const time_point now = mContext.mLoop.Now();
+  const std::string& id = mAttempt->Endpoint().mId;
+  const auto known = mContext.mBoard.mEndpoints.mEndpoints.find(id);
+  const bool listed = known != mContext.mBoard.mEndpoints.mEndpoints.end();
+  const auto load = mContext.mBoard.mLedger.mEngines.find(EngineKey(id));
+  const bool given = load != mContext.mBoard.mLedger.mEngines.end();
+  Log(log_level::Info,
+      "endpoint_silent",
+      { { "request", mFacts.mId },
+        { "endpoint", id },
+        { "expected_ms", mExpectedMs },
+        { "waited_ms", Milliseconds(now - mAttempt->SentAt()) },
+        { "events", mCursor.Count() },
+        { "helpers", mHelpers },
+        { "reading_left_ms", given ? BacklogMs(load->second, now) : 0 },
+        { "writing", given ? load->second.mWriting.size() : 0 },
+        { "own_attempts", listed ? known->second.mOutstanding : 0 },
+        { "heard_ms",
+          listed && known->second.mHeard != time_point{}
+            ? Milliseconds(now - known->second.mHeard)
+            : -1 } });
+}
+
 duration
 exchange::KnownReading(const attempt& aAttempt) const
 {
