--- a/Tests/Soak/Faults.cpp
+++ b/Tests/Soak/Faults.cpp
@@ -28,6 +28,9 @@
 constexpr double kMeanDistance = 0.5;
 constexpr double kLongest = 2.0;
 constexpr std::uint64_t kTargets = 1000;
+constexpr double kMeanBetweenCrashes = 1.5;
+/// So that the two plans of a seed have nothing to do with each other.
+constexpr std::uint64_t kCrashSeed = 0xc0ffee;
 
 } // namespace
 
@@ -37,6 +40,18 @@
   return kNames[static_cast<std::size_t>(aKind)];
 }
 
+std::vector<planned_crash>
+PlanCrashes(std::uint64_t aSeed, duration aLength)
+{
+  random_engine random(aSeed + kCrashSeed);
+  std::vector<planned_crash> plan;
+  for (double at = 1; at < Seconds(aLength);
+       at += Exponential(random, kMeanBetweenCrashes)) {
+    plan.push_back({ FromSeconds(at), Below(random, kTargets) });
+  }
+  return plan;
+}
+
 std::vector<fault>
 PlanFaults(std::uint64_t aSeed, duration aLength)
 {
--- a/Tests/Soak/Faults.h
+++ b/Tests/Soak/Faults.h
@@ -42,6 +42,19 @@
   bool operator==(const fault&) const = default;
 };
 
+/// When endpoints end without a word, and which; beside the plan of faults, so
+/// that a seed's plan stays what it was.
+struct planned_crash
+{
+  duration mAt{};
+  std::size_t mTarget = 0; ///< Drawn; taken modulo what there is.
+
+  bool operator==(const planned_crash&) const = default;
+};
+
+std::vector<planned_crash>
+PlanCrashes(std::uint64_t aSeed, duration aLength);
+
 std::vector<fault>
 PlanFaults(std::uint64_t aSeed, duration aLength);
 
--- a/Tests/Soak/History.cpp
+++ b/Tests/Soak/History.cpp
@@ -118,6 +118,14 @@
       }
     }
   }
+  // Operators allow as many.
+  constexpr std::size_t kAllowedLate = 3;
+  if (aHistory.mCrashingLate > kAllowedLate) {
+    broken.push_back({ "",
+                       "a request that had ended three engines was sent " +
+                         std::to_string(aHistory.mCrashingLate) +
+                         " times more" });
+  }
   if (aHistory.mTimed) {
     for (const std::string& what : aHistory.mOther) {
       broken.push_back({ "", what });
--- a/Tests/Soak/History.h
+++ b/Tests/Soak/History.h
@@ -61,8 +61,11 @@
   std::vector<hurt_span> mHurt;
   std::vector<planned_end> mPlanned;
   std::vector<std::string> mOther; ///< Broken promises seen while it ran.
-  duration mTimeLimit{};           ///< Of each request.
-  int mEvents = 0;                 ///< Of each whole stream.
+  /// Sends of a request that ends engines, by entries that were well, long
+  /// after it had ended three.
+  std::size_t mCrashingLate = 0;
+  duration mTimeLimit{}; ///< Of each request.
+  int mEvents = 0;       ///< Of each whole stream.
   /// Whether bounds of time are judged too: they say nothing on a machine that
   /// is busy with other things.
   bool mTimed = true;
--- a/Tests/Soak/SoakWorld.cpp
+++ b/Tests/Soak/SoakWorld.cpp
@@ -29,6 +29,11 @@
 /// A manifest is in force within this on every entry that is well.
 constexpr duration kInForce = std::chrono::seconds(3);
 constexpr duration kMemoryLease = std::chrono::seconds(4);
+/// An endpoint that ended is off the list after this, and back as a new one.
+constexpr duration kBackAfter = milliseconds(1200);
+/// The request that ends engines comes again as often as this.
+constexpr duration kCrashingEvery = milliseconds(150);
+const std::string kCrashingBody = "this ends whoever runs it";
 
 std::string
 RouteOf(std::uint64_t aVersion)
@@ -145,6 +150,7 @@
 {
   soak_endpoint& one = mEndpoints[aEndpoint];
   one.mFault.reset();
+  one.mCrashed = false;
   one.mReserved.clear();
   one.mId =
     "i-" + std::to_string(aEndpoint) + "-" + std::to_string(++one.mIncarnation);
@@ -216,6 +222,11 @@
           true);
     return;
   }
+  if (aBody == kCrashingBody) {
+    OnCrashing(id);
+    CrashEndpoint(aEndpoint);
+    return;
+  }
   ++mHistory.mRuns[id];
   if (one.mFault == fault_kind::EndpointHangs) {
     return;
@@ -289,20 +300,77 @@
 }
 
 void
-soak_world::PutManifest()
+soak_world::CrashEndpoint(std::size_t aEndpoint)
 {
-  ++mVersion;
-  test::WriteManifest(mStore, mVersion, RouteOf(mVersion));
+  soak_endpoint& one = mEndpoints[aEndpoint];
+  if (one.mCrashed) {
+    return;
+  }
+  one.mCrashed = true;
+  one.mServer->End();
+  // What is under way on its connections finds another incarnation.
+  ++one.mIncarnation;
+  After(kBackAfter, [this, aEndpoint, id = one.mId]() {
+    if (mEndpoints[aEndpoint].mId != id) {
+      return;
+    }
+    mStore.Remove("servers", id);
+    mLoop.DeleteLater(std::shared_ptr<test::standin_server>(
+      std::move(mEndpoints[aEndpoint].mServer)));
+    MakeEndpoint(aEndpoint);
+  });
 }
 
 void
-soak_world::SendRequest()
+soak_world::OnCrashing(const std::string& aId)
+{
+  // Named after the entry that it was sent to.
+  const std::size_t entry = std::stoul(aId.substr(1, aId.find('-') - 1));
+  const time_point now = mLoop.Now();
+  bool well = mEntries[entry].mTakesCallersFrom <= now - kInForce;
+  for (const hurt_span& span : mHistory.mHurt) {
+    well = well && (span.mEntry != entry || span.mTo < now);
+  }
+  if (mCrashingEnds >= 3 && now > mThirdEnd + kInForce && well) {
+    ++mHistory.mCrashingLate;
+  }
+  if (++mCrashingEnds == 3) {
+    mThirdEnd = now;
+  }
+}
+
+void
+soak_world::SendCrashing()
 {
   if (!mSending) {
     return;
   }
-  After(FromSeconds(Exponential(mRandom, kRequestEvery)),
-        [this]() { SendRequest(); });
+  After(kCrashingEvery, [this]() { SendCrashing(); });
+  const std::optional<std::size_t> entry = AnyOpenEntry();
+  if (!entry.has_value()) {
+    return;
+  }
+  const std::shared_ptr<test::standin_caller> caller =
+    std::make_shared<test::standin_caller>(
+      mLoop, ip_address{ mEntries[*entry].mHost, mEntries[*entry].mPort });
+  caller->Send(test::RequestText("c" + std::to_string(*entry) + "-" +
+                                   std::to_string(++mCrashingSent),
+                                 "stream",
+                                 "Token-Usage: 1000,50\r\n",
+                                 kCrashingBody));
+  After(std::chrono::seconds(1), [caller]() { caller->Leave(); });
+}
+
+void
+soak_world::PutManifest()
+{
+  ++mVersion;
+  test::WriteManifest(mStore, mVersion, RouteOf(mVersion));
+}
+
+std::optional<std::size_t>
+soak_world::AnyOpenEntry()
+{
   const time_point now = mLoop.Now();
   std::vector<std::size_t> open;
   for (std::size_t i = 0; i < mEntries.size(); ++i) {
@@ -312,13 +380,29 @@
     }
   }
   if (open.empty()) {
+    return std::nullopt;
+  }
+  return open[Below(mRandom, open.size())];
+}
+
+void
+soak_world::SendRequest()
+{
+  if (!mSending) {
+    return;
+  }
+  After(FromSeconds(Exponential(mRandom, kRequestEvery)),
+        [this]() { SendRequest(); });
+  const time_point now = mLoop.Now();
+  const std::optional<std::size_t> entry = AnyOpenEntry();
+  if (!entry.has_value()) {
     return;
   }
   const std::shared_ptr<call> made = std::make_shared<call>();
   request_record& record = made->mRecord;
   record.mId = "r" + std::to_string(++mSent);
   record.mKind = static_cast<request_kind>(Below(mRandom, 3));
-  record.mEntry = open[Below(mRandom, open.size())];
+  record.mEntry = *entry;
   record.mSent = now;
   const char* const path = record.mKind == request_kind::Safe     ? "safe"
                            : record.mKind == request_kind::Unsafe ? "unsafe"
@@ -456,6 +540,9 @@
       return;
     }
     case fault_kind::EndpointLeaves: {
+      if (endpoint.mCrashed) {
+        return;
+      }
       test::ListEndpoint(mStore,
                          endpoint.mId,
                          endpoint.mService,
@@ -574,6 +661,13 @@
   turnUntil(begin + kStartTime);
   mSending = true;
   SendRequest();
+  SendCrashing();
+  for (const planned_crash& one : PlanCrashes(aSeed, aLength)) {
+    After(one.mAt, [this, one]() {
+      std::cout << "crash at=" << Seconds(one.mAt) << '\n';
+      CrashEndpoint(one.mTarget % mEndpoints.size());
+    });
+  }
   for (const fault& one : PlanFaults(aSeed, aLength)) {
     After(one.mAt, [this, one]() { Begin(one); });
     After(one.mAt + one.mFor, [this, one]() { End(one); });
@@ -583,6 +677,9 @@
   // All faults have ended; what was sent ends, and memory is freed.
   turnUntil(mLoop.Now() + kTimeLimit + kMemoryLease + std::chrono::seconds(1));
   CheckMemory();
+  std::cout << "crashing_request asked=" << mCrashingSent
+            << " ended=" << mCrashingEnds << " late=" << mHistory.mCrashingLate
+            << '\n';
   for (const std::shared_ptr<call>& one : mCalls) {
     Settle(one);
   }
--- a/Tests/Soak/SoakWorld.h
+++ b/Tests/Soak/SoakWorld.h
@@ -40,6 +40,7 @@
   std::string mService;
   std::size_t mIncarnation = 0;
   std::optional<fault_kind> mFault;
+  bool mCrashed = false; ///< It ended without a word; a new one follows.
   std::unique_ptr<test::standin_server> mServer;
   std::map<std::string, time_point> mReserved; ///< Until when.
 };
@@ -79,6 +80,13 @@
              const std::string& aBytes,
              bool aLast);
   void SendRequest();
+  /// Asks for what ends each engine that runs it, again and again.
+  void SendCrashing();
+  void OnCrashing(const std::string& aId);
+  /// Ends an endpoint without a word; a new one takes its place.
+  void CrashEndpoint(std::size_t aEndpoint);
+  /// An entry that callers are sent to now; nothing if there is none.
+  std::optional<std::size_t> AnyOpenEntry();
   void Settle(const std::shared_ptr<call>& aCall);
   void Look();
   void PutManifest();
@@ -103,6 +111,9 @@
   time_point mStoreGoodSince{};
   unsigned mStoreFaults = 0;
   std::size_t mSent = 0;
+  std::size_t mCrashingSent = 0;
+  std::size_t mCrashingEnds = 0; ///< Engines that ended under it.
+  time_point mThirdEnd{};
   bool mSending = false;
 };
 
