--- a/Libraries/LibFleet/Quarantine.cpp
+++ b/Libraries/LibFleet/Quarantine.cpp
@@ -52,7 +52,7 @@
 {
   suspicion sum = 0;
   for (const crash_report& report : aSuspect.mReports) {
-    sum += report.mAnswering ? kOfAnEndWhileAnswering : kOfAnEnd;
+    sum += SuspicionOfEnd(report.mAnswering);
   }
   return sum;
 }
--- a/Libraries/LibFleet/Quarantine.h
+++ b/Libraries/LibFleet/Quarantine.h
@@ -50,6 +50,13 @@
 inline constexpr suspicion kOfAnEnd = 4;
 inline constexpr suspicion kOfAnEndWhileAnswering = 3;
 
+/// What one end adds.
+constexpr suspicion
+SuspicionOfEnd(bool aAnswering)
+{
+  return aAnswering ? kOfAnEndWhileAnswering : kOfAnEnd;
+}
+
 /// Trials of a held request by the whole fleet. Operators allow three more
 /// sends of a request that has ended three endpoints; one may have been on its
 /// way.
--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -4,9 +4,6 @@
 
 namespace {
 
-/// A connection within a region takes a few milliseconds; an endpoint that
-/// has not answered by now is dark or its queue of connections is full.
-constexpr duration kConnectTimeout = std::chrono::milliseconds(250);
 /// For an endpoint that names no timeout for idle connections.
 constexpr duration kUsualIdleTimeout = std::chrono::seconds(4);
 
--- a/Libraries/LibGateway/CrashWatch.cpp
+++ b/Libraries/LibGateway/CrashWatch.cpp
@@ -59,6 +59,30 @@
     });
 }
 
+/// `aToldBy` is empty where it was answered here.
+void
+LogCleared(log_level aLevel,
+           request_digest aRequest,
+           const std::string& aToldBy,
+           bool aWasHeld)
+{
+  Log(aLevel,
+      "request_cleared",
+      { { "digest", DigestText(aRequest) },
+        { "told_by", aToldBy },
+        { "was_held", static_cast<int>(aWasHeld) } });
+}
+
+/// Drops what was noted so long ago.
+template<typename Key>
+void
+EraseOlder(std::map<Key, time_point>& aNoted, duration aAge, time_point aNow)
+{
+  std::erase_if(aNoted, [aAge, aNow](const auto& aEntry) {
+    return aEntry.second + aAge <= aNow;
+  });
+}
+
 /// The requests whose time has come, which are taken out.
 std::vector<request_digest>
 TakeDue(std::map<request_digest, time_point>& aTimes, time_point aNow)
@@ -299,11 +323,7 @@
   if (!NoteServed(mBoard.mQuarantine, aRequest, mLoop.Now())) {
     return;
   }
-  Log(log_level::Warning,
-      "request_cleared",
-      { { "digest", DigestText(aRequest) },
-        { "told_by", "" },
-        { "was_held", static_cast<int>(held) } });
+  LogCleared(log_level::Warning, aRequest, "", held);
   mOutbox.TellCleared(aRequest);
   if (held) {
     mRows.erase(aRequest);
@@ -318,11 +338,7 @@
   mRefutationsDue.erase(aRequest);
   mRowsDue.erase(aRequest);
   if (held) {
-    Log(log_level::Info,
-        "request_cleared",
-        { { "digest", DigestText(aRequest) },
-          { "told_by", aHost },
-          { "was_held", 1 } });
+    LogCleared(log_level::Info, aRequest, aHost, true);
   }
   if (mRows.erase(aRequest) != 0) {
     mTable.Remove(aRequest);
@@ -377,7 +393,7 @@
     for (const open_case& one : cases) {
       if (one.mAttempt.mRequest == aRequest && one.mAttempt.mBrokeOff &&
           !one.mReached) {
-        sum += one.mAttempt.mAnswering ? kOfAnEndWhileAnswering : kOfAnEnd;
+        sum += SuspicionOfEnd(one.mAttempt.mAnswering);
       }
     }
   }
@@ -464,21 +480,13 @@
   }
   std::erase_if(mCases,
                 [](const auto& aEntry) { return aEntry.second.empty(); });
-  std::erase_if(mEnded, [now](const auto& aEntry) {
-    return aEntry.second + kCaseOpenFor <= now;
-  });
-  std::erase_if(mReported, [now](const auto& aEntry) {
-    return aEntry.second + kReportedFor <= now;
-  });
+  EraseOlder(mEnded, kCaseOpenFor, now);
+  EraseOlder(mReported, kReportedFor, now);
   std::erase_if(mTold, [this](const auto& aEntry) {
     return !mBoard.mPeers.contains(aEntry.first);
   });
   for (const request_digest freed : ForgetOldCrashes(mBoard.mQuarantine, now)) {
-    Log(log_level::Info,
-        "request_cleared",
-        { { "digest", DigestText(freed) },
-          { "told_by", "time" },
-          { "was_held", 1 } });
+    LogCleared(log_level::Info, freed, "time", true);
     mRows.erase(freed);
     if (IsOwnDuty(mBoard, mSettings.mPeers.mHost, freed)) {
       mTable.Remove(freed);
--- a/Libraries/LibGateway/EndpointConnections.h
+++ b/Libraries/LibGateway/EndpointConnections.h
@@ -9,6 +9,10 @@
 
 namespace primrose {
 
+/// A connection within a region takes a few milliseconds; an endpoint that has
+/// not answered by now is dark or its queue of connections is full.
+inline constexpr duration kConnectTimeout = std::chrono::milliseconds(250);
+
 class endpoint_connections final : public channel_owner
 {
 public:
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -96,6 +96,10 @@
   void WatchStall(const attempt& aAttempt);
   void OnSilence();
   void LogSilence() const;
+  /// What is believed of the attempt's endpoint; null if it is off the list.
+  known_endpoint* Known(const attempt& aAttempt) const;
+  /// What the engine has been given; null if that is nothing.
+  const engine_load* LoadOf(const attempt& aAttempt) const;
   /// All of the engine's slots are taken, as far as is known, and something
   /// came from it lately, for whichever of this entry's requests.
   bool IsFullAndWorks(const attempt& aAttempt) const;
--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -30,10 +30,8 @@
 void
 exchange::Sign(const attempt& aAttempt, endpoint_sign aSign)
 {
-  const auto known =
-    mContext.mBoard.mEndpoints.mEndpoints.find(aAttempt.Endpoint().mId);
-  if (known != mContext.mBoard.mEndpoints.mEndpoints.end()) {
-    Sign(known->second, aSign);
+  if (known_endpoint* const known = Known(aAttempt); known != nullptr) {
+    Sign(*known, aSign);
   }
 }
 
@@ -115,10 +113,8 @@
 void
 exchange::NoteHeard(const attempt& aAttempt)
 {
-  const auto known =
-    mContext.mBoard.mEndpoints.mEndpoints.find(aAttempt.Endpoint().mId);
-  if (known != mContext.mBoard.mEndpoints.mEndpoints.end()) {
-    known->second.mHeard = mContext.mLoop.Now();
+  if (known_endpoint* const known = Known(aAttempt); known != nullptr) {
+    known->mHeard = mContext.mLoop.Now();
   }
 }
 
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -326,57 +326,61 @@
   Retry("silent");
 }
 
+known_endpoint*
+exchange::Known(const attempt& aAttempt) const
+{
+  const auto known =
+    mContext.mBoard.mEndpoints.mEndpoints.find(aAttempt.Endpoint().mId);
+  return known == mContext.mBoard.mEndpoints.mEndpoints.end() ? nullptr
+                                                              : &known->second;
+}
+
+const engine_load*
+exchange::LoadOf(const attempt& aAttempt) const
+{
+  const engine_ledger& ledger = mContext.mBoard.mLedger;
+  const auto load = ledger.mEngines.find(EngineKey(aAttempt.Endpoint().mId));
+  return load == ledger.mEngines.end() ? nullptr : &load->second;
+}
+
 bool
 exchange::IsFullAndWorks(const attempt& aAttempt) const
 {
-  const gateway_board& board = mContext.mBoard;
-  const std::string& id = aAttempt.Endpoint().mId;
-  const auto known = board.mEndpoints.mEndpoints.find(id);
-  const auto load = board.mLedger.mEngines.find(EngineKey(id));
-  if (!mService->mEngine.has_value() ||
-      known == board.mEndpoints.mEndpoints.end() ||
-      load == board.mLedger.mEngines.end()) {
-    return false;
-  }
-  return load->second.mWriting.size() >= mService->mEngine->mSlots &&
-         mContext.mLoop.Now() - known->second.mHeard < kWorksIfHeardWithin;
+  const known_endpoint* const known = Known(aAttempt);
+  const engine_load* const load = LoadOf(aAttempt);
+  return mService->mEngine.has_value() && known != nullptr && load != nullptr &&
+         load->mWriting.size() >= mService->mEngine->mSlots &&
+         mContext.mLoop.Now() - known->mHeard < kWorksIfHeardWithin;
 }
 
 void
 exchange::LogSilence() const
 {
   const time_point now = mContext.mLoop.Now();
-  const std::string& id = mAttempt->Endpoint().mId;
-  const auto known = mContext.mBoard.mEndpoints.mEndpoints.find(id);
-  const bool listed = known != mContext.mBoard.mEndpoints.mEndpoints.end();
-  const auto load = mContext.mBoard.mLedger.mEngines.find(EngineKey(id));
-  const bool given = load != mContext.mBoard.mLedger.mEngines.end();
+  const known_endpoint* const known = Known(*mAttempt);
+  const engine_load* const load = LoadOf(*mAttempt);
+  const bool heard = known != nullptr && known->mHeard != time_point{};
   Log(log_level::Info,
       "endpoint_silent",
       { { "request", mFacts.mId },
-        { "endpoint", id },
+        { "endpoint", mAttempt->Endpoint().mId },
         { "expected_ms", mExpectedMs },
         { "waited_ms", Milliseconds(now - mAttempt->SentAt()) },
         { "events", mCursor.Count() },
         { "helpers", mHelpers },
-        { "reading_left_ms", given ? BacklogMs(load->second, now) : 0 },
-        { "writing", given ? load->second.mWriting.size() : 0 },
-        { "own_attempts", listed ? known->second.mOutstanding : 0 },
-        { "heard_ms",
-          listed && known->second.mHeard != time_point{}
-            ? Milliseconds(now - known->second.mHeard)
-            : -1 } });
+        { "reading_left_ms", load == nullptr ? 0 : BacklogMs(*load, now) },
+        { "writing", load == nullptr ? 0 : load->mWriting.size() },
+        { "own_attempts", known == nullptr ? 0 : known->mOutstanding },
+        { "heard_ms", heard ? Milliseconds(now - known->mHeard) : -1 } });
 }
 
 duration
 exchange::KnownReading(const attempt& aAttempt) const
 {
-  const engine_ledger& ledger = mContext.mBoard.mLedger;
-  const auto load = ledger.mEngines.find(EngineKey(aAttempt.Endpoint().mId));
-  return load == ledger.mEngines.end()
+  const engine_load* const load = LoadOf(aAttempt);
+  return load == nullptr
            ? duration::zero()
-           : FromSeconds(BacklogMs(load->second, mContext.mLoop.Now()) /
-                         kMsPerSecond);
+           : FromSeconds(BacklogMs(*load, mContext.mLoop.Now()) / kMsPerSecond);
 }
 
 bool
@@ -428,11 +432,9 @@
 {
   mContext.mLoop.Cancel(mSilenceTimer);
   if (mAttempt != nullptr) {
-    const auto known =
-      mContext.mBoard.mEndpoints.mEndpoints.find(mAttempt->Endpoint().mId);
-    if (known != mContext.mBoard.mEndpoints.mEndpoints.end() &&
-        known->second.mOutstanding > 0) {
-      --known->second.mOutstanding;
+    known_endpoint* const known = Known(*mAttempt);
+    if (known != nullptr && known->mOutstanding > 0) {
+      --known->mOutstanding;
     }
     mReachedEndpoint = mReachedEndpoint || mAttempt->Sent();
     mAttempt->Cancel();
--- a/Libraries/LibGateway/ReachabilityCheck.cpp
+++ b/Libraries/LibGateway/ReachabilityCheck.cpp
@@ -2,13 +2,6 @@
 
 namespace primrose {
 
-namespace {
-
-/// A connection within a region takes a few milliseconds.
-constexpr duration kConnectTimeout = std::chrono::milliseconds(250);
-
-} // namespace
-
 reachability_check::reachability_check(event_loop& aLoop,
                                        endpoint_connections& aConnections,
                                        const ip_address& aAddress,
