--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -167,7 +167,8 @@
   for (duration after = kFirstReturn; after < aLongest; after *= 2) {
     const std::optional<engine_choice> choice = PlaceOnEngines(
       aBoard, aLedger, aTiming, aWork, {}, aDataCentre, aNow + after);
-    if (choice.has_value() && choice->mVerdict == engine_verdict::Send) {
+    if (choice.has_value() && (choice->mVerdict == engine_verdict::Send ||
+                               choice->mVerdict == engine_verdict::Wait)) {
       return after;
     }
   }
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -38,6 +38,10 @@
 enum class engine_verdict : std::uint8_t
 {
   Send,
+  /// It takes much from the callers of others, though not so much that it is
+  /// turned away. To be weighed again after `kReweighInterval`: the streams that
+  /// it would interrupt end within a second or two.
+  Wait,
   /// It takes more from the callers of others than it gains its own.
   TurnAway,
   /// The fleet has no memory for it.
@@ -75,6 +79,9 @@
 double
 TotalHarm(const placement_harm& aHarm);
 
+/// Between two decisions on a prompt that waits: two passes of an engine.
+inline constexpr duration kReweighInterval = std::chrono::milliseconds(100);
+
 /// What a prompt of this size is worth against others: operators of both
 /// deployments value their long documents about in proportion to their size.
 double
--- a/Libraries/LibFleet/PlacementPrices.cpp
+++ b/Libraries/LibFleet/PlacementPrices.cpp
@@ -52,6 +52,15 @@
 /// Placed requests of a kind that are required to compute its mean worth.
 constexpr std::size_t kMinSampleSize = 4;
 
+/// Share of its gain that a prompt may take from others without waiting for a
+/// better moment. Its price is no reason to wait: that follows the backlog of
+/// all engines, which changes more slowly.
+constexpr double kUnpostponedHarm = 0.6;
+/// Share of its objective for which a prompt waits for a place that takes less
+/// from others. The rest is left for reading it.
+constexpr double kMaxWaitShare = 0.6;
+constexpr duration kMaxWait = std::chrono::milliseconds(2500);
+
 constexpr double kMsPerSecond = 1e3;
 
 } // namespace
@@ -192,6 +201,13 @@
                                 : sum / static_cast<double>(count);
 }
 
+duration
+MaxWait(const engine_work& aWork)
+{
+  return std::min(kMaxWait,
+                  FromSeconds(kMaxWaitShare * Seconds(aWork.mObjective)));
+}
+
 void
 Judge(engine_choice& aChoice,
       const engine_work& aWork,
@@ -215,7 +231,15 @@
     std::clamp(aWork.mWorth / aMeanWorth, 1.0, kMaxGainFactor);
   const bool coversCost =
     aChoice.mGain * gainFactor >= TotalHarm(aChoice.mHarm) + aChoice.mPrice;
-  if (aChoice.mVerdict == engine_verdict::Send && !coversCost) {
+  if (aChoice.mVerdict != engine_verdict::Send) {
+    return;
+  }
+  const bool harmful =
+    TotalHarm(aChoice.mHarm) > aChoice.mGain * kUnpostponedHarm;
+  const bool postponed = aWork.mElapsed >= kReweighInterval;
+  if (harmful && (coversCost || postponed) && aWork.mElapsed < MaxWait(aWork)) {
+    aChoice.mVerdict = engine_verdict::Wait;
+  } else if (!coversCost) {
     aChoice.mVerdict = engine_verdict::TurnAway;
   }
 }
--- a/Libraries/LibFleet/PlacementPrices.h
+++ b/Libraries/LibFleet/PlacementPrices.h
@@ -62,11 +62,16 @@
 double
 MeanWorthOfKind(const engine_ledger& aLedger, const engine_work& aWork);
 
+/// How long after its caller asked a prompt may wait for a better place.
+duration
+MaxWait(const engine_work& aWork);
+
 /// Compares what reading this prompt gains its caller with what it takes from
 /// the callers of others.
-/// Sets `mGain` and `mPrice`, and changes `Send` to `TurnAway` if the harm and
-/// the price exceed the gain, which counts more for prompts whose worth is
-/// above `aMeanWorth`.
+/// Sets `mGain` and `mPrice`. Changes `Send` to `TurnAway` if the harm and the
+/// price exceed the gain, which counts more for prompts whose worth is above
+/// `aMeanWorth`; else to `Wait` if they come close to the gain, until the
+/// caller has waited for `MaxWait`.
 void
 Judge(engine_choice& aChoice,
       const engine_work& aWork,
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -54,6 +54,7 @@
 {
   mContext.mLoop.Cancel(mDeadlineTimer);
   mContext.mLoop.Cancel(mSilenceTimer);
+  mContext.mLoop.Cancel(mReweighTimer);
 }
 
 bool
@@ -321,6 +322,7 @@
   --mContext.mBoard.mOpenRequests;
   mContext.mLoop.Cancel(mDeadlineTimer);
   mContext.mLoop.Cancel(mSilenceTimer);
+  mContext.mLoop.Cancel(mReweighTimer);
   const time_point now = mContext.mLoop.Now();
   mContext.mBoard.mMetrics.Count(
     Labelled("gateway_requests_total", "outcome", aOutcome));
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -84,6 +84,8 @@
   /// declares none, since 0 would make every answer late and every endpoint
   /// silent.
   duration Objective() const;
+  /// Weighs the request again a moment later.
+  void WaitForPlace(const engine_choice& aChoice);
   void TurnAway(const engine_choice& aChoice);
   void NotePlacement(const engine_choice& aChoice, const engine_work& aWork);
   void SetMemoryAside(const engine_choice& aChoice);
@@ -161,6 +163,7 @@
   std::size_t mHelpers = 0;
   bool mMayHaveRun = false; ///< An endpoint got it and promised nothing.
   bool mFreshNext = false;
+  bool mWaited = false; ///< Not placed at once; see `WaitForPlace`.
   bool mTrial = false; ///< A held request that is tried once.
   bool mReachedEndpoint = false;
   bool mStreaming = false;
@@ -175,6 +178,7 @@
   state mState = state::Open;
   timer_id mDeadlineTimer = 0;
   timer_id mSilenceTimer = 0;
+  timer_id mReweighTimer = 0;
 };
 
 } // namespace primrose
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -67,11 +67,24 @@
     return false;
   }
   // What was taken on is not turned away when it has to go on elsewhere.
-  const bool takenOn =
-    !mTried.empty() && choice->mVerdict == engine_verdict::TurnAway;
-  if (choice->mVerdict != engine_verdict::Send && !takenOn) {
-    TurnAway(*choice);
-    return true;
+  const bool takenOn = !mTried.empty();
+  switch (choice->mVerdict) {
+    case engine_verdict::Send:
+      break;
+    case engine_verdict::Wait:
+      if (takenOn || board.mDraining) {
+        break;
+      }
+      WaitForPlace(*choice);
+      return true;
+    case engine_verdict::TurnAway:
+      if (takenOn) {
+        break;
+      }
+      [[fallthrough]];
+    case engine_verdict::NoMemory:
+      TurnAway(*choice);
+      return true;
   }
   TakeToken(choice->mWriter->mLimit, mContext.mLoop.Now());
   NotePlacement(*choice, work);
@@ -108,6 +121,27 @@
   return work;
 }
 
+void
+exchange::WaitForPlace(const engine_choice& aChoice)
+{
+  if (!mWaited) {
+    mWaited = true;
+    mContext.mBoard.mMetrics.Count("gateway_placements_postponed_total");
+    Log(log_level::Info,
+        "placement_postponed",
+        { { "request", mFacts.mId },
+          { "prompt_tokens", mFacts.mPromptTokens },
+          { "gain", aChoice.mGain },
+          { "harm", TotalHarm(aChoice.mHarm) },
+          { "price", aChoice.mPrice } });
+  }
+  mReweighTimer = mContext.mLoop.After(kReweighInterval, [this]() {
+    const std::shared_ptr<exchange> self = shared_from_this();
+    mReweighTimer = 0;
+    Dispatch();
+  });
+}
+
 void
 exchange::TurnAway(const engine_choice& aChoice)
 {
@@ -167,6 +201,7 @@
         { "prompt_tokens", mFacts.mPromptTokens },
         { "part_ms", aChoice.mPartMs },
         { "expected_ms", aChoice.mFirstEventMs },
+        { "waited_ms", mWaited ? Milliseconds(aWork.mElapsed) : 0 },
         { "harm", TotalHarm(aChoice.mHarm) },
         { "attempt", mTried.size() + 1 },
         { "manifest", mManifest->Manifest().mVersion } });
--- a/Tests/Gateway/StreamTest.cpp
+++ b/Tests/Gateway/StreamTest.cpp
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(RefusalForAHelpersSakeIsTriedWithoutIt);
   CPPUNIT_TEST(HelperThatRefusedIsLeftOutNextTime);
   CPPUNIT_TEST(FullEngineIsNotTakenForDark);
+  CPPUNIT_TEST(PromptWaitsUntilTheStreamItWouldInterruptEnds);
+  CPPUNIT_TEST(CallerThatLeavesWhileItsPromptWaitsIsSentNowhere);
   CPPUNIT_TEST(LateStreamsAndStoreCallsAreCounted);
   CPPUNIT_TEST_SUITE_END();
 
@@ -30,7 +32,66 @@
     return "id: " + std::to_string(aId) + "\ndata: x\n\n";
   }
 
+  /// One engine that writes a stream, and a second request whose reading would
+  /// interrupt it.
+  struct interrupting_world : world
+  {
+    interrupting_world()
+    {
+      // The time that the entry expects the first prompt's reading to take.
+      constexpr milliseconds kReading(700);
+      List("i-model", "model", mModel.mServer.Address());
+      mModel.mAnswer = [](connection& aConnection, const http_head& aHead) {
+        std::string bytes = GoodHead(aHead, "Transfer-Encoding: chunked\r\n");
+        AppendChunk(bytes, Event(1));
+        aConnection.mChannel->Write(bytes);
+      };
+      Start();
+      (void)Ask(Request("r1", "stream", "Token-Usage: 40000,50\r\n"));
+      Until([this]() { return mModel.mHeads.size() == 1; }, "the stream");
+      For(kReading);
+      mWaiting = &Ask(Request("r2", "stream", "Token-Usage: 22000,50\r\n"));
+      For(milliseconds(300));
+      CPPUNIT_ASSERT(Metrics().find("gateway_placements_postponed_total 1") !=
+                     std::string::npos);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), mModel.mHeads.size());
+    }
+
+    void EndStream()
+    {
+      connection* const writing = mModel.mLast;
+      writing->mChannel->Write(kLastChunk);
+      writing->Next();
+    }
+
+    standin_caller* mWaiting = nullptr;
+  };
+
 public:
+  /// Guards against a long prompt that is read where a stream is written,
+  /// although that stream ends before the prompt would be late.
+  void PromptWaitsUntilTheStreamItWouldInterruptEnds()
+  {
+    interrupting_world w;
+    w.EndStream();
+    w.Until([&w]() { return w.mModel.mHeads.size() == 2; }, "the long prompt");
+    w.Until(
+      [&w]() { return w.mWaiting->Seen().find(Event(1)) != std::string::npos; },
+      "its first event");
+  }
+
+  /// Guards against a prompt that is read for a caller that has left.
+  void CallerThatLeavesWhileItsPromptWaitsIsSentNowhere()
+  {
+    interrupting_world w;
+    w.mWaiting->Leave();
+    w.For(milliseconds(100));
+    w.EndStream();
+    w.For(milliseconds(400));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), w.mModel.mHeads.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), w.mGateway->Board().mOpenRequests);
+  }
+
   void EventsAreForwardedAsTheyArrive()
   {
     world w;
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -111,6 +111,9 @@
 {
   double mTokens = 0;
   bool mServed = false;
+  double mGain = 0;   ///< Worth to its caller of serving it.
+  double mHarm = 0;   ///< Worth that others were expected to lose by it.
+  duration mWaited{}; ///< Until it was placed, since it came.
 };
 
 double
@@ -123,17 +126,53 @@
   return static_cast<double>(served) / static_cast<double>(aReviews.size());
 }
 
-/// Simulates ten seconds of a burst of reviews with concurrent shorter prompts,
-/// on the engines that one entry of a large fleet prefers. Each rejected
-/// request is retried once.
+struct kind_of_prompt
+{
+  double mPerSecond = 0;
+  double mTokens = 0; ///< Median.
+  double mSpread = 0; ///< Of the logarithm.
+  double mAnswerTokens = 0;
+  milliseconds mLongestPause{};
+  milliseconds mObjective{};
+};
+
+struct burst_load
+{
+  std::size_t mEngines = 0;
+  unsigned mSlots = 0;
+  std::vector<kind_of_prompt> mShorter;
+  kind_of_prompt mReviews;
+};
+
+/// On the engines that one entry of a large fleet prefers.
+const burst_load kLargeFleet{
+  53,
+  10,
+  { { 29, 5000, 0.5, 1920, milliseconds(300), milliseconds(400) },
+    { 7, 45000, 0.5, 1120, milliseconds(800), milliseconds(1500) } },
+  { 9, 190000, 0.5, 960, milliseconds(1200), milliseconds(4000) }
+};
+
+/// Few short prompts, and reviews that ask for all the reading there is.
+const burst_load kReviewsOnly{
+  54,
+  12,
+  { { 20, 5000, 0.6, 1820, milliseconds(250), milliseconds(300) },
+    { 7, 40000, 0.45, 1080, milliseconds(600), milliseconds(1500) } },
+  { 6, 190000, 0.55, 910, milliseconds(1000), milliseconds(4000) }
+};
+
+/// Simulates ten seconds of a burst of reviews with concurrent shorter prompts.
+/// Each rejected request is retried once.
 class burst_simulation
 {
 public:
-  explicit burst_simulation(std::uint64_t aSeed)
-    : mRandom(aSeed)
+  burst_simulation(std::uint64_t aSeed, burst_load aLoad)
+    : mLoad(std::move(aLoad))
+    , mRandom(aSeed)
   {
-    mTiming.mSlots = 10;
-    for (std::size_t i = 0; i < 53; ++i) {
+    mTiming.mSlots = mLoad.mSlots;
+    for (std::size_t i = 0; i < mLoad.mEngines; ++i) {
       endpoint listed;
       listed.mId = "engine-" + std::to_string(i);
       listed.mService = "model";
@@ -143,12 +182,10 @@
 
   std::vector<review_request> Run()
   {
-    ScheduleArrivals(
-      { "model", 5000, 1920, milliseconds(300), milliseconds(400) }, 29);
-    ScheduleArrivals(
-      { "model", 45000, 1120, milliseconds(800), milliseconds(1500) }, 7);
-    ScheduleArrivals(
-      { "model", 190000, 960, milliseconds(1200), milliseconds(4000) }, 9);
+    for (const kind_of_prompt& kind : mLoad.mShorter) {
+      ScheduleArrivals(kind, false);
+    }
+    ScheduleArrivals(mLoad.mReviews, true);
     while (!mEvents.empty()) {
       const std::function<void()> event = mEvents.begin()->second;
       mNow = mEvents.begin()->first;
@@ -159,16 +196,19 @@
   }
 
 private:
-  void ScheduleArrivals(const engine_work& aTemplate, double aPerSecond)
+  void ScheduleArrivals(const kind_of_prompt& aKind, bool aReviews)
   {
-    std::exponential_distribution<double> gap(aPerSecond);
-    std::lognormal_distribution<double> size(0, 0.5);
+    std::exponential_distribution<double> gap(aKind.mPerSecond);
+    std::lognormal_distribution<double> size(0, aKind.mSpread);
     for (double at = gap(mRandom); at < 10; at += gap(mRandom)) {
-      engine_work work = aTemplate;
-      work.mPromptTokens *= size(mRandom);
+      engine_work work{ "model",
+                        aKind.mTokens * size(mRandom),
+                        aKind.mAnswerTokens,
+                        aKind.mLongestPause,
+                        aKind.mObjective };
       work.mWorth = WorthOfWork(work.mPromptTokens);
       std::optional<std::size_t> reviewIndex;
-      if (aTemplate.mObjective == milliseconds(4000)) {
+      if (aReviews) {
         reviewIndex = mReviews.size();
         mReviews.push_back({ work.mPromptTokens });
       }
@@ -188,8 +228,19 @@
     if (choice->mVerdict == engine_verdict::Send) {
       Place(*choice, aWork);
       if (aReviewIndex.has_value()) {
-        mReviews[*aReviewIndex].mServed = true;
+        review_request& review = mReviews[*aReviewIndex];
+        review.mServed = true;
+        review.mGain = choice->mGain;
+        review.mHarm = TotalHarm(choice->mHarm);
+        review.mWaited = aWork.mElapsed;
       }
+    } else if (choice->mVerdict == engine_verdict::Wait) {
+      engine_work waiting = aWork;
+      waiting.mElapsed += kReweighInterval;
+      mEvents.emplace(mNow + kReweighInterval,
+                      [this, waiting, aReviewIndex, aMayRetry]() {
+                        Submit(waiting, aReviewIndex, aMayRetry);
+                      });
     } else if (aMayRetry) {
       const duration retryAfter = UntilWelcome(
         mBoard, mLedger, mTiming, aWork, "", mNow, std::chrono::seconds(5));
@@ -216,6 +267,7 @@
                     });
   }
 
+  burst_load mLoad;
   engine_timing mTiming = SampleEngine();
   endpoint_board mBoard;
   engine_ledger mLedger;
@@ -226,6 +278,30 @@
   std::vector<review_request> mReviews;
 };
 
+std::vector<review_request>
+RunBursts(const burst_load& aLoad, std::uint64_t aSeeds)
+{
+  std::vector<review_request> reviews;
+  for (std::uint64_t seed = 1; seed <= aSeeds; ++seed) {
+    const std::vector<review_request> burst =
+      burst_simulation(seed, aLoad).Run();
+    reviews.insert(reviews.end(), burst.begin(), burst.end());
+  }
+  return reviews;
+}
+
+std::vector<review_request>
+LargestTenth(std::vector<review_request> aReviews)
+{
+  std::sort(aReviews.begin(),
+            aReviews.end(),
+            [](const review_request& aOne, const review_request& aOther) {
+              return aOne.mTokens > aOther.mTokens;
+            });
+  aReviews.resize(aReviews.size() / 10);
+  return aReviews;
+}
+
 } // namespace
 
 class placement_test : public CppUnit::TestFixture
@@ -241,6 +317,7 @@
   CPPUNIT_TEST(FleetThatIsFarBehindTurnsLargeAway);
   CPPUNIT_TEST(LargestIsNotRefusedForItsSizeAlone);
   CPPUNIT_TEST(LargestTenthIsServedHalfAsOftenAsItsKindInBursts);
+  CPPUNIT_TEST(PromptThatInterruptsOthersWaitsInBursts);
   CPPUNIT_TEST(GiantTakesNoEnginesFromABurst);
   CPPUNIT_TEST(IdleFleetReadsGiantWithHolders);
   CPPUNIT_TEST(PromptGoesWhereMemoryIs);
@@ -434,26 +511,38 @@
   void LargestTenthIsServedHalfAsOftenAsItsKindInBursts()
   {
     constexpr std::uint64_t kSeeds = 8;
-    std::vector<review_request> reviews;
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      const std::vector<review_request> burst = burst_simulation(seed).Run();
-      reviews.insert(reviews.end(), burst.begin(), burst.end());
-    }
-    std::sort(reviews.begin(),
-              reviews.end(),
-              [](const review_request& aOne, const review_request& aOther) {
-                return aOne.mTokens < aOther.mTokens;
-              });
-    const std::size_t tenth = reviews.size() / 10;
+    const std::vector<review_request> reviews = RunBursts(kLargeFleet, kSeeds);
     const double servedOfAll = ServedShare(reviews);
-    const double servedOfLargest = ServedShare(
-      { reviews.end() - static_cast<std::ptrdiff_t>(tenth), reviews.end() });
+    const double servedOfLargest = ServedShare(LargestTenth(reviews));
     CPPUNIT_ASSERT_MESSAGE("Served " + std::to_string(servedOfLargest) +
                              " of the largest tenth, " +
                              std::to_string(servedOfAll) + " of all",
                            servedOfLargest >= servedOfAll / 2);
   }
 
+  /// Guards against large prompts that are placed at once although others lose
+  /// more by them than their callers gain.
+  void PromptThatInterruptsOthersWaitsInBursts()
+  {
+    constexpr std::uint64_t kSeeds = 8;
+    const std::vector<review_request> reviews = RunBursts(kReviewsOnly, kSeeds);
+    const std::ptrdiff_t harmful = std::count_if(
+      reviews.begin(), reviews.end(), [](const review_request& aOne) {
+        return aOne.mWaited == duration::zero() && aOne.mHarm > aOne.mGain;
+      });
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0), harmful);
+    const duration longest =
+      std::max_element(
+        reviews.begin(),
+        reviews.end(),
+        [](const review_request& aOne, const review_request& aOther) {
+          return aOne.mWaited < aOther.mWaited;
+        })
+        ->mWaited;
+    CPPUNIT_ASSERT(longest > duration::zero());
+    CPPUNIT_ASSERT(longest <= milliseconds(2500));
+  }
+
   void IdleFleetReadsGiantWithHolders()
   {
     fleet f;
