--- a/Libraries/LibFleet/PlacementPrices.cpp
+++ b/Libraries/LibFleet/PlacementPrices.cpp
@@ -234,13 +234,15 @@
   if (aChoice.mVerdict != engine_verdict::Send) {
     return;
   }
+  // A prompt that was told to wait is served in the end: a refusal would come
+  // late, and the largest prompts are those that wait.
+  const bool accepted = coversCost || aWork.mElapsed >= kReweighInterval;
   const bool harmful =
     TotalHarm(aChoice.mHarm) > aChoice.mGain * kUnpostponedHarm;
-  const bool postponed = aWork.mElapsed >= kReweighInterval;
-  if (harmful && (coversCost || postponed) && aWork.mElapsed < MaxWait(aWork)) {
-    aChoice.mVerdict = engine_verdict::Wait;
-  } else if (!coversCost) {
+  if (!accepted) {
     aChoice.mVerdict = engine_verdict::TurnAway;
+  } else if (harmful && aWork.mElapsed < MaxWait(aWork)) {
+    aChoice.mVerdict = engine_verdict::Wait;
   }
 }
 
--- a/Libraries/LibFleet/PlacementPrices.h
+++ b/Libraries/LibFleet/PlacementPrices.h
@@ -70,8 +70,8 @@
 /// the callers of others.
 /// Sets `mGain` and `mPrice`. Changes `Send` to `TurnAway` if the harm and the
 /// price exceed the gain, which counts more for prompts whose worth is above
-/// `aMeanWorth`; else to `Wait` if they come close to the gain, until the
-/// caller has waited for `MaxWait`.
+/// `aMeanWorth`; else to `Wait` if the harm comes close to the gain, until the
+/// caller has waited for `MaxWait`. A prompt that has waited is not turned away.
 void
 Judge(engine_choice& aChoice,
       const engine_work& aWork,
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -313,6 +313,7 @@
   CPPUNIT_TEST(LongPromptAvoidsTightStreams);
   CPPUNIT_TEST(LongPromptHarmsFewEnginesMuch);
   CPPUNIT_TEST(BusyFleetTurnsGiantAway);
+  CPPUNIT_TEST(PromptThatHasWaitedIsNotTurnedAway);
   CPPUNIT_TEST(PromptThatHarmsNobodyIsTakenThoughAllEnginesRead);
   CPPUNIT_TEST(FleetThatIsFarBehindTurnsLargeAway);
   CPPUNIT_TEST(LargestIsNotRefusedForItsSizeAlone);
@@ -431,6 +432,23 @@
                    engine_verdict::TurnAway);
   }
 
+  /// Guards against a prompt that is told to wait and then refused.
+  void PromptThatHasWaitedIsNotTurnedAway()
+  {
+    fleet f;
+    for (std::size_t engine = 0; engine < kEngines; ++engine) {
+      for (int i = 0; i < 10; ++i) {
+        f.PutClip(engine);
+      }
+    }
+    engine_work work = Review(450000);
+    CPPUNIT_ASSERT(f.Choose(work).mVerdict == engine_verdict::TurnAway);
+    work.mElapsed = kReweighInterval;
+    CPPUNIT_ASSERT(f.Choose(work).mVerdict == engine_verdict::Wait);
+    work.mElapsed = milliseconds(2500);
+    CPPUNIT_ASSERT(f.Choose(work).mVerdict == engine_verdict::Send);
+  }
+
   /// Symptom: in a burst of dossiers half of them are refused, nearly all of
   /// more than 200,000 tokens, with a first event expected at half of the
   /// objective and nobody harmed. Sequence: each engine reads a part of some
