--- a/Libraries/LibFleet/EndpointLimits.cpp
+++ b/Libraries/LibFleet/EndpointLimits.cpp
@@ -25,12 +25,14 @@
 constexpr double kMinRate = 0.01;
 
 /// Rounds to the precision of limit announcements, so that a rate from an
-/// answer compares equal to the same rate received from a peer.
+/// answer compares equal to the same rate received from a peer. At least
+/// `kMinRate`.
 double
 RoundedRate(double aPerSecond)
 {
   constexpr double kMillisInOne = 1e3;
-  return std::max(1.0, std::round(aPerSecond * kMillisInOne)) / kMillisInOne;
+  return std::max(kMinRate,
+                  std::round(aPerSecond * kMillisInOne) / kMillisInOne);
 }
 
 double
@@ -94,7 +96,7 @@
       return std::pair<std::uint64_t, std::string_view>(Hash(aHost, seed),
                                                         aHost) < own;
     }));
-  const double rate = std::max(*aLimit.mPerSecond, kMinRate);
+  const double rate = *aLimit.mPerSecond;
   const double entries = static_cast<double>(std::max(aHosts.size(), aEntries));
   const double senders =
     std::min(entries, kMinSenders + std::floor(kSendersPerRate * rate));
--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -2,6 +2,7 @@
 
 #include "LibFleet/PlacementDivision.h"
 #include "LibFleet/PlacementPrices.h"
+#include "LibFleet/PlacementVerdict.h"
 
 #include <algorithm>
 
@@ -18,10 +19,6 @@
 constexpr double kBaseWorth = 0.6;
 constexpr double kWorthPerThousand = 0.13;
 constexpr double kThousand = 1e3;
-/// The first time at which a return is weighed; each further one is twice as
-/// late. Each costs as much as a placement, 0.4 ms before 1,200 engines, and a
-/// finer step would tell little, since others come meanwhile.
-constexpr duration kFirstReturn = std::chrono::milliseconds(250);
 
 engine_choice
 PlaceWhole(const std::vector<engine_candidate>& aCandidates,
@@ -56,7 +53,7 @@
 }
 
 engine_choice
-PlaceDivided(const placing& aPlacing)
+PlaceDivided(const placing& aPlacing, const engine_ledger& aLedger)
 {
   const division chosen = CheapestDivision(aPlacing);
   engine_choice choice;
@@ -73,7 +70,7 @@
     chosen.mReadMs + kPassesToFirstEvent * chosen.mWriter->mPassMs;
   choice.mHarm = chosen.mHarm;
   choice.mPriceOfSecond = PriceOfSecond(aPlacing.mCandidates);
-  Judge(choice, aPlacing.mWork, aPlacing.mReadingMs, aPlacing.mMeanWorth);
+  Judge(choice, aLedger, aPlacing.mWork, aPlacing.mReadingMs);
   return choice;
 }
 
@@ -122,12 +119,9 @@
                Hash(aOther.mEndpoint->mListed.mId, seed);
       });
   }
-  return PlaceDivided({ candidates,
-                        aTiming,
-                        aWork,
-                        reading,
-                        SlotsTaken(candidates, aTiming),
-                        MeanWorthOfKind(aLedger, aWork) });
+  return PlaceDivided(
+    { candidates, aTiming, aWork, reading, SlotsTaken(candidates, aTiming) },
+    aLedger);
 }
 
 placement
@@ -156,15 +150,17 @@
 }
 
 duration
-UntilWelcome(endpoint_board& aBoard,
-             const engine_ledger& aLedger,
-             const engine_timing& aTiming,
-             const engine_work& aWork,
-             std::string_view aDataCentre,
-             time_point aNow,
-             duration aLongest)
+TimeUntilAccepted(endpoint_board& aBoard,
+                  const engine_ledger& aLedger,
+                  const engine_timing& aTiming,
+                  const engine_work& aWork,
+                  std::string_view aDataCentre,
+                  time_point aNow,
+                  duration aLongest)
 {
-  for (duration after = kFirstReturn; after < aLongest; after *= 2) {
+  // Each step costs as much as a placement. A finer one would tell little,
+  // since others come meanwhile.
+  for (duration after = kMinRetryAfter; after < aLongest; after *= 2) {
     const std::optional<engine_choice> choice = PlaceOnEngines(
       aBoard, aLedger, aTiming, aWork, {}, aDataCentre, aNow + after);
     if (choice.has_value() && (choice->mVerdict == engine_verdict::Send ||
@@ -172,7 +168,7 @@
       return after;
     }
   }
-  return std::max(kFirstReturn, aLongest);
+  return std::max(kMinRetryAfter, aLongest);
 }
 
 } // namespace primrose
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -39,8 +39,8 @@
 {
   Send,
   /// It takes much from the callers of others, though not so much that it is
-  /// turned away. To be weighed again after `kReweighInterval`: the streams that
-  /// it would interrupt end within a second or two.
+  /// turned away. To be weighed again after `kReweighInterval`: the streams
+  /// that it would interrupt end within a second or two.
   Wait,
   /// It takes more from the callers of others than it gains its own.
   TurnAway,
@@ -79,6 +79,9 @@
 double
 TotalHarm(const placement_harm& aHarm);
 
+/// Lower bound of the delay after which a rejected caller is asked to return.
+inline constexpr duration kMinRetryAfter = std::chrono::milliseconds(250);
+
 /// Between two decisions on a prompt that waits: two passes of an engine.
 inline constexpr duration kReweighInterval = std::chrono::milliseconds(100);
 
@@ -108,12 +111,12 @@
 /// After which time a prompt that is turned away now would be taken, if nothing
 /// else came; `aLongest` if not before.
 duration
-UntilWelcome(endpoint_board& aBoard,
-             const engine_ledger& aLedger,
-             const engine_timing& aTiming,
-             const engine_work& aWork,
-             std::string_view aDataCentre,
-             time_point aNow,
-             duration aLongest);
+TimeUntilAccepted(endpoint_board& aBoard,
+                  const engine_ledger& aLedger,
+                  const engine_timing& aTiming,
+                  const engine_work& aWork,
+                  std::string_view aDataCentre,
+                  time_point aNow,
+                  duration aLongest);
 
 } // namespace primrose
--- a/Libraries/LibFleet/PlacementDivision.h
+++ b/Libraries/LibFleet/PlacementDivision.h
@@ -31,7 +31,6 @@
   const engine_work& mWork;
   double mReadingMs = 0;  ///< Of the whole prompt on one engine.
   double mSlotsTaken = 0; ///< The share of all engines' slots.
-  double mMeanWorth = 0;  ///< Of placed requests of the same kind.
 };
 
 /// The cheapest of all numbers of parts; one that has memory goes before one
--- a/Libraries/LibFleet/PlacementPrices.cpp
+++ b/Libraries/LibFleet/PlacementPrices.cpp
@@ -16,10 +16,8 @@
 /// Added for each further objective of delay, so that of two late places the
 /// earlier one is taken.
 constexpr double kLaterPenalty = 0.2;
-/// Writers gathered on one engine, as a share of those that it works on at
-/// once. Each adds 0.4% to a step, but also its own reading; above this the
-/// reading of new ones eats up the allowed pause, and what comes unforeseen is
-/// shed.
+/// Writers gathered on one engine, as a share of its slots. The rest is left
+/// for what other entries place in the same moment.
 constexpr double kGatheredShare = 0.75;
 /// Shares of a request's worth: for starting to write on an engine that long
 /// prompts could have used, and on one that they do use.
@@ -32,35 +30,6 @@
 /// allowed pause, or than two seconds.
 constexpr double kAbandonedPauses = 8;
 constexpr double kAbandonedMs = 2000;
-/// What a second of one engine is worth when all have much to read: short
-/// prompts earn about this.
-constexpr double kWorthOfBusySecond = 8;
-/// Reading that waits on the mean engine when a second is worth that much. A
-/// prompt that comes then waits a quarter to two thirds of the objectives of
-/// long prompts; below it most are in time, and what they take from others is
-/// in the harm already. Counting engines that have anything to read, instead of
-/// how much, refused 0.47 of the dossiers in bursts of them before 78 engines,
-/// 0.32 so, at the same worth of all requests together.
-constexpr double kFullBacklogMs = 1000;
-/// Share of a request's worth that its caller loses when it is turned away,
-/// beside the answer itself: it comes back and is owed an answer all the same.
-constexpr double kLostWhenRefused = 0.3;
-
-/// Upper bound of the factor that scales the gain of a prompt whose worth is
-/// above the mean of its kind.
-constexpr double kMaxGainFactor = 2.5;
-/// Placed requests of a kind that are required to compute its mean worth.
-constexpr std::size_t kMinSampleSize = 4;
-
-/// Share of its gain that a prompt may take from others without waiting for a
-/// better moment. Its price is no reason to wait: that follows the backlog of
-/// all engines, which changes more slowly.
-constexpr double kUnpostponedHarm = 0.6;
-/// Share of its objective for which a prompt waits for a place that takes less
-/// from others. The rest is left for reading it.
-constexpr double kMaxWaitShare = 0.6;
-constexpr duration kMaxWait = std::chrono::milliseconds(2500);
-
 constexpr double kMsPerSecond = 1e3;
 
 } // namespace
@@ -152,24 +121,11 @@
   return writers > gathered ? crowd : -kGatherGain * writers;
 }
 
-double
-PriceOfSecond(const std::vector<engine_candidate>& aCandidates)
-{
-  double backlog = 0;
-  for (const engine_candidate& one : aCandidates) {
-    backlog += one.mBacklogMs;
-  }
-  const double mean = backlog / static_cast<double>(aCandidates.size());
-  return kWorthOfBusySecond * std::clamp(mean / kFullBacklogMs, 0.0, 1.0);
-}
-
 double
 HoldingHarm(double aSlotsTaken, double aPartMs, std::size_t aParts)
 {
-  // Symptom: a burst of short prompts finds engines full that bore it before.
-  // Those that read a long part take nothing for as long; what will come is in
-  // no sum, and in a lull of reading a second seems to be worth nothing. Who
-  // writes now tells how much comes.
+  // Requests that arrive during a long part are in no sum yet. The share of
+  // slots taken now is the estimate of how many there will be.
   const double held = std::max(0.0, aPartMs - kAbandonedMs) / kMsPerSecond;
   return kWorthOfBusySecond * aSlotsTaken * held * static_cast<double>(aParts);
 }
@@ -185,65 +141,4 @@
   return taken / static_cast<double>(aCandidates.size());
 }
 
-double
-MeanWorthOfKind(const engine_ledger& aLedger, const engine_work& aWork)
-{
-  double sum = 0;
-  std::size_t count = 0;
-  for (const auto& [key, placed] : aLedger.mPlacements) {
-    if (placed.mObjective == aWork.mObjective &&
-        placed.mLongestPause == aWork.mLongestPause) {
-      sum += placed.mWorth;
-      ++count;
-    }
-  }
-  return count < kMinSampleSize ? aWork.mWorth
-                                : sum / static_cast<double>(count);
-}
-
-duration
-MaxWait(const engine_work& aWork)
-{
-  return std::min(kMaxWait,
-                  FromSeconds(kMaxWaitShare * Seconds(aWork.mObjective)));
-}
-
-void
-Judge(engine_choice& aChoice,
-      const engine_work& aWork,
-      double aReadingMs,
-      double aMeanWorth)
-{
-  const double mostGain = (1 + kLostWhenRefused) * aWork.mWorth;
-  aChoice.mGain = mostGain - LateCost(aChoice.mFirstEventMs, aWork);
-  // Reading grows with the square of a prompt, what it gains does not: priced
-  // by the second alone, the largest of a kind would be rejected first. The
-  // price is therefore capped at the most that the prompt can gain, scaled by
-  // the ratio of the current backlog to a full one.
-  // What holds engines for long is in the harm: that is a bound on the length
-  // of its parts, of which there can be more.
-  aChoice.mPrice =
-    std::min(aChoice.mPriceOfSecond * aReadingMs / kMsPerSecond,
-             aChoice.mPriceOfSecond / kWorthOfBusySecond * mostGain);
-  // The harm also grows with the square of the prompt size and has no cap.
-  // Scaling the gain keeps bursts from starving the largest prompts of a kind.
-  const double gainFactor =
-    std::clamp(aWork.mWorth / aMeanWorth, 1.0, kMaxGainFactor);
-  const bool coversCost =
-    aChoice.mGain * gainFactor >= TotalHarm(aChoice.mHarm) + aChoice.mPrice;
-  if (aChoice.mVerdict != engine_verdict::Send) {
-    return;
-  }
-  // A prompt that was told to wait is served in the end: a refusal would come
-  // late, and the largest prompts are those that wait.
-  const bool accepted = coversCost || aWork.mElapsed >= kReweighInterval;
-  const bool harmful =
-    TotalHarm(aChoice.mHarm) > aChoice.mGain * kUnpostponedHarm;
-  if (!accepted) {
-    aChoice.mVerdict = engine_verdict::TurnAway;
-  } else if (harmful && aWork.mElapsed < MaxWait(aWork)) {
-    aChoice.mVerdict = engine_verdict::Wait;
-  }
-}
-
 } // namespace primrose
--- /dev/null
+++ b/Libraries/LibFleet/PlacementVerdict.h
@@ -0,0 +1,28 @@
+#pragma once
+
+/// Whether a long prompt is placed, waits for a better moment, or is turned
+/// away. Internal to LibFleet.
+
+#include "LibFleet/PlacementCandidates.h"
+
+namespace primrose {
+
+/// What a second of reading takes from requests that come next, by how much the
+/// engines have to read. There is at least one candidate.
+double
+PriceOfSecond(const std::vector<engine_candidate>& aCandidates);
+
+/// Compares what reading this prompt gains its caller with what it takes from
+/// the callers of others.
+/// Sets `mGain` and `mPrice`. Changes `Send` to `TurnAway` if the harm and the
+/// price exceed the gain, which counts more for prompts whose worth is above
+/// the mean of their kind in `aLedger`; else to `Wait` if the harm comes close
+/// to the gain and the caller has not waited for long. A prompt that has waited
+/// is not turned away.
+void
+Judge(engine_choice& aChoice,
+      const engine_ledger& aLedger,
+      const engine_work& aWork,
+      double aReadingMs);
+
+} // namespace primrose
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -14,7 +14,6 @@
 constexpr duration kUsualTimeLimit = std::chrono::seconds(30);
 /// When a refused caller may come back, in seconds.
 constexpr double kRetryWhenListed = 0.3;
-constexpr double kRetryWhenRoom = 0.25;
 constexpr double kRetryWhenKnown = 0.5;
 constexpr double kRetryElsewhere = 0.05;
 
@@ -169,7 +168,8 @@
     return false;
   }
   if (limit <= duration::zero()) {
-    Refuse(error_kind::CannotMeetDeadline, "no_time_left", kRetryWhenRoom);
+    Refuse(
+      error_kind::CannotMeetDeadline, "no_time_left", Seconds(kMinRetryAfter));
     return false;
   }
   return true;
@@ -257,7 +257,8 @@
 {
   GiveUp(aKind,
          aWhy,
-         aKind == error_kind::NoEndpoint ? kRetryWhenListed : kRetryWhenRoom);
+         aKind == error_kind::NoEndpoint ? kRetryWhenListed
+                                         : Seconds(kMinRetryAfter));
 }
 
 void
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -21,8 +21,6 @@
 /// A caller that is told to come back after more than this part of the time
 /// that it has left comes back at once instead, or not at all.
 constexpr int kCallersPatience = 3;
-/// Lower bound of the retry delay when the limits of all endpoints are used up.
-constexpr duration kMinRetryAfter = std::chrono::milliseconds(250);
 
 constexpr double kMsPerSecond = 1e3;
 
@@ -146,13 +144,13 @@
 exchange::TurnAway(const engine_choice& aChoice)
 {
   const bool fits = aChoice.mVerdict != engine_verdict::NoMemory;
-  const duration after = UntilWelcome(mContext.mBoard.mEndpoints,
-                                      mContext.mBoard.mLedger,
-                                      *mService->mEngine,
-                                      WorkOf(),
-                                      mContext.mSettings.mDataCentre,
-                                      mContext.mLoop.Now(),
-                                      Left() / kCallersPatience);
+  const duration after = TimeUntilAccepted(mContext.mBoard.mEndpoints,
+                                           mContext.mBoard.mLedger,
+                                           *mService->mEngine,
+                                           WorkOf(),
+                                           mContext.mSettings.mDataCentre,
+                                           mContext.mLoop.Now(),
+                                           Left() / kCallersPatience);
   mContext.mBoard.mMetrics.Count(
     Labelled("gateway_turned_away_total", "why", fits ? "costs" : "no_memory"));
   Log(log_level::Info,
--- a/Libraries/LibGateway/PeerNews.cpp
+++ b/Libraries/LibGateway/PeerNews.cpp
@@ -25,6 +25,18 @@
                         : kBeat * static_cast<int>((aPeers + told - 1) / told);
 }
 
+/// The endpoint that peers name by this key; null if it is not listed here.
+known_endpoint*
+FindByKey(endpoint_board& aBoard, engine_key aKey)
+{
+  for (auto& [id, known] : aBoard.mEndpoints) {
+    if (EngineKey(id) == aKey) {
+      return &known;
+    }
+  }
+  return nullptr;
+}
+
 } // namespace
 
 std::uint64_t
@@ -150,27 +162,27 @@
 }
 
 void
-peer_news::Heed(engine_key aEndpoint,
-                const std::string& aHost,
-                const std::function<void(endpoint_health&, time_point)>& aNote)
+peer_news::ApplyEndpointNews(
+  engine_key aEndpoint,
+  const std::string& aHost,
+  const std::function<void(endpoint_health&, time_point)>& aNote)
 {
   const time_point now = mLoop.Now();
-  for (auto& [id, known] : mBoard.mEndpoints.mEndpoints) {
-    if (EngineKey(id) != aEndpoint) {
-      continue;
-    }
-    const time_point before = known.mHealth.mAvoidUntil;
-    aNote(known.mHealth, now);
-    if (known.mHealth.mAvoidUntil == before) {
-      continue;
-    }
-    Log(log_level::Info,
-        "endpoint_avoided",
-        { { "endpoint", id },
-          { "told_by", aHost },
-          { "strikes", known.mHealth.mStrikes },
-          { "for_ms", Milliseconds(known.mHealth.mAvoidUntil - now) } });
+  known_endpoint* const known = FindByKey(mBoard.mEndpoints, aEndpoint);
+  if (known == nullptr) {
+    return;
+  }
+  const time_point before = known->mHealth.mAvoidUntil;
+  aNote(known->mHealth, now);
+  if (known->mHealth.mAvoidUntil == before) {
+    return;
   }
+  Log(log_level::Info,
+      "endpoint_avoided",
+      { { "endpoint", known->mListed.mId },
+        { "told_by", aHost },
+        { "strikes", known->mHealth.mStrikes },
+        { "for_ms", Milliseconds(known->mHealth.mAvoidUntil - now) } });
 }
 
 void
@@ -258,7 +270,7 @@
     mBoard.mRingStale = true;
     return;
   }
-  HeedPeer(message, aFrom.mHost);
+  NotePeer(message, aFrom.mHost);
   CompareBeliefs(message.mManifest, message.mList);
   TakeNews(message.mNews, aFrom.mHost);
   TakeCrashNews(message, aFrom.mHost);
@@ -266,7 +278,7 @@
 }
 
 void
-peer_news::HeedPeer(const peer_message& aMessage, const std::string& aHost)
+peer_news::NotePeer(const peer_message& aMessage, const std::string& aHost)
 {
   const time_point now = mLoop.Now();
   const auto known = mBoard.mPeers.find(aHost);
@@ -303,20 +315,21 @@
     NoteEnded(mBoard.mLedger, key, placement_end::Unread, now);
   }
   for (const engine_key engine : aNews.mUnwilling) {
-    Heed(engine, aHost, [](endpoint_health& aHealth, time_point aNow) {
-      NoteSign(aHealth, endpoint_sign::Unwilling, aNow);
-    });
+    ApplyEndpointNews(
+      engine, aHost, [](endpoint_health& aHealth, time_point aNow) {
+        NoteSign(aHealth, endpoint_sign::Unwilling, aNow);
+      });
   }
   for (const engine_key endpoint : aNews.mTroubled) {
-    Heed(endpoint, aHost, NoteTold);
+    ApplyEndpointNews(endpoint, aHost, NoteTold);
   }
   for (const told_limit& limit : aNews.mLimits) {
-    for (auto& [id, known] : mBoard.mEndpoints.mEndpoints) {
-      if (EngineKey(id) == limit.mEndpoint) {
-        known.mLimit.mTold = now;
-        (void)ApplyLimit(
-          mBoard, mSettings.mPeers.mHost, known, limit, now, aHost);
-      }
+    if (known_endpoint* const known =
+          FindByKey(mBoard.mEndpoints, limit.mEndpoint);
+        known != nullptr) {
+      known->mLimit.mTold = now;
+      (void)ApplyLimit(
+        mBoard, mSettings.mPeers.mHost, *known, limit, now, aHost);
     }
   }
 }
--- a/Libraries/LibGateway/PeerNews.h
+++ b/Libraries/LibGateway/PeerNews.h
@@ -45,11 +45,12 @@
   void CompareWithPresent();
   /// Takes note of what a peer told of an endpoint; logs if it is avoided for
   /// that.
-  void Heed(engine_key aEndpoint,
-            const std::string& aHost,
-            const std::function<void(endpoint_health&, time_point)>& aNote);
+  void ApplyEndpointNews(
+    engine_key aEndpoint,
+    const std::string& aHost,
+    const std::function<void(endpoint_health&, time_point)>& aNote);
   /// Notes that the peer is there; greets it if it has just started.
-  void HeedPeer(const peer_message& aMessage, const std::string& aHost);
+  void NotePeer(const peer_message& aMessage, const std::string& aHost);
   void TakeNews(const told_news& aNews, const std::string& aHost);
   void TakeCrashNews(const peer_message& aMessage, const std::string& aHost);
 
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -242,7 +242,7 @@
                         Submit(waiting, aReviewIndex, aMayRetry);
                       });
     } else if (aMayRetry) {
-      const duration retryAfter = UntilWelcome(
+      const duration retryAfter = TimeUntilAccepted(
         mBoard, mLedger, mTiming, aWork, "", mNow, std::chrono::seconds(5));
       mEvents.emplace(mNow + retryAfter, [this, aWork, aReviewIndex]() {
         Submit(aWork, aReviewIndex, false);
@@ -708,7 +708,7 @@
     const engine_work work = Review(300000);
     CPPUNIT_ASSERT(f.Choose(work).mVerdict == engine_verdict::TurnAway);
     const auto until = [&f, &work](duration aLongest) {
-      return UntilWelcome(
+      return TimeUntilAccepted(
         f.mBoard, f.mLedger, SampleEngine(), work, "a", kStart, aLongest);
     };
     const duration welcome = until(std::chrono::seconds(20));
