--- a/Libraries/LibFleet/PlacementVerdict.cpp
+++ b/Libraries/LibFleet/PlacementVerdict.cpp
@@ -54,15 +54,17 @@
 
 /// The gain of a prompt, scaled up if its worth is above the mean of its kind.
 /// Harm grows with the square of the prompt size and has no cap: unscaled,
-/// bursts would starve the largest prompts of a kind.
+/// bursts would starve the largest prompts of a kind. The factor counts twice
+/// for a prompt that has waited: the largest are those that wait.
 double
 ScaledGain(const engine_choice& aChoice,
            const engine_ledger& aLedger,
-           const engine_work& aWork)
+           const engine_work& aWork,
+           bool aHasWaited)
 {
-  return aChoice.mGain *
-         std::clamp(
-           aWork.mWorth / MeanWorthOfKind(aLedger, aWork), 1.0, kMaxGainFactor);
+  const double factor = std::clamp(
+    aWork.mWorth / MeanWorthOfKind(aLedger, aWork), 1.0, kMaxGainFactor);
+  return aChoice.mGain * (aHasWaited ? factor * factor : factor);
 }
 
 /// How long after its caller asked a prompt may wait for a better place.
@@ -106,16 +108,16 @@
   if (aChoice.mVerdict != engine_verdict::Send) {
     return;
   }
-  // A prompt that was told to wait is served in the end: a refusal would come
-  // late, and the largest prompts are those that wait.
   const bool hasWaited = aWork.mElapsed >= kReweighInterval;
   const double harm = TotalHarm(aChoice.mHarm);
-  if (!hasWaited && harm + aChoice.mPrice > aChoice.mGain &&
-      harm + aChoice.mPrice > ScaledGain(aChoice, aLedger, aWork)) {
-    aChoice.mVerdict = engine_verdict::TurnAway;
-  } else if (harm > aChoice.mGain * kUnpostponedHarm &&
-             aWork.mElapsed < MaxWait(aWork)) {
+  const double cost = harm + aChoice.mPrice;
+  const bool covered = cost <= aChoice.mGain ||
+                       cost <= ScaledGain(aChoice, aLedger, aWork, hasWaited);
+  if (harm > aChoice.mGain * kUnpostponedHarm && (covered || hasWaited) &&
+      aWork.mElapsed < MaxWait(aWork)) {
     aChoice.mVerdict = engine_verdict::Wait;
+  } else if (!covered) {
+    aChoice.mVerdict = engine_verdict::TurnAway;
   }
 }
 
--- a/Libraries/LibFleet/PlacementVerdict.h
+++ b/Libraries/LibFleet/PlacementVerdict.h
@@ -17,8 +17,7 @@
 /// Sets `mGain` and `mPrice`. Changes `Send` to `TurnAway` if the harm and the
 /// price exceed the gain, which counts more for prompts whose worth is above
 /// the mean of their kind in `aLedger`; else to `Wait` if the harm comes close
-/// to the gain and the caller has not waited for long. A prompt that has waited
-/// is not turned away.
+/// to the gain and the caller has not waited for long.
 void
 Judge(engine_choice& aChoice,
       const engine_ledger& aLedger,
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -164,7 +164,7 @@
   bool mMayHaveRun = false; ///< An endpoint got it and promised nothing.
   bool mFreshNext = false;
   bool mWaited = false; ///< Not placed at once; see `WaitForPlace`.
-  bool mTrial = false; ///< A held request that is tried once.
+  bool mTrial = false;  ///< A held request that is tried once.
   bool mReachedEndpoint = false;
   bool mStreaming = false;
   bool mEventsHere = false; ///< The current endpoint has sent an event.
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -82,6 +82,19 @@
     NotePlaced(mLedger, placed, kStart);
   }
 
+  /// A review of so many tokens that writes on a given engine.
+  void PutReview(std::size_t aEngine, double aTokens)
+  {
+    placement placed;
+    placed.mKey = ++mLast;
+    placed.mEngines = { EngineKey("engine-" + std::to_string(aEngine)) };
+    placed.mLongestPause = Review(aTokens).mLongestPause;
+    placed.mObjective = Review(aTokens).mObjective;
+    placed.mWorth = WorthOfWork(aTokens);
+    placed.mExpires = kStart + std::chrono::hours(1);
+    NotePlaced(mLedger, placed, kStart);
+  }
+
   /// Every engine reads for so long, for prompts that lose nothing by more.
   void PutReading(double aMs)
   {
@@ -313,7 +326,7 @@
   CPPUNIT_TEST(LongPromptAvoidsTightStreams);
   CPPUNIT_TEST(LongPromptHarmsFewEnginesMuch);
   CPPUNIT_TEST(BusyFleetTurnsGiantAway);
-  CPPUNIT_TEST(PromptThatHasWaitedIsNotTurnedAway);
+  CPPUNIT_TEST(LargePromptThatHasWaitedMayTakeMoreThanWhenItCame);
   CPPUNIT_TEST(PromptThatHarmsNobodyIsTakenThoughAllEnginesRead);
   CPPUNIT_TEST(FleetThatIsFarBehindTurnsLargeAway);
   CPPUNIT_TEST(LargestIsNotRefusedForItsSizeAlone);
@@ -432,8 +445,9 @@
                    engine_verdict::TurnAway);
   }
 
-  /// Guards against a prompt that is told to wait and then refused.
-  void PromptThatHasWaitedIsNotTurnedAway()
+  /// Guards against starvation of large prompts that wait, while the harm that
+  /// they would do grows.
+  void LargePromptThatHasWaitedMayTakeMoreThanWhenItCame()
   {
     fleet f;
     for (std::size_t engine = 0; engine < kEngines; ++engine) {
@@ -441,12 +455,15 @@
         f.PutClip(engine);
       }
     }
-    engine_work work = Review(450000);
-    CPPUNIT_ASSERT(f.Choose(work).mVerdict == engine_verdict::TurnAway);
-    work.mElapsed = kReweighInterval;
-    CPPUNIT_ASSERT(f.Choose(work).mVerdict == engine_verdict::Wait);
-    work.mElapsed = milliseconds(2500);
-    CPPUNIT_ASSERT(f.Choose(work).mVerdict == engine_verdict::Send);
+    for (std::size_t engine = 0; engine < 4; ++engine) {
+      f.PutReview(engine, 300000);
+    }
+    engine_work large = Review(400000);
+    CPPUNIT_ASSERT(f.Choose(large).mVerdict == engine_verdict::TurnAway);
+    large.mElapsed = kReweighInterval;
+    CPPUNIT_ASSERT(f.Choose(large).mVerdict == engine_verdict::Wait);
+    large.mElapsed = milliseconds(2500);
+    CPPUNIT_ASSERT(f.Choose(large).mVerdict == engine_verdict::Send);
   }
 
   /// Symptom: in a burst of dossiers half of them are refused, nearly all of
