--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -146,6 +146,15 @@
          static_cast<double>(aLongRequests.size());
 }
 
+/// The arrival rate of a kind of prompt is `mFactor` times as high in this part
+/// of a simulation.
+struct arrival_burst
+{
+  double mFromSeconds = 0;
+  double mToSeconds = 0;
+  double mFactor = 1;
+};
+
 struct prompt_kind
 {
   double mPerSecond = 0;
@@ -154,6 +163,7 @@
   double mAnswerTokens = 0;
   milliseconds mLongestPause{};
   milliseconds mObjective{};
+  std::vector<arrival_burst> mBursts{};
 };
 
 struct burst_load
@@ -162,6 +172,7 @@
   unsigned mSlots = 0;
   std::vector<prompt_kind> mShorterPrompts;
   prompt_kind mLongRequests;
+  double mSeconds = 10;
 };
 
 /// The load on the engines that one gateway of a large fleet prefers.
@@ -182,8 +193,48 @@
   { 6, 190000, 0.55, 910, milliseconds(1000), milliseconds(4000) }
 };
 
-/// Simulates ten seconds of a burst of long prompts with concurrent shorter
-/// prompts. Each refused request is retried once.
+/// Bursts of each kind of prompt in turn.
+const burst_load kAlternatingBursts{
+  45,
+  10,
+  { { 73,
+      4150,
+      0.6,
+      1920,
+      milliseconds(300),
+      milliseconds(400),
+      { { 0, 5, 2.5 }, { 10, 15, 2.5 }, { 25, 30, 2.5 } } },
+    { 5.4,
+      40000,
+      0.45,
+      1120,
+      milliseconds(800),
+      milliseconds(1500),
+      { { 15, 20, 3 } } } },
+  { 1.8,
+    190000,
+    0.55,
+    960,
+    milliseconds(1200),
+    milliseconds(4000),
+    { { 5, 10, 3 }, { 20, 25, 3 } } },
+  33
+};
+
+double
+ArrivalRate(const prompt_kind& aKind, double aSeconds)
+{
+  double rate = aKind.mPerSecond;
+  for (const arrival_burst& burst : aKind.mBursts) {
+    if (aSeconds >= burst.mFromSeconds && aSeconds < burst.mToSeconds) {
+      rate *= burst.mFactor;
+    }
+  }
+  return rate;
+}
+
+/// Simulates a burst of long prompts with concurrent shorter prompts. Each
+/// refused request is retried once.
 class burst_simulation
 {
 public:
@@ -218,9 +269,12 @@
 private:
   void ScheduleArrivals(const prompt_kind& aKind, bool aLongRequests)
   {
-    std::exponential_distribution<double> gap(aKind.mPerSecond);
+    std::exponential_distribution<double> gap(1);
     std::lognormal_distribution<double> size(0, aKind.mSpread);
-    for (double at = gap(mRandom); at < 10; at += gap(mRandom)) {
+    const auto next = [&](double aAt) {
+      return aAt + gap(mRandom) / ArrivalRate(aKind, aAt);
+    };
+    for (double at = next(0); at < mLoad.mSeconds; at = next(at)) {
       placement_request request{ "model",
                                  aKind.mTokens * size(mRandom),
                                  aKind.mAnswerTokens,
@@ -284,12 +338,28 @@
     placed.mBegan = mNow;
     placed.mExpires = mNow + std::chrono::seconds(30);
     AddPlacement(mLedger, placed, mNow);
-    const double endMs =
-      aChoice.mFirstEventMs + kPassMs * aRequest.mAnswerTokens / kTokensPerPass;
-    mEvents.emplace(mNow + FromSeconds(endMs / 1e3),
-                    [this, key = placed.mKey]() {
-                      RemovePlacement(mLedger, key, placement_end::Read, mNow);
-                    });
+    const duration decode =
+      FromSeconds(kPassMs * aRequest.mAnswerTokens / kTokensPerPass / 1e3);
+    mEvents.emplace(mNow + FromSeconds(aChoice.mFirstEventMs / 1e3),
+                    [this, placed, decode]() { Decode(placed, decode); });
+  }
+
+  /// Decodes the rest of an answer. An engine with a prefill backlog decodes at
+  /// a quarter of its speed.
+  void Decode(const placement& aPlaced, duration aLeft)
+  {
+    constexpr duration kStep = milliseconds(100);
+    constexpr int kSlowdown = 4;
+    if (aLeft <= duration::zero()) {
+      RemovePlacement(mLedger, aPlaced.mKey, placement_end::Read, mNow);
+      return;
+    }
+    const bool prefills =
+      BacklogMs(mLedger.mEngines[aPlaced.mEngines.front()], mNow) > 0;
+    const duration step = std::min(kStep, aLeft);
+    mEvents.emplace(
+      mNow + (prefills ? kSlowdown : 1) * step,
+      [this, aPlaced, left = aLeft - step]() { Decode(aPlaced, left); });
   }
 
   burst_load mLoad;
@@ -314,16 +384,24 @@
   return longRequests;
 }
 
+/// The requests between these percentiles of size, counted from the largest.
 std::vector<long_request>
-LargestTenth(std::vector<long_request> aLongRequests)
+BySize(std::vector<long_request> aLongRequests,
+       std::size_t aFromPercent,
+       std::size_t aToPercent)
 {
+  constexpr std::size_t kPercent = 100;
+  const auto index = [&aLongRequests](std::size_t aPercent) {
+    return static_cast<std::ptrdiff_t>(aLongRequests.size() * aPercent /
+                                       kPercent);
+  };
   std::sort(aLongRequests.begin(),
             aLongRequests.end(),
             [](const long_request& aOne, const long_request& aOther) {
               return aOne.mTokens > aOther.mTokens;
             });
-  aLongRequests.resize(aLongRequests.size() / 10);
-  return aLongRequests;
+  return { aLongRequests.begin() + index(aFromPercent),
+           aLongRequests.begin() + index(aToPercent) };
 }
 
 } // namespace
@@ -342,6 +420,7 @@
   CPPUNIT_TEST(LongBacklogCausesRefusalOfLongPrompt);
   CPPUNIT_TEST(LongestPromptIsNotRefusedForItsSizeAlone);
   CPPUNIT_TEST(LargestTenthIsServedAtLeastHalfAsOftenInBursts);
+  CPPUNIT_TEST(LargestPromptsAreServedAtLeastHalfAsOftenInOverload);
   CPPUNIT_TEST(HarmfulPromptWaitsInBursts);
   CPPUNIT_TEST(VeryLongPromptDoesNotBlockEnginesInBurst);
   CPPUNIT_TEST(IdleFleetHoldsVeryLongPromptOnSeveralEngines);
@@ -562,13 +641,35 @@
     const std::vector<long_request> longRequests =
       RunBursts(kLargeFleetLoad, kSeeds);
     const double servedOfAll = ServedShare(longRequests);
-    const double servedOfLargest = ServedShare(LargestTenth(longRequests));
+    const double servedOfLargest = ServedShare(BySize(longRequests, 0, 10));
     CPPUNIT_ASSERT_MESSAGE("Served " + std::to_string(servedOfLargest) +
                              " of the largest tenth, " +
                              std::to_string(servedOfAll) + " of all",
                            servedOfLargest >= servedOfAll / 2);
   }
 
+  /// Guards against refusals by size in overload: however few engines there
+  /// are, the largest tenth of a kind and the fifth below it must each be
+  /// served at least half as often as the kind as a whole.
+  void LargestPromptsAreServedAtLeastHalfAsOftenInOverload()
+  {
+    constexpr std::uint64_t kSeeds = 8;
+    for (const std::size_t engines : { 45U, 32U, 24U }) {
+      burst_load load = kAlternatingBursts;
+      load.mEngines = engines;
+      const std::vector<long_request> longRequests = RunBursts(load, kSeeds);
+      const double servedOfAll = ServedShare(longRequests);
+      const double servedOfLargest = ServedShare(BySize(longRequests, 0, 10));
+      const double servedOfNext = ServedShare(BySize(longRequests, 10, 30));
+      CPPUNIT_ASSERT_MESSAGE(
+        std::to_string(engines) + " engines: served " +
+          std::to_string(servedOfLargest) + " of the largest tenth, " +
+          std::to_string(servedOfNext) + " of the next fifth, " +
+          std::to_string(servedOfAll) + " of all",
+        std::min(servedOfLargest, servedOfNext) >= servedOfAll / 2);
+    }
+  }
+
   /// Guards against long prompts that are placed on arrival although their harm
   /// to others exceeds their gain.
   void HarmfulPromptWaitsInBursts()
