--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -32,10 +32,6 @@
   /// late or lost.
   std::uint64_t mTieBreakSeed = 0;
   duration mElapsed{}; ///< Since the gateway received the request.
-  /// Uniformly distributed in [0, 1), drawn once for each request. A prompt
-  /// whose cost is up to gain / draw is accepted. At 1, none is that costs more
-  /// than it gains.
-  double mAdmissionDraw = 1;
 
   bool operator==(const placement_request&) const = default;
 };
--- a/Libraries/LibFleet/PlacementAdmission.cpp
+++ b/Libraries/LibFleet/PlacementAdmission.cpp
@@ -113,13 +113,9 @@
   const bool hasWaited = aRequest.mElapsed >= kReevaluationInterval;
   const double harm = TotalHarm(aChoice.mHarm);
   const double cost = harm + aChoice.mPrice;
-  // A fixed threshold would refuse by size, because cost grows with the square
-  // of the prompt size and gain does not. A prompt whose cost exceeds its gain
-  // is accepted with a probability of gain / cost instead, so that the expected
-  // cost of accepting it never exceeds its gain.
-  const bool covered = cost <= aChoice.mGain ||
-                       aRequest.mAdmissionDraw * cost <=
-                         ScaledGain(aChoice, aLedger, aRequest, hasWaited);
+  const bool covered =
+    cost <= aChoice.mGain ||
+    cost <= ScaledGain(aChoice, aLedger, aRequest, hasWaited);
   if (harm > aChoice.mGain * kMaxHarmWithoutWait && (covered || hasWaited) &&
       aRequest.mElapsed < MaxWait(aRequest)) {
     aChoice.mVerdict = placement_verdict::Wait;
--- a/Libraries/LibFleet/PlacementAdmission.h
+++ b/Libraries/LibFleet/PlacementAdmission.h
@@ -14,9 +14,8 @@
 
 /// Compares the gain of serving the prompt to its caller with the cost to other
 /// callers. Sets `mGain` and `mPrice`. Changes `Send` to `TurnAway` if the sum
-/// of harm and price, multiplied by `mAdmissionDraw`, exceeds the gain; for this
-/// comparison, the gain is scaled up for prompts whose worth is above the mean
-/// of their kind in `aLedger`.
+/// of harm and price exceeds the gain; for this comparison, the gain is scaled
+/// up for prompts whose worth is above the mean of their kind in `aLedger`.
 /// Changes `Send` to `Wait` if the harm comes close to the gain and the request
 /// has not waited for long.
 void
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -167,7 +167,6 @@
   if (mRequestInfo.mTimeLeft.has_value()) {
     limit = std::min(limit, *mRequestInfo.mTimeLeft - kAnswerDeliveryTime);
   }
-  mAdmissionDraw = Uniform(mContext.mBoard.mRandom);
   mDeadline = mStarted + limit;
   if (WouldExceedDrain(limit)) {
     Refuse(error_kind::ShuttingDown, "draining", kRetryAfterDraining);
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -186,7 +186,6 @@
   std::shared_ptr<memory_reservation> mMemory;
   std::size_t mMemoryRefusals = 0;
   std::size_t mHelperRefusals = 0;
-  double mAdmissionDraw = 1; ///< See `placement_request`.
   double mExpectedFirstEventMs = 0; ///< Estimated when the request was placed.
   std::size_t mHelperCount = 0;
   bool mMayHaveRun = false; ///< Sent, and not known to be refused.
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -120,7 +120,6 @@
   work.mWorth = WorthOfPrompt(work.mPromptTokens);
   work.mElapsed = mContext.mLoop.Now() - mStarted;
   work.mTieBreakSeed = mContext.mBoard.mGatewayIncarnation;
-  work.mAdmissionDraw = mAdmissionDraw;
   return work;
 }
 
@@ -149,14 +148,11 @@
 exchange::RefuseOverloaded(const engine_choice& aChoice)
 {
   const bool fits = aChoice.mVerdict != placement_verdict::NoMemory;
-  placement_request next = DescribeEngineWork();
-  next.mElapsed = duration::zero();
-  next.mAdmissionDraw = 1;
   const duration retryAfter =
     TimeUntilAccepted(mContext.mBoard.mEndpoints,
                       mContext.mBoard.mLedger,
                       *mService->mEngine,
-                      next,
+                      DescribeEngineWork(),
                       mContext.mSettings.mDataCentre,
                       mContext.mLoop.Now(),
                       TimeLeft() / kMaxRetryAfterDivisor);
@@ -177,7 +173,6 @@
         { "harm_holding", aChoice.mHarm.mFutureRequests },
         { "price", aChoice.mPrice },
         { "price_of_second", aChoice.mPrefillSecondPrice },
-        { "draw", mAdmissionDraw },
         { "retry_after_ms", Milliseconds(retryAfter) } });
   GiveUp(error_kind::Overloaded,
          fits ? "costs_others_more" : "no_memory",
@@ -214,9 +209,6 @@
         { "expected_ms", aChoice.mFirstEventMs },
         { "waited_ms", mPostponed ? Milliseconds(aWork.mElapsed) : 0 },
         { "harm", TotalHarm(aChoice.mHarm) },
-        { "price", aChoice.mPrice },
-        { "gain", aChoice.mGain },
-        { "draw", mAdmissionDraw },
         { "attempt", mAttemptedEndpoints.size() + 1 },
         { "manifest", mManifest->Manifest().mVersion } });
 }
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -287,17 +287,11 @@
         mLongRequests.push_back({ request.mPromptTokens });
       }
       mEvents.emplace(kStart + FromSeconds(at), [this, request, longIndex]() {
-        Submit(WithDraw(request), longIndex, true);
+        Submit(request, longIndex, true);
       });
     }
   }
 
-  placement_request WithDraw(placement_request aRequest)
-  {
-    aRequest.mAdmissionDraw = std::uniform_real_distribution<double>()(mRandom);
-    return aRequest;
-  }
-
   void Submit(const placement_request& aRequest,
               std::optional<std::size_t> aLongIndex,
               bool aMayRetry)
@@ -322,13 +316,15 @@
                         Submit(waiting, aLongIndex, aMayRetry);
                       });
     } else if (aMayRetry) {
-      placement_request next = aRequest;
-      next.mElapsed = duration::zero();
-      next.mAdmissionDraw = 1;
-      const duration retryAfter = TimeUntilAccepted(
-        mRegistry, mLedger, mTiming, next, "", mNow, std::chrono::seconds(5));
-      mEvents.emplace(mNow + retryAfter, [this, next, aLongIndex]() {
-        Submit(WithDraw(next), aLongIndex, false);
+      const duration retryAfter = TimeUntilAccepted(mRegistry,
+                                                    mLedger,
+                                                    mTiming,
+                                                    aRequest,
+                                                    "",
+                                                    mNow,
+                                                    std::chrono::seconds(5));
+      mEvents.emplace(mNow + retryAfter, [this, aRequest, aLongIndex]() {
+        Submit(aRequest, aLongIndex, false);
       });
     }
   }
