--- a/Libraries/LibFleet/PlacementAdmission.cpp
+++ b/Libraries/LibFleet/PlacementAdmission.cpp
@@ -67,8 +67,8 @@
   return aChoice.mGain * (aHasWaited ? factor * factor : factor);
 }
 
-/// Time since a prompt's arrival until which it may wait for a better
-/// placement.
+} // namespace
+
 duration
 MaxWait(const placement_request& aRequest)
 {
@@ -76,8 +76,6 @@
                   FromSeconds(kMaxWaitShare * Seconds(aRequest.mObjective)));
 }
 
-} // namespace
-
 double
 PrefillSecondPrice(const std::vector<engine_candidate>& aCandidates)
 {
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -308,7 +308,8 @@
         longRequest.mHarm = TotalHarm(choice->mHarm);
         longRequest.mWaited = aRequest.mElapsed;
       }
-    } else if (choice->mVerdict == placement_verdict::Wait) {
+    } else if (choice->mVerdict == placement_verdict::Wait ||
+               choice->mVerdict == placement_verdict::WaitForMemory) {
       placement_request waiting = aRequest;
       waiting.mElapsed += kReevaluationInterval;
       mEvents.emplace(mNow + kReevaluationInterval,
