--- a/Tests/Gateway/EndpointNoticeTest.cpp
+++ b/Tests/Gateway/EndpointNoticeTest.cpp
@@ -4,6 +4,7 @@
 
 using namespace primrose;
 using namespace primrose::test;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -15,6 +16,20 @@
   aConnection.Next();
 }
 
+/// Refuses the request with this Retry-After.
+std::function<void(connection&, const http_head&)>
+AnswerWithRetryAfter(const std::string& aValue)
+{
+  return [aValue](connection& aConnection, const http_head& aHead) {
+    aConnection.mChannel->Write(
+      "HTTP/1.1 503 X\r\nRequest-Id: " +
+      std::string(*FieldValue(aHead.mFields, "request-id")) +
+      "\r\nNot-Executed: 1\r\nRetry-After: " + aValue +
+      "\r\nContent-Length: 0\r\n\r\n");
+    aConnection.Next();
+  };
+}
+
 void
 AnswerStream(connection& aConnection, const http_head& aHead)
 {
@@ -69,6 +84,9 @@
   CPPUNIT_TEST_SUITE(endpoint_notice_test);
   CPPUNIT_TEST(EndpointThatSaysItLeavesGetsNoMoreRequests);
   CPPUNIT_TEST(EngineThatSaysItLeavesIsNoHelper);
+  CPPUNIT_TEST(RestingEndpointGetsNoRequests);
+  CPPUNIT_TEST(RequestIsRefusedAtOnceIfAllEndpointsRest);
+  CPPUNIT_TEST(OddRetryAfterNeitherBlocksNorCrashes);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -114,6 +132,81 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), w.mModel.mHeads.size());
   }
+
+  /// Guards against requests to an endpoint that has asked this gateway for
+  /// rest, which it would only refuse again, and against one that is left idle
+  /// after its rest.
+  void RestingEndpointGetsNoRequests()
+  {
+    two_desks w;
+    w.mDeskEndpoint.mAnswer = AnswerWithRetryAfter("1");
+    w.Start();
+    w.AskUntilFirstIsReached();
+    const time_point refusedAt = w.mLoop.Now();
+    w.mDeskEndpoint.mAnswer = &AnswerOk;
+    std::size_t asked = 0;
+    while (w.mLoop.Now() - refusedAt < milliseconds(900)) {
+      CPPUNIT_ASSERT_EQUAL(200U, w.Ask().Status());
+      ++asked;
+      w.For(milliseconds(10));
+    }
+    CPPUNIT_ASSERT(asked > 10);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), w.mDeskEndpoint.mHeads.size());
+    w.AskUntilFirstIsReached();
+  }
+
+  /// Guards against requests that wait, or are sent all the same, while all
+  /// endpoints of the service rest, and against a Retry-After that isn't that
+  /// of the endpoint whose rest ends first.
+  void RequestIsRefusedAtOnceIfAllEndpointsRest()
+  {
+    two_desks w;
+    w.mDeskEndpoint.mAnswer = AnswerWithRetryAfter("0.6");
+    w.mSecond.mAnswer = AnswerWithRetryAfter("30");
+    w.Start();
+    while (w.mDeskEndpoint.mHeads.empty() || w.mSecond.mHeads.empty()) {
+      CPPUNIT_ASSERT_EQUAL(503U, w.Ask().Status());
+    }
+    const time_point asked = w.mLoop.Now();
+    const standin_caller& refused = w.Ask();
+    CPPUNIT_ASSERT_EQUAL(503U, refused.Status());
+    CPPUNIT_ASSERT(w.mLoop.Now() - asked < milliseconds(200));
+    const double retryAfter = std::stod(*refused.Field("retry-after"));
+    CPPUNIT_ASSERT(retryAfter > 0.2 && retryAfter <= 0.6);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), w.mDeskEndpoint.mHeads.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), w.mSecond.mHeads.size());
+  }
+
+  /// Guards against a Retry-After that is no number of seconds, or one so large
+  /// that sums with it overflow.
+  void OddRetryAfterNeitherBlocksNorCrashes()
+  {
+    for (const char* const text : { "-1",
+                                    "nan",
+                                    "inf",
+                                    "soon",
+                                    "3 s",
+                                    "",
+                                    "Wed, 21 Oct 2026 07:28:00 GMT" }) {
+      world w;
+      w.mDeskEndpoint.mAnswer = AnswerWithRetryAfter(text);
+      w.Start();
+      CPPUNIT_ASSERT_EQUAL(503U, w.Answered(w.Request("a", "safe")).Status());
+      w.mDeskEndpoint.mAnswer = &AnswerOk;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        text, 200U, w.Answered(w.Request("b", "safe")).Status());
+    }
+    for (const char* const text : { "1e18", "99999999999999999999" }) {
+      world w;
+      w.mDeskEndpoint.mAnswer = AnswerWithRetryAfter(text);
+      w.Start();
+      CPPUNIT_ASSERT_EQUAL(503U, w.Answered(w.Request("a", "safe")).Status());
+      w.mDeskEndpoint.mAnswer = &AnswerOk;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        text, 503U, w.Answered(w.Request("b", "safe")).Status());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), w.mDeskEndpoint.mHeads.size());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(endpoint_notice_test, "notices");
