--- a/Libraries/LibFleet/Endpoints.cpp
+++ b/Libraries/LibFleet/Endpoints.cpp
@@ -81,6 +81,45 @@
   std::erase_if(aRegistry.mGone, [oldest = *middle](const auto& aEntry) {
     return aEntry.second < oldest;
   });
+  std::erase_if(aRegistry.mNoticesOfGone, [&aRegistry](const auto& aEntry) {
+    return !aRegistry.mGone.contains(aEntry.first);
+  });
+}
+
+/// Removes an endpoint from the list, but keeps its notice. True if it was
+/// listed.
+bool
+RemoveEndpoint(endpoint_registry& aRegistry,
+               const std::string& aId,
+               std::uint64_t aRevision)
+{
+  aRegistry.mGone[aId] = aRevision;
+  const auto held = aRegistry.mEndpoints.find(aId);
+  const bool listed = held != aRegistry.mEndpoints.end();
+  if (listed) {
+    if (held->second.mNotice != endpoint_notice{}) {
+      aRegistry.mNoticesOfGone[aId] = held->second.mNotice;
+    }
+    aRegistry.mEndpoints.erase(held);
+  }
+  TrimRemovals(aRegistry);
+  return listed;
+}
+
+/// Adds an endpoint to the list, with its notice if it was listed before.
+void
+AddEndpoint(endpoint_registry& aRegistry, const row_change<endpoint>& aRow)
+{
+  known_endpoint added;
+  added.mListed = *aRow.mValue;
+  added.mRevision = aRow.mRevision;
+  aRegistry.mGone.erase(aRow.mKey);
+  const auto notice = aRegistry.mNoticesOfGone.find(aRow.mKey);
+  if (notice != aRegistry.mNoticesOfGone.end()) {
+    added.mNotice = notice->second;
+    aRegistry.mNoticesOfGone.erase(notice);
+  }
+  aRegistry.mEndpoints.emplace(aRow.mKey, std::move(added));
 }
 
 } // namespace
@@ -100,18 +139,12 @@
     return membership_change::Unchanged;
   }
   if (!aChange.mValue.has_value()) {
-    aRegistry.mGone[aChange.mKey] = aChange.mRevision;
-    TrimRemovals(aRegistry);
-    return aRegistry.mEndpoints.erase(aChange.mKey) != 0
+    return RemoveEndpoint(aRegistry, aChange.mKey, aChange.mRevision)
              ? membership_change::Left
              : membership_change::Unchanged;
   }
-  aRegistry.mGone.erase(aChange.mKey);
   if (held == aRegistry.mEndpoints.end()) {
-    known_endpoint added;
-    added.mListed = *aChange.mValue;
-    added.mRevision = aChange.mRevision;
-    aRegistry.mEndpoints.emplace(aChange.mKey, std::move(added));
+    AddEndpoint(aRegistry, aChange);
     return membership_change::Joined;
   }
   const bool wasLeaving = held->second.mListed.mLeaving;
@@ -140,8 +173,7 @@
   for (const std::string& id : left) {
     // The revision that removed it is not known, but is at most that of the
     // snapshot.
-    aRegistry.mGone[id] = aRevision;
-    aRegistry.mEndpoints.erase(id);
+    (void)RemoveEndpoint(aRegistry, id, aRevision);
   }
   return left;
 }
@@ -190,10 +222,16 @@
   }
 }
 
+bool
+IsLeaving(const known_endpoint& aEndpoint)
+{
+  return aEndpoint.mListed.mLeaving || aEndpoint.mNotice.mLeaving;
+}
+
 bool
 IsUsable(const known_endpoint& aEndpoint, std::string_view aService)
 {
-  return !aEndpoint.mListed.mLeaving && aEndpoint.mListed.mService == aService;
+  return !IsLeaving(aEndpoint) && aEndpoint.mListed.mService == aService;
 }
 
 bool
--- a/Libraries/LibFleet/Endpoints.h
+++ b/Libraries/LibFleet/Endpoints.h
@@ -4,6 +4,7 @@
 /// this gateway and reported by its peers.
 
 #include "LibFleet/EndpointLimits.h"
+#include "LibFleet/EndpointNotices.h"
 
 #include <map>
 #include <optional>
@@ -69,6 +70,7 @@
   std::uint64_t mRevision = 0;
   endpoint_health mHealth;
   endpoint_limit mLimit;
+  endpoint_notice mNotice;
   unsigned mOutstanding = 0;    ///< This gateway's own attempts in flight.
   time_point mLastReceivedAt{}; ///< When one of them last received data.
   /// False if the endpoint is outside this gateway's subset
@@ -85,6 +87,8 @@
   /// Revisions of removed rows. They prevent a stale table read from restoring
   /// an endpoint whose removal was already applied.
   std::unordered_map<std::string, std::uint64_t> mGone;
+  /// Notices of endpoints in `mGone`, for those whose rows return.
+  std::unordered_map<std::string, endpoint_notice> mNoticesOfGone;
   std::uint64_t mNewestRevision = 0; ///< Of all rows applied so far.
 };
 
@@ -123,6 +127,11 @@
 void
 RecordPeerFailureReport(endpoint_health& aHealth, time_point aNow);
 
+/// True if the platform lists the endpoint as leaving or one of its answers
+/// said so.
+bool
+IsLeaving(const known_endpoint& aEndpoint);
+
 /// True if the endpoint may be given new work of this service.
 bool
 IsUsable(const known_endpoint& aEndpoint, std::string_view aService);
--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -7,6 +7,7 @@
 /// no threads.
 
 #include "LibFleet/EndpointLimits.h"
+#include "LibFleet/EndpointNotices.h"
 #include "LibFleet/Endpoints.h"
 #include "LibFleet/EngineLedger.h"
 #include "LibFleet/EnginePlacement.h"
--- a/Libraries/LibGateway/Adapter.h
+++ b/Libraries/LibGateway/Adapter.h
@@ -60,6 +60,7 @@
   /// Requests per second that the endpoint accepts from all gateways together.
   std::optional<double> mLimitPerSecond;
   std::string mFaultyHelperAddress; ///< The helper that caused a refusal.
+  bool mLeaving = false;            ///< The endpoint accepts no new requests.
 
   bool operator==(const answer_info&) const = default;
 };
--- a/Libraries/LibGateway/CrashDetector.cpp
+++ b/Libraries/LibGateway/CrashDetector.cpp
@@ -168,8 +168,7 @@
     return;
   }
   const auto known = mBoard.mEndpoints.mEndpoints.find(id);
-  if (known == mBoard.mEndpoints.mEndpoints.end() ||
-      known->second.mListed.mLeaving) {
+  if (known == mBoard.mEndpoints.mEndpoints.end() || IsLeaving(known->second)) {
     // The end of a draining or unlisted endpoint is planned and no crash.
     return;
   }
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -102,6 +102,10 @@
   void RecordPlacement(const engine_choice& aChoice,
                        const placement_request& aWork);
   void ReserveMemory(const engine_choice& aChoice);
+  /// True if these engines still accept requests. They may have announced
+  /// otherwise while memory was being reserved.
+  bool AllAcceptRequests(const endpoint& aDecodeEngine,
+                         const std::vector<endpoint>& aHelpers) const;
   /// Sends the prompt to the engine that decodes. The first `aReservedCount`
   /// helpers have reserved memory for it.
   void SendToEngines(const endpoint& aDecodeEngine,
@@ -148,6 +152,8 @@
   /// Applies the rate limit that the endpoint's answer reports and broadcasts
   /// it to the peers.
   void ApplyReportedLimit(const attempt& aAttempt);
+  /// Applies what the endpoint's answer announces about the endpoint itself.
+  void ApplyEndpointNotice(const attempt& aAttempt);
   /// Refuses a request for which no endpoint can be chosen.
   void RefuseUnplaced();
   /// Records that the endpoint responded just now.
--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -148,6 +148,26 @@
   }
 }
 
+void
+exchange::ApplyEndpointNotice(const attempt& aAttempt)
+{
+  const answer_info& info = aAttempt.Info();
+  known_endpoint* const known = FindEndpoint(aAttempt);
+  if (known == nullptr || info.mWrongEndpoint) {
+    return;
+  }
+  if (info.mLeaving && !known->mNotice.mLeaving) {
+    known->mNotice.mLeaving = true;
+    mContext.mBoard.mMetrics.Count("gateway_endpoint_leaving_notices_total");
+    Log(log_level::Info,
+        "endpoint_says_leaving",
+        { { "endpoint", known->mListed.mId },
+          { "address", known->mListed.mAddress.Text() },
+          { "request", mRequestInfo.mId },
+          { "listed_as_leaving", static_cast<int>(known->mListed.mLeaving) } });
+  }
+}
+
 void
 exchange::RecordEndpointActivity(const attempt& aAttempt)
 {
@@ -162,6 +182,7 @@
   RecordEndpointActivity(aAttempt);
   RecordReportedLoad(aAttempt);
   ApplyReportedLimit(aAttempt);
+  ApplyEndpointNotice(aAttempt);
   mStreaming =
     mRoute->mKind == call_kind::Stream && IsSuccess(aAttempt.Head().mStatus);
   if (mStreaming && !mStreamHead.has_value()) {
@@ -310,6 +331,7 @@
         { "after_ms", Milliseconds(mContext.mLoop.Now() - aAttempt.SentAt()) },
         { "last_event", mCursor.LastId().value_or(0) } });
   const bool wrongEndpoint = aAttempt.Info().mWrongEndpoint;
+  ApplyEndpointNotice(aAttempt);
   switch (aEnd) {
     case attempt_end::NotConnected:
       UpdateEndpointHealth(aAttempt, endpoint_health_event::Unreachable);
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -245,14 +245,15 @@
       if (self == nullptr || self->mState == state::Ended) {
         return;
       }
-      if (aGranted) {
+      if (aGranted && self->AllAcceptRequests(decodeEngine, helpers)) {
         self->SendToEngines(decodeEngine, helpers, reservedCount);
         return;
       }
       Log(log_level::Info,
           "memory_refused",
           { { "request", self->mRequestInfo.mId },
-            { "holders", reservedCount } });
+            { "holders", reservedCount },
+            { "granted", static_cast<int>(aGranted) } });
       self->ReleaseAttempt();
       if (++self->mMemoryRefusals >= kMaxMemoryRefusals) {
         self->GiveUp(error_kind::Overloaded, "no_memory");
@@ -262,6 +263,20 @@
     });
 }
 
+bool
+exchange::AllAcceptRequests(const endpoint& aDecodeEngine,
+                            const std::vector<endpoint>& aHelpers) const
+{
+  const endpoint_registry& registry = mContext.mBoard.mEndpoints;
+  const auto accepts = [&registry](const endpoint& aEndpoint) {
+    const auto known = registry.mEndpoints.find(aEndpoint.mId);
+    return known != registry.mEndpoints.end() && !IsLeaving(known->second) &&
+           AcceptsRequests(known->second.mNotice);
+  };
+  return accepts(aDecodeEngine) &&
+         std::all_of(aHelpers.begin(), aHelpers.end(), accepts);
+}
+
 void
 exchange::SendToEngines(const endpoint& aDecodeEngine,
                         const std::vector<endpoint>& aHelpers,
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -117,6 +117,11 @@
       aState.mEndpoints.mEndpoints.begin(),
       aState.mEndpoints.mEndpoints.end(),
       [aNow](const auto& aEntry) { return IsAvoided(aEntry.second, aNow); })));
+  out.Set("gateway_endpoints_leaving",
+          static_cast<double>(std::count_if(
+            aState.mEndpoints.mEndpoints.begin(),
+            aState.mEndpoints.mEndpoints.end(),
+            [](const auto& aEntry) { return IsLeaving(aEntry.second); })));
   out.Set("gateway_requests_held",
           static_cast<double>(aState.mQuarantine.mHeld.size()));
   out.Set("gateway_requests_suspected",
--- a/Tests/Gateway/EndpointNoticeTest.cpp
+++ b/Tests/Gateway/EndpointNoticeTest.cpp
@@ -125,7 +125,7 @@
       CPPUNIT_ASSERT_EQUAL(200U,
                            w.Answered(w.Request("l" + std::to_string(i),
                                                 "stream",
-                                                "Token-Usage: 100000,50\r\n"))
+                                                "Token-Usage: 30000,50\r\n"))
                              .Status());
       CPPUNIT_ASSERT_EQUAL(std::string("(none)"),
                            w.mSecond.Field(before, "helpers"));
--- a/Tests/Unit/FleetStateTest.cpp
+++ b/Tests/Unit/FleetStateTest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST_SUITE(fleet_state_test);
   CPPUNIT_TEST(StaleRowDoesNotRestoreEndpoint);
   CPPUNIT_TEST(FullListRemovesMissingEndpoints);
+  CPPUNIT_TEST(NoticeOutlivesTheRowOfItsEndpoint);
   CPPUNIT_TEST(OlderManifestIsNotNewer);
   CPPUNIT_TEST(LongestPrefixWins);
   CPPUNIT_TEST(ServiceChoiceFollowsWeights);
@@ -68,6 +69,26 @@
     CPPUNIT_ASSERT(registry.mEndpoints.contains("c"));
   }
 
+  /// Guards against requests to a leaving endpoint whose row lapsed while the
+  /// store was unreachable and came back as ready.
+  void NoticeOutlivesTheRowOfItsEndpoint()
+  {
+    endpoint_registry registry;
+    (void)ApplyRow(registry, { "e", 5, Listed("e") });
+    registry.mEndpoints.at("e").mNotice.mLeaving = true;
+    (void)ApplyRow(registry, { "e", 9, std::nullopt });
+    (void)ApplyRow(registry, { "e", 12, Listed("e") });
+    CPPUNIT_ASSERT(!IsUsable(registry.mEndpoints.at("e"), "model"));
+    // A list without it, then a newer row.
+    (void)ApplySnapshot(registry, {}, 20);
+    CPPUNIT_ASSERT(registry.mEndpoints.empty());
+    (void)ApplyRow(registry, { "e", 21, Listed("e") });
+    CPPUNIT_ASSERT(!IsUsable(registry.mEndpoints.at("e"), "model"));
+    // The next endpoint at the same address has another id.
+    (void)ApplyRow(registry, { "f", 22, Listed("f") });
+    CPPUNIT_ASSERT(IsUsable(registry.mEndpoints.at("f"), "model"));
+  }
+
   void OlderManifestIsNotNewer()
   {
     manifest newer;
--- a/Utilities/Control/RequestTimeline.cpp
+++ b/Utilities/Control/RequestTimeline.cpp
@@ -15,9 +15,10 @@
   "started",       "draining",           "manifest_in_force", "store_lost",
   "store_reached", "store_history_lost", "peer_lost"
 };
-constexpr std::array<std::string_view, 2> kEndpointStateEvents = {
+constexpr std::array<std::string_view, 3> kEndpointStateEvents = {
   "endpoint_listed",
-  "endpoint_avoided"
+  "endpoint_avoided",
+  "endpoint_says_leaving"
 };
 
 template<std::size_t N>
