--- a/Libraries/LibFleet/EndpointNotices.h
+++ b/Libraries/LibFleet/EndpointNotices.h
@@ -9,17 +9,44 @@
 
 #include "LibCore/LibCore.h"
 
+#include <string_view>
+
 namespace primrose {
 
 struct endpoint_notice
 {
   bool mLeaving = false; ///< Never taken back: the next start has another id.
+  time_point mRestsUntil{};
 
   bool operator==(const endpoint_notice&) const = default;
 };
 
+/// The time for which an endpoint asks to get no requests.
+struct requested_rest
+{
+  duration mRest{}; ///< Zero if the value can't be read.
+  /// False if the value is no number of seconds, negative, or was reduced to
+  /// the maximum.
+  bool mIsValid = true;
+
+  bool operator==(const requested_rest&) const = default;
+};
+
+/// Reads the value of a Retry-After field. Dates are not supported.
+requested_rest
+ReadRequestedRest(std::string_view aValue);
+
+/// The notice with a rest from now on. A rest that ends later stays.
+endpoint_notice
+WithRest(const endpoint_notice& aNotice, duration aRest, time_point aNow);
+
 /// True if the endpoint accepts requests from this gateway.
 bool
-AcceptsRequests(const endpoint_notice& aNotice);
+AcceptsRequests(const endpoint_notice& aNotice, time_point aNow);
+
+/// Time until the endpoint accepts requests from this gateway;
+/// `duration::max()` if it leaves.
+duration
+TimeUntilAccepting(const endpoint_notice& aNotice, time_point aNow);
 
 } // namespace primrose
--- a/Libraries/LibFleet/Endpoints.cpp
+++ b/Libraries/LibFleet/Endpoints.cpp
@@ -239,7 +239,9 @@
              std::string_view aService,
              time_point aNow)
 {
-  return IsUsable(aEndpoint, aService) && Admits(aEndpoint.mLimit, aNow);
+  return IsUsable(aEndpoint, aService) &&
+         AcceptsRequests(aEndpoint.mNotice, aNow) &&
+         Admits(aEndpoint.mLimit, aNow);
 }
 
 std::optional<duration>
@@ -253,7 +255,8 @@
     if (IsUsable(known, aService) &&
         std::find(aTried.begin(), aTried.end(), id) == aTried.end()) {
       soonest = std::min(soonest.value_or(duration::max()),
-                         TimeUntilAdmitted(known.mLimit, aNow));
+                         std::max(TimeUntilAdmitted(known.mLimit, aNow),
+                                  TimeUntilAccepting(known.mNotice, aNow)));
     }
   }
   return soonest;
--- a/Libraries/LibFleet/Endpoints.h
+++ b/Libraries/LibFleet/Endpoints.h
@@ -136,15 +136,15 @@
 bool
 IsUsable(const known_endpoint& aEndpoint, std::string_view aService);
 
-/// True if the endpoint is usable and its limit admits a request by this
-/// gateway.
+/// True if the endpoint is usable, does not rest, and its limit admits a
+/// request by this gateway.
 bool
 IsAdmissible(const known_endpoint& aEndpoint,
              std::string_view aService,
              time_point aNow);
 
-/// Time until the limit of a usable endpoint of the service, other than those
-/// in `aTried`, admits a request; nullopt if there is no such endpoint.
+/// Time until a usable endpoint of the service, other than those in `aTried`,
+/// is admissible; nullopt if there is no such endpoint.
 std::optional<duration>
 TimeUntilAdmissible(const endpoint_registry& aRegistry,
                     std::string_view aService,
--- a/Libraries/LibGateway/Adapter.h
+++ b/Libraries/LibGateway/Adapter.h
@@ -61,6 +61,9 @@
   std::optional<double> mLimitPerSecond;
   std::string mFaultyHelperAddress; ///< The helper that caused a refusal.
   bool mLeaving = false;            ///< The endpoint accepts no new requests.
+  /// Retry-After of a 503, as received: the time for which the endpoint accepts
+  /// no requests from this gateway.
+  std::optional<std::string> mRetryAfter;
 
   bool operator==(const answer_info&) const = default;
 };
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -265,10 +265,11 @@
 void
 exchange::GiveUp(error_kind aKind, const std::string& aWhy)
 {
-  GiveUp(aKind,
-         aWhy,
-         aKind == error_kind::NoEndpoint ? kRetryAfterNoEndpoint
-                                         : Seconds(kMinRetryAfter));
+  const double usual = aKind == error_kind::NoEndpoint
+                         ? kRetryAfterNoEndpoint
+                         : Seconds(kMinRetryAfter);
+  const std::optional<duration> service = RetryAfterOfService();
+  GiveUp(aKind, aWhy, service.has_value() ? Seconds(*service) : usual);
 }
 
 void
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -154,8 +154,14 @@
   void ApplyReportedLimit(const attempt& aAttempt);
   /// Applies what the endpoint's answer announces about the endpoint itself.
   void ApplyEndpointNotice(const attempt& aAttempt);
+  /// Sends nothing to the endpoint for as long as its Retry-After says.
+  void ApplyRequestedRest(known_endpoint& aEndpoint,
+                          const std::string& aRetryAfter);
   /// Refuses a request for which no endpoint can be chosen.
   void RefuseUnplaced();
+  /// Retry-After of a refusal, if all endpoints of the service rest or are
+  /// limited: the time until the first of them is admissible.
+  std::optional<duration> RetryAfterOfService() const;
   /// Records that the endpoint responded just now.
   void RecordEndpointActivity(const attempt& aAttempt);
   void UpdateEndpointHealth(const attempt& aAttempt,
--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -166,6 +166,36 @@
           { "request", mRequestInfo.mId },
           { "listed_as_leaving", static_cast<int>(known->mListed.mLeaving) } });
   }
+  if (info.mRetryAfter.has_value()) {
+    ApplyRequestedRest(*known, *info.mRetryAfter);
+  }
+}
+
+void
+exchange::ApplyRequestedRest(known_endpoint& aEndpoint,
+                             const std::string& aRetryAfter)
+{
+  const time_point now = mContext.mLoop.Now();
+  const requested_rest rest = ReadRequestedRest(aRetryAfter);
+  if (!rest.mIsValid) {
+    Log(log_level::Warning,
+        "retry_after_invalid",
+        { { "endpoint", aEndpoint.mListed.mId },
+          { "request", mRequestInfo.mId },
+          { "value", aRetryAfter },
+          { "applied_ms", Milliseconds(rest.mRest) } });
+  }
+  if (rest.mRest <= duration::zero()) {
+    return;
+  }
+  aEndpoint.mNotice = WithRest(aEndpoint.mNotice, rest.mRest, now);
+  mContext.mBoard.mMetrics.Count("gateway_endpoint_rests_total");
+  Log(log_level::Info,
+      "endpoint_asks_rest",
+      { { "endpoint", aEndpoint.mListed.mId },
+        { "address", aEndpoint.mListed.mAddress.Text() },
+        { "request", mRequestInfo.mId },
+        { "for_ms", Milliseconds(rest.mRest) } });
 }
 
 void
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -268,10 +268,11 @@
                             const std::vector<endpoint>& aHelpers) const
 {
   const endpoint_registry& registry = mContext.mBoard.mEndpoints;
-  const auto accepts = [&registry](const endpoint& aEndpoint) {
+  const auto accepts = [&registry,
+                        now = mContext.mLoop.Now()](const endpoint& aEndpoint) {
     const auto known = registry.mEndpoints.find(aEndpoint.mId);
     return known != registry.mEndpoints.end() && !IsLeaving(known->second) &&
-           AcceptsRequests(known->second.mNotice);
+           AcceptsRequests(known->second.mNotice, now);
   };
   return accepts(aDecodeEngine) &&
          std::all_of(aHelpers.begin(), aHelpers.end(), accepts);
@@ -327,21 +328,37 @@
 void
 exchange::RefuseUnplaced()
 {
-  const std::optional<duration> wait =
-    TimeUntilAdmissible(mContext.mBoard.mEndpoints,
-                        mService->mName,
-                        mExcludedEndpoints,
-                        mContext.mLoop.Now());
-  if (!wait.has_value()) {
+  const std::optional<duration> retryAfter = RetryAfterOfService();
+  if (!retryAfter.has_value()) {
     GiveUp(error_kind::NoEndpoint, "no_endpoint");
     return;
   }
-  mContext.mBoard.mMetrics.Count("gateway_limit_refusals_total");
+  const auto& endpoints = mContext.mBoard.mEndpoints.mEndpoints;
+  const bool resting =
+    std::any_of(endpoints.begin(),
+                endpoints.end(),
+                [this, now = mContext.mLoop.Now()](const auto& aEntry) {
+                  return IsUsable(aEntry.second, mService->mName) &&
+                         !AcceptsRequests(aEntry.second.mNotice, now);
+                });
+  mContext.mBoard.mMetrics.Count(resting ? "gateway_rest_refusals_total"
+                                         : "gateway_limit_refusals_total");
+  GiveUp(error_kind::Overloaded,
+         resting ? "endpoints_rest" : "endpoints_limited",
+         Seconds(*retryAfter));
+}
+
+std::optional<duration>
+exchange::RetryAfterOfService() const
+{
+  const std::optional<duration> wait = TimeUntilAdmissible(
+    mContext.mBoard.mEndpoints, mService->mName, {}, mContext.mLoop.Now());
+  if (!wait.has_value() || *wait <= duration::zero()) {
+    return std::nullopt;
+  }
   const duration maxRetryAfter =
     std::max(kMinRetryAfter, TimeLeft() / kMaxRetryAfterDivisor);
-  GiveUp(error_kind::Overloaded,
-         "endpoints_limited",
-         Seconds(std::clamp(*wait, kMinRetryAfter, maxRetryAfter)));
+  return std::clamp(*wait, kMinRetryAfter, maxRetryAfter);
 }
 
 void
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -122,6 +122,14 @@
             aState.mEndpoints.mEndpoints.begin(),
             aState.mEndpoints.mEndpoints.end(),
             [](const auto& aEntry) { return IsLeaving(aEntry.second); })));
+  out.Set("gateway_endpoints_resting",
+          static_cast<double>(std::count_if(
+            aState.mEndpoints.mEndpoints.begin(),
+            aState.mEndpoints.mEndpoints.end(),
+            [aNow](const auto& aEntry) {
+              return !IsLeaving(aEntry.second) &&
+                     !AcceptsRequests(aEntry.second.mNotice, aNow);
+            })));
   out.Set("gateway_requests_held",
           static_cast<double>(aState.mQuarantine.mHeld.size()));
   out.Set("gateway_requests_suspected",
--- a/Tests/Unit/FleetStateTest.cpp
+++ b/Tests/Unit/FleetStateTest.cpp
@@ -17,6 +17,9 @@
   CPPUNIT_TEST(StaleRowDoesNotRestoreEndpoint);
   CPPUNIT_TEST(FullListRemovesMissingEndpoints);
   CPPUNIT_TEST(NoticeOutlivesTheRowOfItsEndpoint);
+  CPPUNIT_TEST(RequestedRestIsReadStrictly);
+  CPPUNIT_TEST(LaterRestIsNotShortened);
+  CPPUNIT_TEST(NoGatewayOfAFleetSendsToRestingEndpoint);
   CPPUNIT_TEST(OlderManifestIsNotNewer);
   CPPUNIT_TEST(LongestPrefixWins);
   CPPUNIT_TEST(ServiceChoiceFollowsWeights);
@@ -89,6 +92,81 @@
     CPPUNIT_ASSERT(IsUsable(registry.mEndpoints.at("f"), "model"));
   }
 
+  /// Guards against rests of an unintended length: a value is either a plain
+  /// number of seconds or rejected.
+  void RequestedRestIsReadStrictly()
+  {
+    using std::chrono::milliseconds;
+    const duration maximum = std::chrono::hours(1);
+    const std::vector<std::pair<std::string_view, requested_rest>> expected = {
+      { "3", { std::chrono::seconds(3), true } },
+      { "0.25", { milliseconds(250), true } },
+      { "0", { duration::zero(), true } },
+      { "3600", { maximum, true } },
+      { "3601", { maximum, false } },
+      { "1e18", { maximum, false } },
+      { "99999999999999999999", { maximum, false } },
+      { "-1", { duration::zero(), false } },
+      { "nan", { duration::zero(), false } },
+      { "inf", { duration::zero(), false } },
+      { "", { duration::zero(), false } },
+      { "soon", { duration::zero(), false } },
+      { "3 s", { duration::zero(), false } },
+      { "Wed, 21 Oct 2026 07:28:00 GMT", { duration::zero(), false } }
+    };
+    for (const auto& [text, rest] : expected) {
+      CPPUNIT_ASSERT_MESSAGE(std::string(text),
+                             ReadRequestedRest(text) == rest);
+    }
+  }
+
+  /// Guards against a short rest that ends a long one.
+  void LaterRestIsNotShortened()
+  {
+    using std::chrono::seconds;
+    const time_point now{ std::chrono::hours(1) };
+    endpoint_notice notice = WithRest({}, seconds(3), now);
+    notice = WithRest(notice, seconds(1), now + seconds(1));
+    CPPUNIT_ASSERT(!AcceptsRequests(notice, now + seconds(2)));
+    CPPUNIT_ASSERT(TimeUntilAccepting(notice, now + seconds(2)) == seconds(1));
+    CPPUNIT_ASSERT(AcceptsRequests(notice, now + seconds(3)));
+  }
+
+  /// Guards against a number of gateways at which a resting endpoint gets
+  /// requests: each gateway counts for itself, so none may send any, and the
+  /// others serve them all.
+  void NoGatewayOfAFleetSendsToRestingEndpoint()
+  {
+    using std::chrono::milliseconds;
+    constexpr duration kRest = std::chrono::seconds(3);
+    for (const std::size_t gateways : { 15U, 103U, 350U }) {
+      std::size_t refused = 0;
+      for (std::size_t gateway = 0; gateway < gateways; ++gateway) {
+        endpoint_registry registry;
+        for (const char* const id : { "shedding", "second", "third" }) {
+          (void)ApplyRow(registry, { id, 5, Listed(id) });
+        }
+        random_engine random(gateway + 1);
+        time_point restsUntil{};
+        for (time_point now{ std::chrono::hours(1) };
+             now < time_point(std::chrono::hours(1)) + 3 * kRest;
+             now += milliseconds(100)) {
+          known_endpoint* const chosen = ChoosePlainEndpoint(
+            registry, "model", "", {}, now, Uniform(random));
+          CPPUNIT_ASSERT(chosen != nullptr);
+          if (chosen->mListed.mId == "shedding") {
+            CPPUNIT_ASSERT(now >= restsUntil);
+            restsUntil = now + kRest;
+            chosen->mNotice = WithRest(chosen->mNotice, kRest, now);
+            ++refused;
+          }
+        }
+      }
+      CPPUNIT_ASSERT(refused >= gateways);
+      CPPUNIT_ASSERT(refused <= 3 * gateways);
+    }
+  }
+
   void OlderManifestIsNotNewer()
   {
     manifest newer;
--- a/Tests/Unit/RequestTimelineTest.cpp
+++ b/Tests/Unit/RequestTimelineTest.cpp
@@ -38,15 +38,17 @@
       "time=15 by=e1 event=endpoint_listed endpoint=i-1 change=joined",
       "time=15 by=e1 event=endpoint_listed endpoint=i-9 change=joined",
       "time=16 by=e1 event=endpoint_says_leaving endpoint=i-2 request=r0",
+      "time=17 by=e1 event=endpoint_asks_rest endpoint=i-1 request=r0",
       "time=20 by=e1 event=placed request=r1 endpoint=i-1 readers=i-2,i-3",
       "time=20 by=e1 event=placed request=r2 endpoint=i-1",
       "time=21 by=e1 event=endpoint_avoided endpoint=i-3 strikes=3",
       "time=22 by=e1 event=request request=r1 outcome=refused",
       "time=23 by=e1 event=store_reached table=servers"
     };
-    const std::vector<std::string> expected = { lines[0],  lines[2], lines[4],
-                                                lines[5],  lines[7], lines[8],
-                                                lines[10], lines[11] };
+    const std::vector<std::string> expected = {
+      lines[0], lines[2], lines[4],  lines[5], lines[7],
+      lines[8], lines[9], lines[11], lines[12]
+    };
     CPPUNIT_ASSERT(RequestTimeline(lines, "r1") == expected);
   }
 
--- a/Utilities/Control/RequestTimeline.cpp
+++ b/Utilities/Control/RequestTimeline.cpp
@@ -15,10 +15,11 @@
   "started",       "draining",           "manifest_in_force", "store_lost",
   "store_reached", "store_history_lost", "peer_lost"
 };
-constexpr std::array<std::string_view, 3> kEndpointStateEvents = {
+constexpr std::array<std::string_view, 4> kEndpointStateEvents = {
   "endpoint_listed",
   "endpoint_avoided",
-  "endpoint_says_leaving"
+  "endpoint_says_leaving",
+  "endpoint_asks_rest"
 };
 
 template<std::size_t N>
