--- a/Tests/Soak/Faults.cpp
+++ b/Tests/Soak/Faults.cpp
@@ -32,6 +32,8 @@
 /// Offset of the seed that makes the plan of crashes independent of the plan
 /// of faults.
 constexpr std::uint64_t kCrashSeedOffset = 0xc0ffee;
+constexpr double kMeanNoticeInterval = 1.5;
+constexpr std::uint64_t kNoticeSeedOffset = 0x1eaf;
 
 } // namespace
 
@@ -53,6 +55,24 @@
   return plan;
 }
 
+std::vector<planned_notice>
+PlanNotices(std::uint64_t aSeed, duration aLength)
+{
+  random_engine random(aSeed + kNoticeSeedOffset);
+  std::vector<planned_notice> plan;
+  for (double at = 1; at < Seconds(aLength);
+       at += Exponential(random, kMeanNoticeInterval)) {
+    planned_notice one;
+    one.mAt = FromSeconds(at);
+    one.mTarget = Below(random, kTargetRange);
+    one.mLeaves = Below(random, 3) == 0;
+    one.mDuration =
+      FromSeconds(0.2 + Uniform(random) * (kMaxFaultSeconds - 0.2));
+    plan.push_back(one);
+  }
+  return plan;
+}
+
 std::vector<fault>
 PlanFaults(std::uint64_t aSeed, duration aLength)
 {
--- a/Tests/Soak/Faults.h
+++ b/Tests/Soak/Faults.h
@@ -52,6 +52,22 @@
   bool operator==(const planned_crash&) const = default;
 };
 
+/// A span in which an endpoint's answers announce something: that it leaves,
+/// after which a new one replaces it, or that it accepts no requests for a
+/// while. It then refuses all. Planned apart, as crashes are.
+struct planned_notice
+{
+  duration mAt{};
+  std::size_t mTarget = 0; ///< Random; taken modulo the number of targets.
+  bool mLeaves = false;
+  duration mDuration{};
+
+  bool operator==(const planned_notice&) const = default;
+};
+
+std::vector<planned_notice>
+PlanNotices(std::uint64_t aSeed, duration aLength);
+
 std::vector<planned_crash>
 PlanCrashes(std::uint64_t aSeed, duration aLength);
 
--- a/Tests/Soak/History.cpp
+++ b/Tests/Soak/History.cpp
@@ -132,6 +132,9 @@
                              std::to_string(aHistory.mLateCrashingRequests) +
                              " times more" });
   }
+  for (const std::string& what : aHistory.mIgnoredAnnouncements) {
+    violations.push_back({ "", what });
+  }
   if (aHistory.mCheckTimes) {
     for (const std::string& what : aHistory.mOtherViolations) {
       violations.push_back({ "", what });
--- a/Tests/Soak/History.h
+++ b/Tests/Soak/History.h
@@ -64,6 +64,9 @@
   std::vector<disturbance_span> mDisturbances;
   std::vector<planned_exit> mPlannedExits;
   std::vector<std::string> mOtherViolations; ///< Found during the run.
+  /// Requests to endpoints that had announced to get none. Judged by the order
+  /// of events, on busy machines too.
+  std::vector<std::string> mIgnoredAnnouncements;
   /// How often gateways that were healthy sent the request that crashes
   /// engines although it had crashed three well before.
   std::size_t mLateCrashingRequests = 0;
--- a/Tests/Soak/SoakEnvironment.cpp
+++ b/Tests/Soak/SoakEnvironment.cpp
@@ -31,11 +31,15 @@
 /// Time within which a new manifest is in force on every healthy gateway. Also
 /// the time that a gateway may take to recover from a fault.
 constexpr duration kPropagationTime = std::chrono::seconds(3);
+/// Time for which a draining endpoint still serves.
+constexpr duration kDrainTime = std::chrono::seconds(3);
 constexpr duration kMemoryLease = std::chrono::seconds(4);
 /// Delay after which a crashed endpoint is unlisted and a new one replaces it.
 constexpr duration kReplacementDelay = milliseconds(1200);
 /// Interval at which the request that crashes engines is sent.
 constexpr duration kCrashingRequestInterval = milliseconds(150);
+/// Retry-After of an endpoint that asks for rest.
+constexpr duration kRest = std::chrono::seconds(1);
 const std::string kCrashingBody = "this ends whoever runs it";
 
 std::string
@@ -145,6 +149,7 @@
   g_object_unref(launcher);
   one.mPaused = false;
   one.mStopping = false;
+  mKnownAnnouncements.erase(aGateway);
   one.mInRotationFrom = mLoop.Now() + kStartupTime;
   one.mInRotationUntil = mLoop.Now() + std::chrono::hours(1);
 }
@@ -155,6 +160,8 @@
   soak_endpoint& one = mEndpoints[aEndpoint];
   one.mFault.reset();
   one.mCrashed = false;
+  one.mSaysLeaving = false;
+  one.mAsksForRest = false;
   one.mReservations.clear();
   one.mId =
     "i-" + std::to_string(aEndpoint) + "-" + std::to_string(++one.mIncarnation);
@@ -220,6 +227,16 @@
           true);
     return;
   }
+  CheckAnnouncements(one, id);
+  if (one.mAsksForRest) {
+    RecordAnnouncement(one, id);
+    Write(aConnection,
+          "HTTP/1.1 503 X\r\nRequest-Id: " + id +
+            "\r\nNot-Executed: 1\r\nRetry-After: " +
+            std::to_string(Seconds(kRest)) + "\r\nContent-Length: 0\r\n\r\n",
+          true);
+    return;
+  }
   if (one.mFault == fault_kind::EndpointRefuses) {
     Write(aConnection,
           "HTTP/1.1 503 X\r\nRequest-Id: " + id +
@@ -246,6 +263,10 @@
   const std::size_t incarnation = one.mIncarnation;
   test::standin_server::connection* const connection = &aConnection;
   const bool cutsAnswer = one.mFault == fault_kind::EndpointCutsAnswer;
+  const std::string leaving = one.mSaysLeaving ? "Server-Leaving: 1\r\n" : "";
+  if (one.mSaysLeaving && !cutsAnswer) {
+    RecordAnnouncement(one, id);
+  }
   const auto writeLater =
     [this, aEndpoint, incarnation, connection](
       duration aDelay, std::string aBytes, bool aLast, bool aCut) {
@@ -270,7 +291,8 @@
     const std::string body = CallBody(id);
     std::string answer =
       test::SuccessHead(
-        aHead, "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+        aHead,
+        leaving + "Content-Length: " + std::to_string(body.size()) + "\r\n") +
       body;
     if (one.mFault == fault_kind::EndpointAnswersTwice) {
       answer += answer;
@@ -284,10 +306,11 @@
   const std::optional<std::string_view> last =
     FieldValue(aHead.mFields, "last-event-id");
   const int first = last.has_value() ? std::stoi(std::string(*last)) + 1 : 1;
-  writeLater(duration::zero(),
-             test::SuccessHead(aHead, "Transfer-Encoding: chunked\r\n"),
-             false,
-             false);
+  writeLater(
+    duration::zero(),
+    test::SuccessHead(aHead, leaving + "Transfer-Encoding: chunked\r\n"),
+    false,
+    false);
   for (int event = first; event <= kEventsPerStream; ++event) {
     std::string chunk;
     AppendChunk(chunk, EventText(id, event));
@@ -433,6 +456,7 @@
     mLoop,
     ip_address{ mGateways[record.mGateway].mHost,
                 mGateways[record.mGateway].mPort });
+  mSentRequests[record.mId] = { record.mGateway, now };
   newCall->mCaller->Send(test::RequestText(record.mId, path, fields, "hello"));
   mPendingCalls.push_back(newCall);
 }
@@ -449,6 +473,15 @@
   record.mBody = aCall->mCaller->Body();
   record.mBytesReceived = aCall->mCaller->ReceivedBytes().size();
   aCall->mCaller->CloseConnection();
+  if (record.mIsComplete) {
+    // Its gateway has processed all answers to it.
+    const auto [first, last] = mAnnouncements.equal_range(record.mId);
+    for (auto known = first; known != last; ++known) {
+      endpoint_announcement announced = known->second;
+      announced.mKnownAt = record.mEndedAt;
+      mKnownAnnouncements.emplace(record.mGateway, announced);
+    }
+  }
   mHistory.mRequests.push_back(record);
   mLoop.DeleteLater(
     std::shared_ptr<test::standin_caller>(std::move(aCall->mCaller)));
@@ -512,6 +545,7 @@
     case fault_kind::Pause:
       if (canBeDisturbed) {
         mGateways[gatewayIndex].mPaused = true;
+        DropUnprocessedAnnouncements(gatewayIndex);
         RecordDisturbance(gatewayIndex, aFault.mDuration);
         Signal(gatewayIndex, SIGSTOP);
       }
@@ -564,16 +598,7 @@
                          endpoint.mService,
                          endpoint.mServer->Address(),
                          "draining");
-      const std::size_t index = aFault.mTarget % mEndpoints.size();
-      const std::string id = endpoint.mId;
-      After(std::chrono::seconds(3), [this, index, id]() {
-        if (mEndpoints[index].mId == id) {
-          mStore.Remove("servers", id);
-          mLoop.DeleteLater(std::shared_ptr<test::standin_server>(
-            std::move(mEndpoints[index].mServer)));
-          StartEndpoint(index);
-        }
-      });
+      ReplaceLater(aFault.mTarget % mEndpoints.size());
       return;
     }
     default:
@@ -582,6 +607,89 @@
   }
 }
 
+void
+soak_environment::ReplaceLater(std::size_t aEndpoint)
+{
+  const std::string id = mEndpoints[aEndpoint].mId;
+  After(kDrainTime, [this, aEndpoint, id]() {
+    if (mEndpoints[aEndpoint].mId == id) {
+      mStore.Remove("servers", id);
+      mLoop.DeleteLater(std::shared_ptr<test::standin_server>(
+        std::move(mEndpoints[aEndpoint].mServer)));
+      StartEndpoint(aEndpoint);
+    }
+  });
+}
+
+void
+soak_environment::BeginNotice(const planned_notice& aNotice)
+{
+  const std::size_t index = aNotice.mTarget % mEndpoints.size();
+  soak_endpoint& endpoint = mEndpoints[index];
+  std::cout << "notice at=" << Seconds(aNotice.mAt)
+            << " endpoint=" << endpoint.mId << " leaves=" << aNotice.mLeaves
+            << '\n';
+  if (endpoint.mCrashed || endpoint.mSaysLeaving) {
+    return;
+  }
+  if (aNotice.mLeaves) {
+    endpoint.mSaysLeaving = true;
+    ReplaceLater(index);
+  } else {
+    endpoint.mAsksForRest = true;
+  }
+}
+
+void
+soak_environment::EndNotice(const planned_notice& aNotice)
+{
+  if (!aNotice.mLeaves) {
+    mEndpoints[aNotice.mTarget % mEndpoints.size()].mAsksForRest = false;
+  }
+}
+
+void
+soak_environment::RecordAnnouncement(const soak_endpoint& aEndpoint,
+                                     const std::string& aRequest)
+{
+  mAnnouncements.emplace(aRequest,
+                         endpoint_announcement{ aEndpoint.mId,
+                                                aEndpoint.mSaysLeaving
+                                                  ? time_point::max()
+                                                  : mLoop.Now() + kRest });
+}
+
+void
+soak_environment::DropUnprocessedAnnouncements(std::size_t aGateway)
+{
+  std::erase_if(mAnnouncements, [this, aGateway](const auto& aEntry) {
+    const auto sent = mSentRequests.find(aEntry.first);
+    return sent != mSentRequests.end() && sent->second.mGateway == aGateway;
+  });
+}
+
+void
+soak_environment::CheckAnnouncements(const soak_endpoint& aEndpoint,
+                                     const std::string& aRequest)
+{
+  const auto sent = mSentRequests.find(aRequest);
+  if (sent == mSentRequests.end()) {
+    return;
+  }
+  const auto [first, last] =
+    mKnownAnnouncements.equal_range(sent->second.mGateway);
+  for (auto known = first; known != last; ++known) {
+    const endpoint_announcement& one = known->second;
+    if (one.mEndpoint == aEndpoint.mId && one.mKnownAt < sent->second.mAt &&
+        mLoop.Now() < one.mUntil) {
+      mHistory.mIgnoredAnnouncements.push_back(
+        "request " + aRequest + " reached " + one.mEndpoint + ", which " +
+        (one.mUntil == time_point::max() ? "leaves" : "rests") +
+        " and had told entry " + std::to_string(sent->second.mGateway + 1));
+    }
+  }
+}
+
 void
 soak_environment::EndFault(const fault& aFault)
 {
@@ -591,6 +699,7 @@
     case fault_kind::Pause:
       if (mGateways[gatewayIndex].mPaused) {
         mGateways[gatewayIndex].mPaused = false;
+        DropUnprocessedAnnouncements(gatewayIndex);
         Signal(gatewayIndex, SIGCONT);
       }
       return;
@@ -684,6 +793,10 @@
       CrashEndpoint(one.mTarget % mEndpoints.size());
     });
   }
+  for (const planned_notice& one : PlanNotices(aSeed, aLength)) {
+    After(one.mAt, [this, one]() { BeginNotice(one); });
+    After(one.mAt + one.mDuration, [this, one]() { EndNotice(one); });
+  }
   for (const fault& one : PlanFaults(aSeed, aLength)) {
     After(one.mAt, [this, one]() { BeginFault(one); });
     After(one.mAt + one.mDuration, [this, one]() { EndFault(one); });
@@ -693,6 +806,7 @@
   // Lets the remaining faults and requests end and the memory leases expire.
   runUntil(mLoop.Now() + kTimeLimit + kMemoryLease + std::chrono::seconds(1));
   CheckReservations();
+  std::cout << "announcements_known=" << mKnownAnnouncements.size() << '\n';
   std::cout << "crashing_request asked=" << mCrashingRequestsSent
             << " ended=" << mEndpointsCrashed
             << " late=" << mHistory.mLateCrashingRequests << '\n';
--- a/Tests/Soak/SoakEnvironment.h
+++ b/Tests/Soak/SoakEnvironment.h
@@ -41,7 +41,9 @@
   std::string mService;
   std::size_t mIncarnation = 0;
   std::optional<fault_kind> mFault;
-  bool mCrashed = false; ///< Ended without draining; a new one follows.
+  bool mCrashed = false;     ///< Ended without draining; a new one follows.
+  bool mSaysLeaving = false; ///< In each of its answers.
+  bool mAsksForRest = false; ///< It refuses all requests and asks for rest.
   std::unique_ptr<test::standin_server> mServer;
   /// Expiry times of memory reservations, by the id in their command.
   std::map<std::string, time_point> mReservations;
@@ -65,6 +67,33 @@
 
 private:
   struct pending_call;
+  /// What an endpoint's answer to a request announced.
+  struct endpoint_announcement
+  {
+    std::string mEndpoint;
+    time_point mUntil{};   ///< It gets no requests before then.
+    time_point mKnownAt{}; ///< When the gateway had processed the answer.
+  };
+  struct sent_request
+  {
+    std::size_t mGateway = 0;
+    time_point mAt{};
+  };
+  void BeginNotice(const planned_notice& aNotice);
+  void EndNotice(const planned_notice& aNotice);
+  /// Unlists an endpoint that drains, and starts its replacement.
+  void ReplaceLater(std::size_t aEndpoint);
+  /// Records what the endpoint's answer to this request announces.
+  void RecordAnnouncement(const soak_endpoint& aEndpoint,
+                          const std::string& aRequest);
+  /// Drops announcements that a gateway may never process: its timeouts can
+  /// expire in a pause, and it then cancels attempts without reading the
+  /// answer.
+  void DropUnprocessedAnnouncements(std::size_t aGateway);
+  /// Checks that the request was not sent to its gateway after that gateway had
+  /// passed on, or acted on, an announcement of this endpoint.
+  void CheckAnnouncements(const soak_endpoint& aEndpoint,
+                          const std::string& aRequest);
   void StartGateway(std::size_t aGateway);
   void BeginFault(const fault& aFault);
   void EndFault(const fault& aFault);
@@ -117,6 +146,11 @@
   std::uint16_t mMetricsPort = 0;
   std::vector<soak_endpoint> mEndpoints;
   std::vector<std::shared_ptr<pending_call>> mPendingCalls;
+  std::map<std::string, sent_request> mSentRequests; ///< By id.
+  /// By request; its gateway may not have processed the answer yet.
+  std::multimap<std::string, endpoint_announcement> mAnnouncements;
+  /// By gateway; what its present process has processed.
+  std::multimap<std::size_t, endpoint_announcement> mKnownAnnouncements;
   soak_history mHistory;
   std::uint64_t mManifestVersion = 1;
   time_point mStoreHealthySince{};
