--- a/Libraries/LibDecision/Claims.cpp
+++ b/Libraries/LibDecision/Claims.cpp
@@ -12,6 +12,8 @@
 /// claimed again by this agent. After that a repeated call gets "outcome
 /// unknown", which is less than the agent once had on record but still correct.
 constexpr duration kAbandonedRetention = std::chrono::hours(1);
+/// Longer than a row that was read may be waiting for its reader.
+constexpr duration kExecutedRetention = std::chrono::seconds(10);
 constexpr duration kStoreBackoffBase = std::chrono::milliseconds(50);
 
 claim_row
@@ -40,10 +42,13 @@
 }
 
 void
-PruneAbandonedAttempts(claim_registry& aRegistry, time_point aNow)
+PruneAttempts(claim_registry& aRegistry, time_point aNow)
 {
-  std::erase_if(aRegistry.mAbandonedAttempts,
-                [&](const auto& aItem) { return aItem.second <= aNow; });
+  const auto isOver = [aNow](const auto& aItem) {
+    return aItem.second <= aNow;
+  };
+  std::erase_if(aRegistry.mAbandonedAttempts, isOver);
+  std::erase_if(aRegistry.mExecutedAttempts, isOver);
 }
 
 /// Sets the stage of a claim from the row that was read back for its key.
@@ -104,7 +109,7 @@
   if (aRegistry.mWriteInFlight || aNow < aRegistry.mNextWrite) {
     return writes;
   }
-  PruneAbandonedAttempts(aRegistry, aNow);
+  PruneAttempts(aRegistry, aNow);
   // A transaction may name a key only once. Of two claims on one key the second
   // waits for a later transaction and then conflicts with the first one's row.
   std::map<std::string, bool> usedKeys;
@@ -255,7 +260,8 @@
 void
 RecordExecution(claim_registry& aRegistry,
                 const std::string& aAttempt,
-                claim_row aOutcome)
+                claim_row aOutcome,
+                time_point aNow)
 {
   const auto found = aRegistry.mClaims.find(aAttempt);
   if (found == aRegistry.mClaims.end()) {
@@ -269,6 +275,17 @@
   aRegistry.mResults.push_back(
     { found->second.mKey, std::move(row), aAttempt });
   aRegistry.mClaims.erase(found);
+  aRegistry.mExecutedAttempts.insert_or_assign(aAttempt,
+                                               aNow + kExecutedRetention);
+}
+
+bool
+WasExecutedRecently(const claim_registry& aRegistry,
+                    const std::string& aAttempt,
+                    time_point aNow)
+{
+  const auto found = aRegistry.mExecutedAttempts.find(aAttempt);
+  return found != aRegistry.mExecutedAttempts.end() && found->second > aNow;
 }
 
 bool
--- a/Libraries/LibDecision/Claims.h
+++ b/Libraries/LibDecision/Claims.h
@@ -87,6 +87,9 @@
   std::vector<claim_write> mResults;    ///< Outcomes to be written.
   /// Attempts that never ran, and until when they are kept.
   std::map<std::string, time_point> mAbandonedAttempts;
+  /// Attempts whose outcome was recorded a short time ago, and until when they
+  /// are kept. A row that was read before may not have the outcome yet.
+  std::map<std::string, time_point> mExecutedAttempts;
   bool mWriteInFlight = false;
   bool mReadInFlight = false;
   std::vector<claim_write> mResultsInFlight;
@@ -150,7 +153,15 @@
 void
 RecordExecution(claim_registry& aRegistry,
                 const std::string& aAttempt,
-                claim_row aOutcome);
+                claim_row aOutcome,
+                time_point aNow);
+
+/// True if this agent has recorded the outcome of the attempt a short time ago,
+/// so that its row has the outcome or will have it as soon as it is written.
+bool
+WasExecutedRecently(const claim_registry& aRegistry,
+                    const std::string& aAttempt,
+                    time_point aNow);
 
 /// Abandons a claim. Returns true if the call has not run and never will.
 bool
--- a/Services/Agent/GuardedCalls.cpp
+++ b/Services/Agent/GuardedCalls.cpp
@@ -149,7 +149,7 @@
         row.mContentType = aAnswer.mContentType;
         row.mBody = aAnswer.mBody.size() <= kMaxStoredBodyBytes ? aAnswer.mBody
                                                                 : std::string();
-        RecordExecution(mBoard, attempt, std::move(row));
+        RecordExecution(mBoard, attempt, std::move(row), mClock.Now());
         ProcessStoreQueue();
       }
       return aAnswer;
@@ -187,9 +187,10 @@
     mMetrics.Count("primrose_guarded_replayed_total");
     return Replay(row);
   }
-  if (FindClaim(mBoard, row.mAttempt) != nullptr) {
-    // The first call runs in this process: waits for its answer within this
-    // call's own deadline.
+  if (FindClaim(mBoard, row.mAttempt) != nullptr ||
+      WasExecutedRecently(mBoard, row.mAttempt, mClock.Now())) {
+    // The first call runs in this process, or has ended after the row was read:
+    // waits for its answer within this call's own deadline.
     if (mClock.Now() + kClaimRetryInterval >= aCall.mDeadline - kAnswerMargin) {
       return FailedAnswer(error_kind::InProgress,
                           "the first call with this key is running",
--- a/Tests/Unit/ClaimsTest.cpp
+++ b/Tests/Unit/ClaimsTest.cpp
@@ -191,7 +191,7 @@
       RC_ASSERT(count == 1);
       RC_ASSERT(!aSystem.mReportedNotRun.contains(attempt));
       if (mEnds) {
-        RecordExecution(registry, attempt, {});
+        RecordExecution(registry, attempt, {}, At(0));
       } else {
         DropClaim(registry, attempt);
       }
@@ -240,6 +240,7 @@
   CPPUNIT_TEST(SecondAgentFindsKeyTaken);
   CPPUNIT_TEST(ClaimPastDeadlineDoesNotRun);
   CPPUNIT_TEST(AbandonedClaimIsReplaced);
+  CPPUNIT_TEST(RepeatFindsOutcomeThatIsNotWrittenYet);
   CPPUNIT_TEST(WritesAreBatchedOverTime);
   CPPUNIT_TEST(NoKeyRunsTwice);
   CPPUNIT_TEST_SUITE_END();
@@ -326,6 +327,38 @@
     CPPUNIT_ASSERT(!BeginExecution(registry, "a1", At(10000)));
   }
 
+  /// Guards against answering that the first call may still be running when its
+  /// outcome is known here: it ended after the row was read for a repeat.
+  void RepeatFindsOutcomeThatIsNotWrittenYet()
+  {
+    random_engine random(1);
+    claim_registry registry;
+    table store;
+    Queue(registry, "k", "a1");
+    store.Write(TakeWrites(registry, At(0)));
+    RecordWriteOutcome(registry, write_outcome::Committed, {}, At(0), random);
+    CPPUNIT_ASSERT(BeginExecution(registry, "a1", At(0)));
+    Queue(registry, "k", "a2");
+    const std::vector<std::string> conflicts =
+      store.Write(TakeWrites(registry, At(3000)));
+    RecordWriteOutcome(
+      registry, write_outcome::Conflict, conflicts, At(3000), random);
+    TakeReads(registry, At(3000));
+    RecordReadBack(registry, store.mRows, At(3000), random);
+    RecordExecution(registry, "a1", {}, At(3001));
+    const claim_row read = *FindClaim(registry, "a2")->mRow;
+    CPPUNIT_ASSERT(!read.mDone);
+    CPPUNIT_ASSERT(FindClaim(registry, read.mAttempt) == nullptr);
+    CPPUNIT_ASSERT(WasExecutedRecently(registry, read.mAttempt, At(3002)));
+    // Also after the outcome is written, since the row was read before that.
+    store.Write(TakeWrites(registry, At(6000)));
+    RecordWriteOutcome(
+      registry, write_outcome::Committed, {}, At(6000), random);
+    CPPUNIT_ASSERT(WasExecutedRecently(registry, read.mAttempt, At(6001)));
+    CPPUNIT_ASSERT(!WasExecutedRecently(registry, read.mAttempt, At(20000)));
+    CPPUNIT_ASSERT(!WasExecutedRecently(registry, "a2", At(6001)));
+  }
+
   void WritesAreBatchedOverTime()
   {
     random_engine random(1);
