--- a/Tests/Soak/Faults.cpp
+++ b/Tests/Soak/Faults.cpp
@@ -32,7 +32,7 @@
 /// Offset of the seed that makes the plan of crashes independent of the plan
 /// of faults.
 constexpr std::uint64_t kCrashSeedOffset = 0xc0ffee;
-constexpr double kMeanNoticeInterval = 1.5;
+constexpr double kMeanNoticeInterval = 3;
 constexpr std::uint64_t kNoticeSeedOffset = 0x1eaf;
 
 } // namespace
--- a/Tests/Soak/SoakEnvironment.cpp
+++ b/Tests/Soak/SoakEnvironment.cpp
@@ -160,6 +160,7 @@
   soak_endpoint& one = mEndpoints[aEndpoint];
   one.mFault.reset();
   one.mCrashed = false;
+  one.mDrains = false;
   one.mSaysLeaving = false;
   one.mAsksForRest = false;
   one.mReservations.clear();
@@ -228,19 +229,19 @@
     return;
   }
   CheckAnnouncements(one, id);
-  if (one.mAsksForRest) {
-    RecordAnnouncement(one, id);
-    Write(aConnection,
-          "HTTP/1.1 503 X\r\nRequest-Id: " + id +
-            "\r\nNot-Executed: 1\r\nRetry-After: " +
-            std::to_string(Seconds(kRest)) + "\r\nContent-Length: 0\r\n\r\n",
-          true);
-    return;
-  }
-  if (one.mFault == fault_kind::EndpointRefuses) {
+  // An endpoint that leaves says so in all its answers, refusals included.
+  const std::string leaving = one.mSaysLeaving ? "Server-Leaving: 1\r\n" : "";
+  if (one.mAsksForRest || one.mFault == fault_kind::EndpointRefuses) {
+    if (one.mAsksForRest || one.mSaysLeaving) {
+      RecordAnnouncement(one, id);
+    }
+    const std::string rest =
+      one.mAsksForRest
+        ? "Retry-After: " + std::to_string(Seconds(kRest)) + "\r\n"
+        : "";
     Write(aConnection,
-          "HTTP/1.1 503 X\r\nRequest-Id: " + id +
-            "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 503 X\r\nRequest-Id: " + id + "\r\nNot-Executed: 1\r\n" +
+            leaving + rest + "Content-Length: 0\r\n\r\n",
           true);
     return;
   }
@@ -263,7 +264,6 @@
   const std::size_t incarnation = one.mIncarnation;
   test::standin_server::connection* const connection = &aConnection;
   const bool cutsAnswer = one.mFault == fault_kind::EndpointCutsAnswer;
-  const std::string leaving = one.mSaysLeaving ? "Server-Leaving: 1\r\n" : "";
   if (one.mSaysLeaving && !cutsAnswer) {
     RecordAnnouncement(one, id);
   }
@@ -611,6 +611,7 @@
 soak_environment::ReplaceLater(std::size_t aEndpoint)
 {
   const std::string id = mEndpoints[aEndpoint].mId;
+  mEndpoints[aEndpoint].mDrains = true;
   After(kDrainTime, [this, aEndpoint, id]() {
     if (mEndpoints[aEndpoint].mId == id) {
       mStore.Remove("servers", id);
@@ -621,6 +622,18 @@
   });
 }
 
+bool
+soak_environment::AnotherServes(std::size_t aEndpoint) const
+{
+  const soak_endpoint& own = mEndpoints[aEndpoint];
+  return std::any_of(
+    mEndpoints.begin(), mEndpoints.end(), [&own](const soak_endpoint& aOther) {
+      return aOther.mService == own.mService && aOther.mId != own.mId &&
+             !aOther.mCrashed && !aOther.mDrains && !aOther.mAsksForRest &&
+             !aOther.mFault.has_value();
+    });
+}
+
 void
 soak_environment::BeginNotice(const planned_notice& aNotice)
 {
@@ -629,7 +642,9 @@
   std::cout << "notice at=" << Seconds(aNotice.mAt)
             << " endpoint=" << endpoint.mId << " leaves=" << aNotice.mLeaves
             << '\n';
-  if (endpoint.mCrashed || endpoint.mSaysLeaving) {
+  // Notices of the last endpoint that serves would leave too few requests to
+  // judge the run by.
+  if (endpoint.mCrashed || endpoint.mDrains || !AnotherServes(index)) {
     return;
   }
   if (aNotice.mLeaves) {
--- a/Tests/Soak/SoakEnvironment.h
+++ b/Tests/Soak/SoakEnvironment.h
@@ -42,6 +42,7 @@
   std::size_t mIncarnation = 0;
   std::optional<fault_kind> mFault;
   bool mCrashed = false;     ///< Ended without draining; a new one follows.
+  bool mDrains = false;      ///< A new one follows.
   bool mSaysLeaving = false; ///< In each of its answers.
   bool mAsksForRest = false; ///< It refuses all requests and asks for rest.
   std::unique_ptr<test::standin_server> mServer;
@@ -81,6 +82,8 @@
   };
   void BeginNotice(const planned_notice& aNotice);
   void EndNotice(const planned_notice& aNotice);
+  /// True if another endpoint of the same service serves requests.
+  bool AnotherServes(std::size_t aEndpoint) const;
   /// Unlists an endpoint that drains, and starts its replacement.
   void ReplaceLater(std::size_t aEndpoint);
   /// Records what the endpoint's answer to this request announces.
