--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -55,26 +55,13 @@
   return choice;
 }
 
-/// The verdict by memory alone. Smaller requests fit into what is free, so a
-/// long prompt that is refused at once would rarely be placed in overload.
-placement_verdict
-MemoryVerdict(const prompt_division& aChosen, const division_inputs& aInputs)
-{
-  if (aChosen.mFitsMemory) {
-    return placement_verdict::Send;
-  }
-  const bool mayWait = aInputs.mRequest.mElapsed < MaxWait(aInputs.mRequest) &&
-                       FitsIdleMemory(aInputs);
-  return mayWait ? placement_verdict::WaitForMemory
-                 : placement_verdict::NoMemory;
-}
-
 engine_choice
 PlaceDivided(const division_inputs& aInputs, const engine_ledger& aLedger)
 {
   const prompt_division chosen = CheapestDivision(aInputs);
   engine_choice choice;
-  choice.mVerdict = MemoryVerdict(chosen, aInputs);
+  choice.mVerdict =
+    chosen.mFitsMemory ? placement_verdict::Send : placement_verdict::NoMemory;
   choice.mDecodeEngine = chosen.mDecodeEngine->mEndpoint;
   for (const engine_candidate* const one : chosen.mPrefillHelpers) {
     choice.mPrefillHelpers.push_back(one->mEndpoint);
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -44,12 +44,9 @@
   /// is refused. It is re-evaluated after `kReevaluationInterval`, because the
   /// streams that it would interrupt end within a second or two.
   Wait,
-  /// The engines do not have the memory for it now but do when idle. It is
-  /// re-evaluated after `kReevaluationInterval`.
-  WaitForMemory,
   /// Serving it would cost other callers more than its own caller gains.
   TurnAway,
-  /// The engines do not have the memory for it, or not in time.
+  /// The fleet does not have the memory for it.
   NoMemory,
 };
 
--- a/Libraries/LibFleet/PlacementAdmission.cpp
+++ b/Libraries/LibFleet/PlacementAdmission.cpp
@@ -71,8 +71,8 @@
   return aChoice.mGain * (aHasWaited ? factor * factor : factor);
 }
 
-} // namespace
-
+/// Time since a prompt's arrival until which it may wait for a better
+/// placement.
 duration
 MaxWait(const placement_request& aRequest)
 {
@@ -80,6 +80,8 @@
                   FromSeconds(kMaxWaitShare * Seconds(aRequest.mObjective)));
 }
 
+} // namespace
+
 double
 PrefillSecondPrice(const std::vector<engine_candidate>& aCandidates)
 {
--- a/Libraries/LibFleet/PlacementAdmission.h
+++ b/Libraries/LibFleet/PlacementAdmission.h
@@ -12,11 +12,6 @@
 double
 PrefillSecondPrice(const std::vector<engine_candidate>& aCandidates);
 
-/// Time since a prompt's arrival until which it may wait for a better
-/// placement, or for memory.
-duration
-MaxWait(const placement_request& aRequest);
-
 /// Compares the gain of serving the prompt to its caller with the cost to other
 /// callers. Sets `mGain` and `mPrice`. Changes `Send` to `TurnAway` if the sum
 /// of harm and price exceeds the gain; for this comparison, the gain is scaled
--- a/Libraries/LibFleet/PlacementCandidates.cpp
+++ b/Libraries/LibFleet/PlacementCandidates.cpp
@@ -51,15 +51,16 @@
   return prefills;
 }
 
-} // namespace
-
 double
-UsableTokens(const engine_timing& aTiming)
+FreeTokens(const engine_timing& aTiming, const engine_load& aLoad)
 {
-  return aTiming.mMemoryTokens > 0 ? aTiming.mMemoryTokens * kUsableMemoryShare
-                                   : std::numeric_limits<double>::max();
+  return aTiming.mMemoryTokens > 0
+           ? aTiming.mMemoryTokens * kUsableMemoryShare - aLoad.mTokens
+           : std::numeric_limits<double>::max();
 }
 
+} // namespace
+
 double
 ToMs(duration aTime)
 {
@@ -98,7 +99,7 @@
     engine_candidate one;
     one.mEndpoint = &known;
     one.mBacklogMs = BacklogMs(load, aNow);
-    one.mFreeTokens = UsableTokens(aTiming) - load.mTokens;
+    one.mFreeTokens = FreeTokens(aTiming, load);
     one.mStreams = StreamsOn(aLedger, load);
     one.mPrefills = PrefillsOn(aLedger, load, aNow);
     one.mRequests = RequestsOn(load, aNow);
--- a/Libraries/LibFleet/PlacementCandidates.h
+++ b/Libraries/LibFleet/PlacementCandidates.h
@@ -54,10 +54,6 @@
                  std::string_view aDataCentre,
                  time_point aNow);
 
-/// The memory of an idle engine that placements may use, in tokens.
-double
-UsableTokens(const engine_timing& aTiming);
-
 /// True if the engine has a free slot and memory for the whole request.
 bool
 HasRoom(const engine_candidate& aCandidate,
--- a/Libraries/LibFleet/PlacementDivision.cpp
+++ b/Libraries/LibFleet/PlacementDivision.cpp
@@ -219,13 +219,4 @@
   return best;
 }
 
-bool
-FitsIdleMemory(const division_inputs& aInputs)
-{
-  const double engines =
-    static_cast<double>(std::min(kMaxParts, aInputs.mCandidates.size()));
-  return aInputs.mRequest.mPromptTokens + aInputs.mRequest.mAnswerTokens <=
-         UsableTokens(aInputs.mTiming) * engines;
-}
-
 } // namespace primrose
--- a/Libraries/LibFleet/PlacementDivision.h
+++ b/Libraries/LibFleet/PlacementDivision.h
@@ -39,8 +39,4 @@
 prompt_division
 CheapestDivision(const division_inputs& aInputs);
 
-/// True if the prompt fits into the memory of the engines when they are idle.
-bool
-FitsIdleMemory(const division_inputs& aInputs);
-
 } // namespace primrose
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -78,13 +78,6 @@
       }
       PostponePlacement(*choice);
       return true;
-    case placement_verdict::WaitForMemory:
-      if (shared.mDraining) {
-        RefuseOverloaded(*choice);
-      } else {
-        PostponePlacement(*choice);
-      }
-      return true;
     case placement_verdict::TurnAway:
       if (alreadyAccepted) {
         break;
@@ -140,9 +133,6 @@
         "placement_postponed",
         { { "request", mRequestInfo.mId },
           { "prompt_tokens", mRequestInfo.mPromptTokens },
-          { "fits",
-            static_cast<int>(aChoice.mVerdict !=
-                             placement_verdict::WaitForMemory) },
           { "gain", aChoice.mGain },
           { "harm", TotalHarm(aChoice.mHarm) },
           { "price", aChoice.mPrice } });
@@ -157,7 +147,7 @@
 void
 exchange::RefuseOverloaded(const engine_choice& aChoice)
 {
-  const bool fits = aChoice.mVerdict == placement_verdict::TurnAway;
+  const bool fits = aChoice.mVerdict != placement_verdict::NoMemory;
   const duration retryAfter =
     TimeUntilAccepted(mContext.mBoard.mEndpoints,
                       mContext.mBoard.mLedger,
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -308,8 +308,7 @@
         longRequest.mHarm = TotalHarm(choice->mHarm);
         longRequest.mWaited = aRequest.mElapsed;
       }
-    } else if (choice->mVerdict == placement_verdict::Wait ||
-               choice->mVerdict == placement_verdict::WaitForMemory) {
+    } else if (choice->mVerdict == placement_verdict::Wait) {
       placement_request waiting = aRequest;
       waiting.mElapsed += kReevaluationInterval;
       mEvents.emplace(mNow + kReevaluationInterval,
