--- a/Libraries/LibFleet/PlacementAdmission.cpp
+++ b/Libraries/LibFleet/PlacementAdmission.cpp
@@ -18,10 +18,7 @@
 
 /// Upper bound of the factor that scales the gain of a prompt whose worth is
 /// above the mean of its kind.
-constexpr double kMaxGainFactor = 6;
-/// Ratio of a prompt's worth to the mean of its kind from which the factor
-/// grows with the square of the ratio.
-constexpr double kQuadraticFrom = 1.5;
+constexpr double kMaxGainFactor = 2.5;
 /// Minimum number of placed requests of a kind to compute its mean worth.
 constexpr std::size_t kMinSampleSize = 4;
 
@@ -65,9 +62,8 @@
            const placement_request& aRequest,
            bool aHasWaited)
 {
-  const double ratio = aRequest.mWorth / MeanWorthOfKind(aLedger, aRequest);
   const double factor = std::clamp(
-    std::max(ratio, ratio * ratio / kQuadraticFrom), 1.0, kMaxGainFactor);
+    aRequest.mWorth / MeanWorthOfKind(aLedger, aRequest), 1.0, kMaxGainFactor);
   return aChoice.mGain * (aHasWaited ? factor * factor : factor);
 }
 
