--- a/Libraries/LibFleet/EngineLedger.cpp
+++ b/Libraries/LibFleet/EngineLedger.cpp
@@ -1,6 +1,7 @@
 #include "LibFleet/EngineLedger.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace primrose {
 
@@ -25,6 +26,7 @@
 /// more accurate.
 constexpr duration kReportedLoadLifetime = std::chrono::milliseconds(400);
 constexpr double kMsPerSecond = 1e3;
+constexpr double kInflowWindowMs = Seconds(kInflowWindow) * kMsPerSecond;
 
 /// Marks the streams whose pauses exceed their limits due to the backlog.
 void
@@ -47,6 +49,14 @@
   aLoad.mBacklogAt = aNow;
 }
 
+void
+AddInflow(engine_load& aLoad, double aMs, time_point aNow)
+{
+  aLoad.mRecentPrefillMs =
+    std::max(0.0, PrefillInflow(aLoad, aNow) * kInflowWindowMs + aMs);
+  aLoad.mRecentPrefillAt = aNow;
+}
+
 /// Adds a placement to those that the engine prefills, and delays the end of
 /// all of them to the end of its backlog: an engine prefills parts for other
 /// engines in last-in-first-out order, and all queued parts in one pass while
@@ -108,12 +118,26 @@
   return static_cast<std::uint32_t>(aKey);
 }
 
+double
+PrefillRate(const engine_load& aLoad)
+{
+  return aLoad.mDecoding.empty() ? 1 : kPrefillShareWhileDecoding;
+}
+
+double
+PrefillInflow(const engine_load& aLoad, time_point aNow)
+{
+  const double age = ElapsedMs(aLoad.mRecentPrefillAt, aNow);
+  return aLoad.mRecentPrefillMs * std::exp(-age / kInflowWindowMs) /
+         kInflowWindowMs;
+}
+
 double
 BacklogMs(const engine_load& aLoad, time_point aNow)
 {
-  const double rate = aLoad.mDecoding.empty() ? 1 : kPrefillShareWhileDecoding;
   return std::max(0.0,
-                  aLoad.mBacklogMs - rate * ElapsedMs(aLoad.mBacklogAt, aNow));
+                  aLoad.mBacklogMs -
+                    PrefillRate(aLoad) * ElapsedMs(aLoad.mBacklogAt, aNow));
 }
 
 void
@@ -145,6 +169,7 @@
   for (const engine_key engine : aPlaced.mEngines) {
     engine_load& load = aLedger.mEngines[engine];
     AddBacklog(load, aPlaced.mPartPrefillMs, aNow);
+    AddInflow(load, aPlaced.mPartPrefillMs, aNow);
     MarkExceededPauses(aLedger, load);
     AddPrefill(aLedger, load, aPlaced.mKey, aNow);
   }
@@ -169,7 +194,9 @@
   const placement& ended = found->second;
   if (aEnd == placement_end::Unread) {
     for (const engine_key engine : ended.mEngines) {
-      AddBacklog(aLedger.mEngines[engine], -ended.mPartPrefillMs, aNow);
+      engine_load& load = aLedger.mEngines[engine];
+      AddBacklog(load, -ended.mPartPrefillMs, aNow);
+      AddInflow(load, -ended.mPartPrefillMs, aNow);
     }
   }
   for (const engine_key engine : ended.mEngines) {
--- a/Libraries/LibFleet/EngineLedger.h
+++ b/Libraries/LibFleet/EngineLedger.h
@@ -60,6 +60,10 @@
 {
   double mBacklogMs = 0; ///< Remaining prefill time as of `mBacklogAt`.
   time_point mBacklogAt{};
+  /// Prefill time of recent placements, which decays exponentially; see
+  /// `PrefillInflow`.
+  double mRecentPrefillMs = 0;
+  time_point mRecentPrefillAt{};
   double mTokens = 0; ///< Memory used by the placements on this engine.
   std::vector<placement_key> mDecoding; ///< Placements that decode here.
   /// Placements that prefill here or have done so recently.
@@ -120,6 +124,18 @@
 std::size_t
 RequestsOn(const engine_load& aLoad, time_point aNow);
 
+/// Prefill time that the engine works off per unit of time.
+double
+PrefillRate(const engine_load& aLoad);
+
+/// Time constant of the average of `PrefillInflow`: a few long prompts.
+inline constexpr duration kInflowWindow = std::chrono::seconds(2);
+
+/// Prefill time that was placed on the engine per unit of time, as an
+/// exponential moving average.
+double
+PrefillInflow(const engine_load& aLoad, time_point aNow);
+
 /// Prefill time that remains at `aNow`, in milliseconds.
 double
 BacklogMs(const engine_load& aLoad, time_point aNow);
--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -22,6 +22,19 @@
 constexpr double kWorthPerThousand = 0.13;
 constexpr double kThousand = 1e3;
 
+/// Share of the engines' prefill capacity that arriving prompts leave over.
+double
+SpareShare(const std::vector<engine_candidate>& aCandidates)
+{
+  double inflow = 0;
+  double rate = 0;
+  for (const engine_candidate& one : aCandidates) {
+    inflow += one.mPrefillInflow;
+    rate += one.mPrefillRate;
+  }
+  return rate > 0 ? std::clamp(1 - inflow / rate, 0.0, 1.0) : 1;
+}
+
 engine_choice
 PlaceUndivided(const std::vector<engine_candidate>& aCandidates,
                const engine_timing& aTiming,
@@ -167,11 +180,17 @@
                   time_point aNow,
                   duration aMaximum)
 {
+  const double spare = SpareShare(EngineCandidates(
+    aRegistry, aLedger, aTiming, aRequest, {}, aDataCentre, aNow));
   // Each step takes as much CPU time as a placement. Finer steps would add
   // little accuracy, since other requests arrive meanwhile.
   for (duration after = kMinRetryAfter; after < aMaximum; after *= 2) {
+    // Prompts are expected to arrive for another window of the average. Until
+    // then the backlog falls only by what they leave over.
+    const double taken = (1 - spare) * Seconds(std::min(after, kInflowWindow));
+    const time_point cleared = aNow + after - FromSeconds(taken);
     const std::optional<engine_choice> choice = PlaceOnEngines(
-      aRegistry, aLedger, aTiming, aRequest, {}, aDataCentre, aNow + after);
+      aRegistry, aLedger, aTiming, aRequest, {}, aDataCentre, cleared);
     if (choice.has_value() && (choice->mVerdict == placement_verdict::Send ||
                                choice->mVerdict == placement_verdict::Wait)) {
       return after;
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -114,8 +114,8 @@
               placement_key aKey);
 
 /// Estimates the time after which a prompt that is refused now would be
-/// accepted if no other requests arrived; at most `aMaximum`, but not less than
-/// `kMinRetryAfter`.
+/// accepted if other prompts arrive as before for another `kInflowWindow` and
+/// then no more; at most `aMaximum`, but not less than `kMinRetryAfter`.
 duration
 TimeUntilAccepted(endpoint_registry& aRegistry,
                   const engine_ledger& aLedger,
--- a/Libraries/LibFleet/PlacementCandidates.cpp
+++ b/Libraries/LibFleet/PlacementCandidates.cpp
@@ -99,6 +99,8 @@
     engine_candidate one;
     one.mEndpoint = &known;
     one.mBacklogMs = BacklogMs(load, aNow);
+    one.mPrefillRate = PrefillRate(load);
+    one.mPrefillInflow = PrefillInflow(load, aNow);
     one.mFreeTokens = FreeTokens(aTiming, load);
     one.mStreams = StreamsOn(aLedger, load);
     one.mPrefills = PrefillsOn(aLedger, load, aNow);
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -123,6 +123,7 @@
 struct long_request
 {
   double mTokens = 0;
+  bool mRefused = false; ///< On its first attempt.
   bool mServed = false;
   double mGain = 0;   ///< Worth to its caller of serving it.
   double mHarm = 0;   ///< Worth that others were expected to lose by it.
@@ -178,6 +179,14 @@
   { 9, 190000, 0.5, 960, milliseconds(1200), milliseconds(4000) }
 };
 
+/// The same, with a burst of long prompts that ends.
+const burst_load kBurstOfLongPrompts = [] {
+  burst_load load = kLargeFleetLoad;
+  load.mLongRequests.mBursts = { { 9.5, 20, 0.05 } };
+  load.mSeconds = 20;
+  return load;
+}();
+
 /// Few short prompts, and long prompts that need the whole prefill capacity.
 const burst_load kMostlyLongPrompts{
   54,
@@ -310,6 +319,9 @@
                         Submit(waiting, aLongIndex, aMayRetry);
                       });
     } else if (aMayRetry) {
+      if (aLongIndex.has_value()) {
+        mLongRequests[*aLongIndex].mRefused = true;
+      }
       const duration retryAfter = TimeUntilAccepted(mRegistry,
                                                     mLedger,
                                                     mTiming,
@@ -415,6 +427,7 @@
   CPPUNIT_TEST(LongestPromptIsNotRefusedForItsSizeAlone);
   CPPUNIT_TEST(LargestTenthIsServedAtLeastHalfAsOftenInBursts);
   CPPUNIT_TEST(LargestPromptsAreServedAtLeastHalfAsOftenInOverload);
+  CPPUNIT_TEST(MostRefusedPromptsAreServedOnReturn);
   CPPUNIT_TEST(HarmfulPromptWaitsInBursts);
   CPPUNIT_TEST(VeryLongPromptDoesNotBlockEnginesInBurst);
   CPPUNIT_TEST(IdleFleetHoldsVeryLongPromptOnSeveralEngines);
@@ -664,6 +677,22 @@
     }
   }
 
+  /// Guards against callers that are told to return while the burst in which
+  /// they were refused goes on, and use up their only retry in it.
+  void MostRefusedPromptsAreServedOnReturn()
+  {
+    constexpr std::uint64_t kSeeds = 8;
+    std::vector<long_request> refused = RunBursts(kBurstOfLongPrompts, kSeeds);
+    std::erase_if(refused,
+                  [](const long_request& aOne) { return !aOne.mRefused; });
+    CPPUNIT_ASSERT(!refused.empty());
+    const double served = ServedShare(refused);
+    CPPUNIT_ASSERT_MESSAGE("Served " + std::to_string(served) + " of " +
+                             std::to_string(refused.size()) +
+                             " that were refused first",
+                           served > 0.5);
+  }
+
   /// Guards against long prompts that are placed on arrival although their harm
   /// to others exceeds their gain.
   void HarmfulPromptWaitsInBursts()
