--- a/Libraries/LibFleet/EngineLedger.cpp
+++ b/Libraries/LibFleet/EngineLedger.cpp
@@ -42,16 +42,13 @@
   }
 }
 
+/// Adds prefill time to the backlog and to the average inflow; negative for
+/// prefill that is not done.
 void
-AddBacklog(engine_load& aLoad, double aMs, time_point aNow)
+AddPrefillTime(engine_load& aLoad, double aMs, time_point aNow)
 {
   aLoad.mBacklogMs = std::max(0.0, BacklogMs(aLoad, aNow) + aMs);
   aLoad.mBacklogAt = aNow;
-}
-
-void
-AddInflow(engine_load& aLoad, double aMs, time_point aNow)
-{
   aLoad.mRecentPrefillMs =
     std::max(0.0, PrefillInflow(aLoad, aNow) * kInflowWindowMs + aMs);
   aLoad.mRecentPrefillAt = aNow;
@@ -118,6 +115,14 @@
   return static_cast<std::uint32_t>(aKey);
 }
 
+const engine_load&
+LoadOf(const engine_ledger& aLedger, engine_key aEngine)
+{
+  static const engine_load kIdle{};
+  const auto found = aLedger.mEngines.find(aEngine);
+  return found == aLedger.mEngines.end() ? kIdle : found->second;
+}
+
 double
 PrefillRate(const engine_load& aLoad)
 {
@@ -168,8 +173,7 @@
   }
   for (const engine_key engine : aPlaced.mEngines) {
     engine_load& load = aLedger.mEngines[engine];
-    AddBacklog(load, aPlaced.mPartPrefillMs, aNow);
-    AddInflow(load, aPlaced.mPartPrefillMs, aNow);
+    AddPrefillTime(load, aPlaced.mPartPrefillMs, aNow);
     MarkExceededPauses(aLedger, load);
     AddPrefill(aLedger, load, aPlaced.mKey, aNow);
   }
@@ -194,9 +198,7 @@
   const placement& ended = found->second;
   if (aEnd == placement_end::Unread) {
     for (const engine_key engine : ended.mEngines) {
-      engine_load& load = aLedger.mEngines[engine];
-      AddBacklog(load, -ended.mPartPrefillMs, aNow);
-      AddInflow(load, -ended.mPartPrefillMs, aNow);
+      AddPrefillTime(aLedger.mEngines[engine], -ended.mPartPrefillMs, aNow);
     }
   }
   for (const engine_key engine : ended.mEngines) {
--- a/Libraries/LibFleet/EngineLedger.h
+++ b/Libraries/LibFleet/EngineLedger.h
@@ -88,6 +88,10 @@
   Unread, ///< It was refused or cancelled before its first event.
 };
 
+/// The load of an engine; that of an idle one if it is not in the ledger.
+const engine_load&
+LoadOf(const engine_ledger& aLedger, engine_key aEngine);
+
 /// Adds a placement. Does nothing if its key is present already.
 void
 AddPlacement(engine_ledger& aLedger, const placement& aPlaced, time_point aNow);
--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -24,13 +24,17 @@
 
 /// Share of the engines' prefill capacity that arriving prompts leave over.
 double
-SpareShare(const std::vector<engine_candidate>& aCandidates)
+SpareShare(const std::vector<engine_candidate>& aCandidates,
+           const engine_ledger& aLedger,
+           time_point aNow)
 {
   double inflow = 0;
   double rate = 0;
   for (const engine_candidate& one : aCandidates) {
-    inflow += one.mPrefillInflow;
-    rate += one.mPrefillRate;
+    const engine_load& load =
+      LoadOf(aLedger, EngineKey(one.mEndpoint->mListed.mId));
+    inflow += PrefillInflow(load, aNow);
+    rate += PrefillRate(load);
   }
   return rate > 0 ? std::clamp(1 - inflow / rate, 0.0, 1.0) : 1;
 }
@@ -180,8 +184,11 @@
                   time_point aNow,
                   duration aMaximum)
 {
-  const double spare = SpareShare(EngineCandidates(
-    aRegistry, aLedger, aTiming, aRequest, {}, aDataCentre, aNow));
+  const double spare =
+    SpareShare(EngineCandidates(
+                 aRegistry, aLedger, aTiming, aRequest, {}, aDataCentre, aNow),
+               aLedger,
+               aNow);
   // Each step takes as much CPU time as a placement. Finer steps would add
   // little accuracy, since other requests arrive meanwhile.
   for (duration after = kMinRetryAfter; after < aMaximum; after *= 2) {
--- a/Libraries/LibFleet/PlacementCandidates.cpp
+++ b/Libraries/LibFleet/PlacementCandidates.cpp
@@ -76,7 +76,6 @@
                  std::string_view aDataCentre,
                  time_point aNow)
 {
-  static const engine_load kIdle{};
   const auto usable = [&aRequest, &aTried, aNow](const std::string& aId,
                                                  const known_endpoint& aKnown) {
     return IsAdmissible(aKnown, aRequest.mScope, aNow) &&
@@ -93,14 +92,10 @@
     if ((anyPreferred && !known.mPreferred) || !usable(id, known)) {
       continue;
     }
-    const auto found = aLedger.mEngines.find(EngineKey(id));
-    const engine_load& load =
-      found == aLedger.mEngines.end() ? kIdle : found->second;
+    const engine_load& load = LoadOf(aLedger, EngineKey(id));
     engine_candidate one;
     one.mEndpoint = &known;
     one.mBacklogMs = BacklogMs(load, aNow);
-    one.mPrefillRate = PrefillRate(load);
-    one.mPrefillInflow = PrefillInflow(load, aNow);
     one.mFreeTokens = FreeTokens(aTiming, load);
     one.mStreams = StreamsOn(aLedger, load);
     one.mPrefills = PrefillsOn(aLedger, load, aNow);
--- a/Libraries/LibFleet/PlacementCandidates.h
+++ b/Libraries/LibFleet/PlacementCandidates.h
@@ -33,9 +33,7 @@
 struct engine_candidate
 {
   known_endpoint* mEndpoint = nullptr;
-  double mBacklogMs = 0;     ///< Queued prefill time.
-  double mPrefillRate = 1;   ///< See `PrefillRate`.
-  double mPrefillInflow = 0; ///< See `PrefillInflow`.
+  double mBacklogMs = 0; ///< Queued prefill time.
   double mFreeTokens = 0;
   double mDecodePassMs = 0; ///< Of a pass that also decodes this request.
   std::vector<decoding_stream> mStreams;
