--- a/Tests/Unit/LimitTest.cpp
+++ b/Tests/Unit/LimitTest.cpp
@@ -1,3 +1,4 @@
+#include "RequestTimes.h"
 #include "RingFixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -59,15 +60,7 @@
   /// requests from half a second after its first answer with the limit.
   std::size_t MaxInFourSeconds() const
   {
-    std::size_t most = 0;
-    auto first = mCounted.begin();
-    for (auto last = mCounted.begin(); last != mCounted.end(); ++last) {
-      while (*last - *first > seconds(4)) {
-        ++first;
-      }
-      most = std::max(most, static_cast<std::size_t>(last - first + 1));
-    }
-    return most;
+    return MostWithin(seconds(4), mCounted);
   }
 
   double PerSecond() const
--- a/Tests/Unit/WarmUpTest.cpp
+++ b/Tests/Unit/WarmUpTest.cpp
@@ -1,3 +1,4 @@
+#include "RequestTimes.h"
 #include "RingFixture.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -74,18 +75,7 @@
     }
   }
 
-  std::size_t MaxInOneSecond() const
-  {
-    std::size_t most = 0;
-    auto first = mSent.begin();
-    for (auto last = mSent.begin(); last != mSent.end(); ++last) {
-      while (*last - *first > seconds(1)) {
-        ++first;
-      }
-      most = std::max(most, static_cast<std::size_t>(last - first + 1));
-    }
-    return most;
-  }
+  std::size_t MaxInOneSecond() const { return MostWithin(seconds(1), mSent); }
 
   std::size_t Sent() const { return mSent.size(); }
 
