--- a/Libraries/LibGossip/GatewayState.cpp
+++ b/Libraries/LibGossip/GatewayState.cpp
@@ -97,8 +97,7 @@
 void
 UpdateReaderRanks(gateway_state& aBoard, const std::string& aOwnHost)
 {
-  std::vector<std::string> hosts = PeerHosts(aBoard);
-  hosts.push_back(aOwnHost);
+  const std::vector<std::string> hosts = FleetHosts(aBoard, aOwnHost);
   FreshnessOf(aBoard, belief::Operator).mReaderRank =
     ReaderRank("operators", hosts, aOwnHost);
   FreshnessOf(aBoard, belief::Endpoints).mReaderRank =
@@ -116,6 +115,14 @@
   return hosts;
 }
 
+std::vector<std::string>
+FleetHosts(const gateway_state& aBoard, const std::string& aOwnHost)
+{
+  std::vector<std::string> hosts = PeerHosts(aBoard);
+  hosts.push_back(aOwnHost);
+  return hosts;
+}
+
 std::vector<std::string>
 PeersAhead(const gateway_state& aBoard)
 {
@@ -135,8 +142,7 @@
 void
 UpdateSubsetRing(gateway_state& aBoard, const std::string& aOwnHost)
 {
-  std::vector<std::string> hosts = PeerHosts(aBoard);
-  hosts.push_back(aOwnHost);
+  const std::vector<std::string> hosts = FleetHosts(aBoard, aOwnHost);
   AssignGatewayPositions(aBoard.mSubsetRing, hosts);
   AssignEnginePositions(aBoard.mSubsetRing, aBoard.mEndpoints);
   MarkPreferred(aBoard.mEndpoints, aBoard.mSubsetRing, aOwnHost);
--- a/Libraries/LibGossip/GatewayState.h
+++ b/Libraries/LibGossip/GatewayState.h
@@ -164,6 +164,10 @@
 std::vector<std::string>
 PeerHosts(const gateway_state& aState);
 
+/// Hosts of the known peers and of this gateway, which is the last one.
+std::vector<std::string>
+FleetHosts(const gateway_state& aState, const std::string& aOwnHost);
+
 /// Hosts of the peers that report a newer copy of a table of the platform.
 std::vector<std::string>
 PeersAhead(const gateway_state& aState);
--- a/Libraries/LibGossip/LimitUpdates.cpp
+++ b/Libraries/LibGossip/LimitUpdates.cpp
@@ -11,27 +11,26 @@
 constexpr double kKnownPart = 0.8;
 constexpr duration kMaxDiscoveryTime = std::chrono::seconds(4);
 
-/// This gateway and the known peers that may place on the endpoint.
+/// The gateways of the fleet that may place on the endpoint.
 std::vector<std::string>
 HostsThatMayPlace(const gateway_state& aBoard,
-                  const std::string& aOwnHost,
+                  const std::vector<std::string>& aFleet,
                   const known_endpoint& aEndpoint)
 {
-  std::vector<std::string> hosts = PeerHosts(aBoard);
-  hosts.push_back(aOwnHost);
   return HostsThatPrefer(
-    aBoard.mSubsetRing, hosts, { EngineKey(aEndpoint.mListed.mId) });
+    aBoard.mSubsetRing, aFleet, { EngineKey(aEndpoint.mListed.mId) });
 }
 
 void
 UpdateShare(const gateway_state& aBoard,
             const std::string& aOwnHost,
+            const std::vector<std::string>& aFleet,
             known_endpoint& aEndpoint,
             time_point aNow)
 {
   UpdateLimitShare(aEndpoint.mLimit,
                    aEndpoint.mListed.mId,
-                   HostsThatMayPlace(aBoard, aOwnHost, aEndpoint),
+                   HostsThatMayPlace(aBoard, aFleet, aEndpoint),
                    aOwnHost,
                    EntryCount(aBoard),
                    aNow);
@@ -41,6 +40,7 @@
 void
 UpdateWarmUpShare(const gateway_state& aBoard,
                   const std::string& aOwnHost,
+                  const std::vector<std::string>& aFleet,
                   known_endpoint& aEndpoint,
                   time_point aNow)
 {
@@ -53,14 +53,14 @@
     return;
   }
   const bool hasShare = served != nullptr && KnowsPeers(aBoard, aNow);
-  aEndpoint.mWarmUp.mShare = WithRate(
-    aEndpoint.mWarmUp.mShare,
-    hasShare ? ColdShare(aEndpoint.mListed.mId,
-                         HostsThatMayPlace(aBoard, aOwnHost, aEndpoint),
-                         aOwnHost,
-                         served->mColdRequestsPerSecond)
-             : 0,
-    aNow);
+  aEndpoint.mWarmUp.mShare =
+    WithRate(aEndpoint.mWarmUp.mShare,
+             hasShare ? ColdShare(aEndpoint.mListed.mId,
+                                  HostsThatMayPlace(aBoard, aFleet, aEndpoint),
+                                  aOwnHost,
+                                  served->mColdRequestsPerSecond)
+                      : 0,
+             aNow);
 }
 
 } // namespace
@@ -90,7 +90,7 @@
   if (!changed) {
     return false;
   }
-  UpdateShare(aBoard, aOwnHost, aEndpoint, aNow);
+  UpdateShare(aBoard, aOwnHost, FleetHosts(aBoard, aOwnHost), aEndpoint, aNow);
   Log(log_level::Info,
       limit.mPerSecond.has_value() ? "endpoint_limited" : "endpoint_unlimited",
       { { "endpoint", aEndpoint.mListed.mId },
@@ -106,9 +106,10 @@
                   const std::string& aOwnHost,
                   time_point aNow)
 {
+  const std::vector<std::string> fleet = FleetHosts(aBoard, aOwnHost);
   for (auto& [id, known] : aBoard.mEndpoints.mEndpoints) {
     if (known.mLimit.mPerSecond.has_value()) {
-      UpdateShare(aBoard, aOwnHost, known, aNow);
+      UpdateShare(aBoard, aOwnHost, fleet, known, aNow);
     }
   }
 }
@@ -123,7 +124,8 @@
   const bool wasCold = IsCold(aEndpoint.mWarmUp, aNow);
   aEndpoint.mWarmUp = WithColdUntil(aEndpoint.mWarmUp, aNow + aColdTime, aNow);
   if (!wasCold && IsCold(aEndpoint.mWarmUp, aNow)) {
-    UpdateWarmUpShare(aBoard, aOwnHost, aEndpoint, aNow);
+    UpdateWarmUpShare(
+      aBoard, aOwnHost, FleetHosts(aBoard, aOwnHost), aEndpoint, aNow);
   }
 }
 
@@ -132,9 +134,10 @@
                    const std::string& aOwnHost,
                    time_point aNow)
 {
+  const std::vector<std::string> fleet = FleetHosts(aBoard, aOwnHost);
   for (auto& [id, known] : aBoard.mEndpoints.mEndpoints) {
     if (IsCold(known.mWarmUp, aNow)) {
-      UpdateWarmUpShare(aBoard, aOwnHost, known, aNow);
+      UpdateWarmUpShare(aBoard, aOwnHost, fleet, known, aNow);
     }
   }
 }
