--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -164,7 +164,7 @@
   // answer.
   if (mChannel->Open() && mReader.Head().mKeepAlive &&
       mChannel->Input().empty() && !AnsweredEarly() &&
-      !mReader.IsCloseDelimited()) {
+      mReader.Framing() != body_framing::Close) {
     mConnections.PutIdle(
       mEndpoint.mId,
       std::move(mChannel),
@@ -187,7 +187,8 @@
     return;
   }
   if (aEnd == channel_end::Finished && mHeadAccepted &&
-      mReader.IsCloseDelimited() && mReader.Finish() == read_state::Complete) {
+      mReader.Framing() == body_framing::Close &&
+      mReader.Finish() == read_state::Complete) {
     Complete();
     return;
   }
--- a/Libraries/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/Attempt.h
@@ -61,6 +61,7 @@
   const http_head& Head() const { return mReader.Head(); }
   const answer_info& Info() const { return mAnswerInfo; }
   std::string& Body() { return mReader.Body(); }
+  body_framing Framing() const { return mReader.Framing(); }
   bool WasSent() const { return mSent; }
   /// True if the endpoint's machine refused the connection, which a running
   /// endpoint would have accepted.
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -383,6 +383,8 @@
         mHeadWritten ? Milliseconds(mFirstEventAt - mStarted) : -1 },
       { "longest_pause_ms", Milliseconds(mLongestPause) },
       { "events", mCursor.Count() },
+      { "framing", FramingName(mAnswerFraming) },
+      { "trailing_bytes", mTrailingBytes },
       { "total_ms", Milliseconds(now - mStarted) },
       { "manifest", mManifest == nullptr ? 0 : mManifest->Manifest().mVersion },
       { "manifest_age_ms",
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -217,6 +217,9 @@
   bool mAttemptHasEvents = false; ///< The current attempt has sent an event.
   bool mHeadWritten = false;
   bool mReadingPaused = false;
+  body_framing mAnswerFraming = body_framing::None; ///< Of the last answer.
+  /// Bytes after the last whole event of the stream, at its end.
+  std::size_t mTrailingBytes = 0;
   event_cursor mCursor;
   /// Head of the first attempt that streamed.
   std::optional<http_head> mStreamHead;
--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -220,6 +220,7 @@
   RecordReportedLoad(aAttempt);
   ApplyReportedLimit(aAttempt);
   ApplyEndpointNotice(aAttempt);
+  mAnswerFraming = aAttempt.Framing();
   mStreaming =
     mRoute->mKind == call_kind::Stream && IsSuccess(aAttempt.Head().mStatus);
   if (mStreaming && !mStreamHead.has_value()) {
@@ -301,6 +302,7 @@
     return;
   }
   ForwardEvents(aAttempt);
+  mTrailingBytes = aAttempt.Body().size();
   if (!mHeadWritten) {
     mFirstEventAt = mContext.mLoop.Now();
     WriteHead(*mStreamHead, std::nullopt);
@@ -364,6 +366,7 @@
         { "digest", DigestText(mDigest) },
         { "why", aWhy },
         { "answer_begun", static_cast<int>(aAttempt.AnswerStarted()) },
+        { "framing", FramingName(aAttempt.Framing()) },
         { "at_fault", aAttempt.Info().mFaultyHelperAddress },
         { "after_ms", Milliseconds(mContext.mLoop.Now() - aAttempt.SentAt()) },
         { "last_event", mCursor.LastId().value_or(0) } });
--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -1,6 +1,7 @@
 #include "LibNet/HttpReader.h"
 
 #include <algorithm>
+#include <array>
 
 namespace primrose {
 
@@ -46,6 +47,15 @@
 
 } // namespace
 
+std::string_view
+FramingName(body_framing aFraming)
+{
+  constexpr std::array<std::string_view, 4> kNames = {
+    "none", "length", "chunked", "close"
+  };
+  return kNames.at(static_cast<std::size_t>(aFraming));
+}
+
 http_reader::http_reader(http_role aRole, const http_limits& aLimits)
   : mRole(aRole)
   , mLimits(aLimits)
@@ -65,7 +75,7 @@
   mBodyBytes = 0;
   mNoBody = aNoBody;
   mValueSeen = false;
-  mCloseDelimited = false;
+  mFraming = body_framing::None;
   mState = read_state::Head;
 }
 
@@ -151,6 +161,22 @@
           mHead.mTarget.front() == '/');
 }
 
+body_framing
+http_reader::FramingOfHead() const
+{
+  const bool isAnswer = mRole == http_role::Answer;
+  if (mNoBody || (isAnswer && !MayHaveBody(mHead.mStatus))) {
+    return body_framing::None;
+  }
+  if (FieldCount(mHead.mFields, "transfer-encoding") > 0) {
+    return body_framing::Chunked;
+  }
+  if (FieldCount(mHead.mFields, "content-length") > 0) {
+    return body_framing::Length;
+  }
+  return isAnswer ? body_framing::Close : body_framing::None;
+}
+
 int
 http_reader::OnHead(http_parser* aParser)
 {
@@ -165,11 +191,7 @@
     reader.mState = read_state::Malformed;
     return -1;
   }
-  reader.mCloseDelimited =
-    reader.mRole == http_role::Answer && !reader.mNoBody &&
-    MayHaveBody(aParser->status_code) &&
-    FieldCount(reader.mHead.mFields, "content-length") == 0 &&
-    FieldCount(reader.mHead.mFields, "transfer-encoding") == 0;
+  reader.mFraming = reader.FramingOfHead();
   reader.mState = read_state::Body;
   return reader.mNoBody ? kSkipBody : 0;
 }
--- a/Libraries/LibNet/HttpReader.h
+++ b/Libraries/LibNet/HttpReader.h
@@ -24,6 +24,19 @@
   BodyTooBig, ///< The body exceeds its limit.
 };
 
+/// What ends the body of a message.
+enum class body_framing : std::uint8_t
+{
+  None,   ///< There is no body, or its head has not been read.
+  Length, ///< The body has the length that the head declares.
+  Chunked,
+  Close, ///< The body of an answer ends when the peer closes the connection.
+};
+
+/// The name of a framing in logs.
+std::string_view
+FramingName(body_framing aFraming);
+
 struct http_limits
 {
   std::size_t mHeadBytes = std::size_t{ 64 } * 1024;
@@ -55,9 +68,7 @@
   const http_head& Head() const { return mHead; }
   /// The bytes of the body that the caller has not removed yet.
   std::string& Body() { return mBody; }
-  /// True for an answer with neither a length nor chunks: its body ends when
-  /// the peer closes the connection.
-  bool IsCloseDelimited() const { return mCloseDelimited; }
+  body_framing Framing() const { return mFraming; }
 
 private:
   static int OnUrl(http_parser* aParser, const char* aAt, size_t aSize);
@@ -68,6 +79,7 @@
   static int OnEnd(http_parser* aParser);
   static const http_parser_settings& Callbacks();
   bool HeadIsUnambiguous() const;
+  body_framing FramingOfHead() const;
 
   http_role mRole;
   http_limits mLimits;
@@ -78,7 +90,7 @@
   std::size_t mBodyBytes = 0;
   bool mNoBody = false;
   bool mValueSeen = false;
-  bool mCloseDelimited = false;
+  body_framing mFraming = body_framing::None;
   read_state mState = read_state::Head;
 };
 
