--- a/Tests/Gateway/StreamTest.cpp
+++ b/Tests/Gateway/StreamTest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(ResetBeforeTheHeadIsRetriedElsewhere);
   CPPUNIT_TEST(BrokenStreamIsNotRefusedOnRetry);
   CPPUNIT_TEST(StreamThatCannotResumeIsAborted);
+  CPPUNIT_TEST(StreamThatEndsInsideEventIsNotComplete);
   CPPUNIT_TEST(SlowCallerAppliesBackpressure);
   CPPUNIT_TEST(GiantPromptReservesAndReleasesMemory);
   CPPUNIT_TEST(PartialReservationIsReleased);
@@ -32,6 +33,72 @@
     return "id: " + std::to_string(aId) + "\ndata: x\n\n";
   }
 
+  static constexpr std::array kFramings = { body_framing::Close,
+                                            body_framing::Chunked,
+                                            body_framing::Length };
+
+  /// Sends a stream with this framing and ends the answer properly, wherever
+  /// the events end.
+  static void AnswerStream(connection& aConnection,
+                           const http_head& aHead,
+                           body_framing aFraming,
+                           const std::string& aEvents)
+  {
+    tcp_channel& channel = *aConnection.mChannel;
+    switch (aFraming) {
+      case body_framing::Chunked: {
+        std::string bytes =
+          SuccessHead(aHead, "Transfer-Encoding: chunked\r\n");
+        AppendChunk(bytes, aEvents);
+        channel.Write(bytes.append(kLastChunk));
+        aConnection.Next();
+        return;
+      }
+      case body_framing::Length:
+        channel.Write(SuccessHead(aHead,
+                                  "Content-Length: " +
+                                    std::to_string(aEvents.size()) + "\r\n") +
+                      aEvents);
+        aConnection.Next();
+        return;
+      case body_framing::Close:
+      case body_framing::None:
+        channel.Write(SuccessHead(aHead, "") + aEvents);
+        channel.CloseWhenDrained();
+        return;
+    }
+  }
+
+  /// Two engines. The first one that is asked sends `mFirst`, the next one
+  /// `mSecond`.
+  struct two_engines_world : world
+  {
+    explicit two_engines_world(body_framing aFraming)
+      : mOther(mLoop)
+    {
+      const auto answer = [this, aFraming](connection& aConnection,
+                                           const http_head& aHead) {
+        AnswerStream(
+          aConnection, aHead, aFraming, mRequests++ == 0 ? mFirst : mSecond);
+      };
+      mModel.mAnswer = answer;
+      mOther.mAnswer = answer;
+      List("i-model", "model", mModel.mServer.Address());
+      List("i-other", "model", mOther.mServer.Address());
+      Start();
+    }
+
+    const standin_caller& Run()
+    {
+      return Answered(Request("r1", "stream", "Token-Usage: 1000,50\r\n"));
+    }
+
+    std::string mFirst;
+    std::string mSecond;
+    std::size_t mRequests = 0;
+    endpoint_fixture mOther;
+  };
+
   /// One engine that decodes a stream, and a second request whose prefill would
   /// interrupt that stream and which is therefore postponed.
   struct postponed_prompt_world : world
@@ -240,6 +307,38 @@
     CPPUNIT_ASSERT(!caller.Answered());
   }
 
+  /// Guards against passing on a stream that broke off inside an event as a
+  /// complete answer, however the engine framed it.
+  void StreamThatEndsInsideEventIsNotComplete()
+  {
+    const std::string partial = "id: 3\nda";
+    for (const body_framing framing : kFramings) {
+      const std::string name(FramingName(framing));
+      two_engines_world resumed(framing);
+      resumed.mFirst = Event(1) + Event(2) + partial;
+      resumed.mSecond = Event(3) + Event(4);
+      const standin_caller& whole = resumed.Run();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        name, Event(1) + Event(2) + Event(3) + Event(4), whole.Body());
+      CPPUNIT_ASSERT_MESSAGE(name, whole.Answered());
+
+      two_engines_world withoutEvent(framing);
+      withoutEvent.mFirst = partial;
+      withoutEvent.mSecond = Event(1);
+      const standin_caller& repeated = withoutEvent.Run();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, Event(1), repeated.Body());
+      CPPUNIT_ASSERT_MESSAGE(name, repeated.Answered());
+
+      two_engines_world brokenTwice(framing);
+      brokenTwice.mFirst = Event(1) + Event(2) + partial;
+      brokenTwice.mSecond = Event(3) + "id: 4\nda";
+      const standin_caller& cut = brokenTwice.Run();
+      CPPUNIT_ASSERT_MESSAGE(name, !cut.Answered());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        name, Event(1) + Event(2) + Event(3), cut.Body());
+    }
+  }
+
   void SlowCallerAppliesBackpressure()
   {
     world w;
