--- a/Libraries/LibNet/EventCursor.cpp
+++ b/Libraries/LibNet/EventCursor.cpp
@@ -1,76 +1,130 @@
 #include "LibNet/EventCursor.h"
 
 #include <charconv>
-#include <string_view>
 
 namespace primrose {
 
 namespace {
 
-constexpr std::string_view kEndOfEvent = "\n\n";
-constexpr std::string_view kId = "id:";
+constexpr std::string_view kLineEnds = "\r\n";
+constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
+constexpr std::string_view kIdField = "id";
 
-/// Parses the number in the event's `id` line, if there is one.
+/// The value as a number; none if it is anything else.
 std::optional<std::uint64_t>
-ParseEventId(std::string_view aEvent)
+ParseEventId(std::string_view aValue)
 {
-  std::size_t lineStart = 0;
-  while (lineStart < aEvent.size()) {
-    std::size_t end = aEvent.find('\n', lineStart);
-    if (end == std::string_view::npos) {
-      end = aEvent.size();
-    }
-    std::string_view text = aEvent.substr(lineStart, end - lineStart);
-    if (text.substr(0, kId.size()) == kId) {
-      text.remove_prefix(kId.size());
-      while (!text.empty() && text.front() == ' ') {
-        text.remove_prefix(1);
-      }
-      std::uint64_t id = 0;
-      const std::from_chars_result read =
-        std::from_chars(text.data(), text.data() + text.size(), id);
-      if (read.ec == std::errc{}) {
-        return id;
-      }
-      return std::nullopt;
-    }
-    lineStart = end + 1;
+  while (aValue.starts_with(' ')) {
+    aValue.remove_prefix(1);
+  }
+  std::uint64_t id = 0;
+  const char* const end = aValue.data() + aValue.size();
+  const std::from_chars_result read = std::from_chars(aValue.data(), end, id);
+  if (read.ec != std::errc{} || read.ptr != end) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  return id;
 }
 
 } // namespace
 
+void
+event_cursor::Resume()
+{
+  mEvent = {};
+  mLineStart = 0;
+  mScannedBytes = 0;
+  mAfterCarriageReturn = false;
+  mIsFirstLine = true;
+  mIsResumed = true;
+}
+
+void
+event_cursor::ReadLine(std::string_view aLine)
+{
+  mEvent.mHasLine = true;
+  const std::size_t colon = aLine.find(':');
+  if (colon == 0) {
+    return;
+  }
+  mEvent.mHasField = true;
+  if (aLine.substr(0, colon) == kIdField) {
+    mEvent.mId = colon == std::string_view::npos
+                   ? std::nullopt
+                   : ParseEventId(aLine.substr(colon + 1));
+  }
+}
+
+bool
+event_cursor::AcceptEvent()
+{
+  // The source that resumes a stream may repeat events that were already
+  // returned; the caller must receive each event only once.
+  const std::optional<std::uint64_t> id = mEvent.mId;
+  mLastAccepted = !id.has_value() || !mLastId.has_value() || *id > *mLastId;
+  mEvent = {};
+  if (mLastAccepted) {
+    ++mCount;
+    mLastId = id.has_value() ? id : mLastId;
+  }
+  return mLastAccepted;
+}
+
 std::string
 event_cursor::TakeWholeEvents(std::string& aBytes)
 {
   std::string events;
   std::size_t eventStart = 0;
-  std::size_t searchFrom = mScannedBytes > 0 ? mScannedBytes - 1 : 0;
   while (true) {
-    const std::size_t end = aBytes.find(kEndOfEvent, searchFrom);
+    const std::size_t end = aBytes.find_first_of(kLineEnds, mScannedBytes);
     if (end == std::string::npos) {
+      mScannedBytes = aBytes.size();
       break;
     }
-    const std::size_t eventEnd = end + kEndOfEvent.size();
-    const std::string_view event(aBytes.data() + eventStart,
-                                 eventEnd - eventStart);
-    const std::optional<std::uint64_t> id = ParseEventId(event);
-    // The source that resumes a stream may repeat events that were already
-    // returned; the caller must receive each event only once.
-    if (!id.has_value() || !mLastId.has_value() || *id > *mLastId) {
-      events.append(event);
-      ++mCount;
-      if (id.has_value()) {
-        mLastId = id;
+    std::string_view line(aBytes.data() + mLineStart, end - mLineStart);
+    const bool endsCrLf =
+      mAfterCarriageReturn && line.empty() && aBytes[end] == '\n';
+    mAfterCarriageReturn = aBytes[end] == '\r';
+    mLineStart = end + 1;
+    mScannedBytes = mLineStart;
+    if (endsCrLf) {
+      // The CR ended the line already, as no LF need follow. If it ended an
+      // event, the LF is still part of that event.
+      if (end == eventStart) {
+        events.append(mLastAccepted ? "\n" : "");
+        eventStart = mLineStart;
       }
+      continue;
+    }
+    if (mIsFirstLine && line.starts_with(kByteOrderMark)) {
+      line.remove_prefix(kByteOrderMark.size());
+      // A stream has one at its start only.
+      eventStart = mIsResumed ? kByteOrderMark.size() : eventStart;
     }
-    eventStart = eventEnd;
-    searchFrom = eventEnd;
+    mIsFirstLine = false;
+    if (!line.empty()) {
+      ReadLine(line);
+      continue;
+    }
+    if (!mEvent.mHasLine) {
+      // A further empty line ends no event. It is returned with the next one.
+      continue;
+    }
+    if (AcceptEvent()) {
+      events.append(aBytes, eventStart, mLineStart - eventStart);
+    }
+    eventStart = mLineStart;
   }
   aBytes.erase(0, eventStart);
-  mScannedBytes = aBytes.size();
+  mLineStart -= eventStart;
+  mScannedBytes -= eventStart;
   return events;
 }
 
+bool
+event_cursor::IsInsideEvent(std::string_view aRemaining) const
+{
+  return mEvent.mHasField || aRemaining.size() > mLineStart;
+}
+
 } // namespace primrose
--- a/Tests/Unit/HttpReaderTest.cpp
+++ b/Tests/Unit/HttpReaderTest.cpp
@@ -39,6 +39,10 @@
   CPPUNIT_TEST(InterimAnswersAreSkipped);
   CPPUNIT_TEST(OnlyCompleteEventsAreReturned);
   CPPUNIT_TEST(ResumedStreamSkipsRepeatedEvents);
+  CPPUNIT_TEST(EventsEndWithEachLineEndOfTheFormat);
+  CPPUNIT_TEST(WhatFollowsTheLastEventIsNoEvent);
+  CPPUNIT_TEST(EventIdIsReadAsTheFormatDefines);
+  CPPUNIT_TEST(ResumedStreamHasNoSecondByteOrderMark);
   CPPUNIT_TEST(LogWritesNeverBlock);
   CPPUNIT_TEST(LineRateLimiterRefills);
   CPPUNIT_TEST_SUITE_END();
@@ -123,7 +127,7 @@
     http_reader reader(http_role::Answer, http_limits{});
     CPPUNIT_ASSERT(ReadOne(reader, "HTTP/1.1 200 OK\r\n\r\nabc") ==
                    read_state::Body);
-    CPPUNIT_ASSERT(reader.IsCloseDelimited());
+    CPPUNIT_ASSERT(reader.Framing() == body_framing::Close);
     CPPUNIT_ASSERT(reader.Finish() == read_state::Complete);
     CPPUNIT_ASSERT_EQUAL(std::string("abc"), reader.Body());
   }
@@ -173,6 +177,100 @@
                          cursor.TakeWholeEvents(again));
   }
 
+  /// What the cursor returned for a stream that arrived in pieces.
+  struct received_stream
+  {
+    std::string mEvents;
+    std::string mRemaining;
+    event_cursor mCursor;
+  };
+
+  /// Reads a stream that arrives in pieces of a size, 0 for all at once.
+  static received_stream ReadInPieces(std::string_view aStream,
+                                      std::size_t aSize)
+  {
+    received_stream received;
+    while (!aStream.empty()) {
+      const std::size_t size = aSize == 0 ? aStream.size() : aSize;
+      received.mRemaining.append(aStream.substr(0, size));
+      aStream.remove_prefix(std::min(size, aStream.size()));
+      received.mEvents += received.mCursor.TakeWholeEvents(received.mRemaining);
+    }
+    return received;
+  }
+
+  /// Guards against streams whose lines end as the format also allows being
+  /// held back until their end, where no event end is recognized.
+  void EventsEndWithEachLineEndOfTheFormat()
+  {
+    constexpr std::size_t kMaxPiece = 5;
+    for (const std::string end : { "\n", "\r\n", "\r" }) {
+      const std::string events = "id: 1" + end + "data: a" + end + end +
+                                 ": comment" + end + end + "id:2" + end +
+                                 "data" + end + end;
+      const std::string partial = "id: 3" + end + "data: c" + end;
+      for (std::size_t size = 0; size <= kMaxPiece; ++size) {
+        const received_stream whole = ReadInPieces(events, size);
+        CPPUNIT_ASSERT_EQUAL(events, whole.mEvents);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), *whole.mCursor.LastId());
+        CPPUNIT_ASSERT(!whole.mCursor.IsInsideEvent(whole.mRemaining));
+        const received_stream cut = ReadInPieces(events + partial, size);
+        CPPUNIT_ASSERT_EQUAL(events, cut.mEvents);
+        CPPUNIT_ASSERT_EQUAL(partial, cut.mRemaining);
+        CPPUNIT_ASSERT(cut.mCursor.IsInsideEvent(cut.mRemaining));
+      }
+    }
+  }
+
+  /// Guards against taking a whole stream for one that broke off because of
+  /// what follows its last event.
+  void WhatFollowsTheLastEventIsNoEvent()
+  {
+    const std::string event = "id: 1\ndata: a\n\n";
+    for (const std::string rest : { "", "\n", "\n\n", "\r\n", ": end\n" }) {
+      for (std::size_t size = 0; size <= 3; ++size) {
+        const received_stream stream = ReadInPieces(event + rest, size);
+        CPPUNIT_ASSERT_EQUAL(event + rest, stream.mEvents + stream.mRemaining);
+        CPPUNIT_ASSERT(!stream.mCursor.IsInsideEvent(stream.mRemaining));
+      }
+    }
+    for (const std::string rest :
+         { "i", "id: 2\n", "\ndata", ": en", "\r\nd" }) {
+      const received_stream stream = ReadInPieces(event + rest, 1);
+      CPPUNIT_ASSERT_EQUAL(event, stream.mEvents);
+      CPPUNIT_ASSERT(stream.mCursor.IsInsideEvent(stream.mRemaining));
+    }
+  }
+
+  /// Guards against an id that is read wrongly, after which events are left out
+  /// or come twice.
+  void EventIdIsReadAsTheFormatDefines()
+  {
+    const auto lastId = [](const std::string& aEvent) {
+      return ReadInPieces(aEvent, 0).mCursor.LastId().value_or(0);
+    };
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), lastId("id:7\n\n"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(8), lastId("id: 7\nid: 8\n\n"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), lastId("\xEF\xBB\xBFid: 7\n\n"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), lastId("id: 7-1\n\n"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), lastId("identity: 7\n\n"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), lastId("data: id: 7\n\n"));
+  }
+
+  /// Guards against an event that callers ignore because the byte order mark of
+  /// the source that resumes the stream became part of a field's name.
+  void ResumedStreamHasNoSecondByteOrderMark()
+  {
+    event_cursor cursor;
+    std::string first = "\xEF\xBB\xBFid: 1\n\nid: 2\nha";
+    CPPUNIT_ASSERT_EQUAL(std::string("\xEF\xBB\xBFid: 1\n\n"),
+                         cursor.TakeWholeEvents(first));
+    cursor.Resume();
+    std::string second = "\xEF\xBB\xBFid: 2\r\n\r\nid: 3\r\n\r\n";
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 2\r\n\r\nid: 3\r\n\r\n"),
+                         cursor.TakeWholeEvents(second));
+  }
+
   /// Guards against log writes that block: when the reader of a gateway's log
   /// stops and the pipe fills up, all callers of the gateway would wait.
   void LogWritesNeverBlock()
