--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -159,6 +159,16 @@
 void
 attempt::Complete()
 {
+  if (!mReader.Body().empty()) {
+    mOwner->OnAnswerBody(*this);
+  }
+  if (mOwner == nullptr) {
+    return;
+  }
+  if (!mOwner->IsBodyComplete(*this)) {
+    End(attempt_end::Truncated, "truncated");
+    return;
+  }
   // Bytes after the answer belong to no request. A connection that has such
   // bytes is not reused, because the next request would receive them as its
   // answer.
--- a/Libraries/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/Attempt.h
@@ -16,6 +16,8 @@
   StaleConnection, ///< A reused connection closed before any byte came.
   ConnectionLost,  ///< The connection ended before the answer did. May have
                    ///< been executed.
+  Truncated,       ///< The answer ended inside its body. Has been executed in
+                   ///< part.
   InvalidAnswer,   ///< The bytes were no valid answer. May have been executed.
 };
 
@@ -29,6 +31,9 @@
   virtual void OnAnswerHead(attempt& aAttempt) = 0;
   /// More of the answer's body has arrived in `Body()`.
   virtual void OnAnswerBody(attempt& aAttempt) = 0;
+  /// True if the answer's body, all of which has arrived, is complete as its
+  /// content defines it. `OnAnswerBody` has been called for all of it.
+  virtual bool IsBodyComplete(const attempt& aAttempt) const = 0;
   /// The answer is complete.
   virtual void OnAnswerEnd(attempt& aAttempt) = 0;
   virtual void OnAttemptEnd(attempt& aAttempt,
@@ -61,6 +66,7 @@
   const http_head& Head() const { return mReader.Head(); }
   const answer_info& Info() const { return mAnswerInfo; }
   std::string& Body() { return mReader.Body(); }
+  const std::string& Body() const { return mReader.Body(); }
   body_framing Framing() const { return mReader.Framing(); }
   bool WasSent() const { return mSent; }
   /// True if the endpoint's machine refused the connection, which a running
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -65,6 +65,7 @@
 
   void OnAnswerHead(attempt& aAttempt) override;
   void OnAnswerBody(attempt& aAttempt) override;
+  bool IsBodyComplete(const attempt& aAttempt) const override;
   void OnAnswerEnd(attempt& aAttempt) override;
   void OnAttemptEnd(attempt& aAttempt,
                     attempt_end aEnd,
--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -28,6 +28,20 @@
   return aStatus < kFirstRedirect;
 }
 
+/// True unless the answer declares another media type.
+bool
+IsEventStream(const http_fields& aFields)
+{
+  const std::optional<std::string_view> type =
+    FieldValue(aFields, "content-type");
+  if (!type.has_value()) {
+    return true;
+  }
+  const std::string_view essence = type->substr(0, type->find_first_of("; \t"));
+  // Media types are compared like field names.
+  return SameFieldName(essence, "text/event-stream");
+}
+
 } // namespace
 
 void
@@ -221,8 +235,9 @@
   ApplyReportedLimit(aAttempt);
   ApplyEndpointNotice(aAttempt);
   mAnswerFraming = aAttempt.Framing();
-  mStreaming =
-    mRoute->mKind == call_kind::Stream && IsSuccess(aAttempt.Head().mStatus);
+  mStreaming = mRoute->mKind == call_kind::Stream &&
+               IsSuccess(aAttempt.Head().mStatus) &&
+               IsEventStream(aAttempt.Head().mFields);
   if (mStreaming && !mStreamHead.has_value()) {
     mStreamHead = aAttempt.Head();
   }
@@ -274,6 +289,21 @@
   }
 }
 
+bool
+exchange::IsBodyComplete(const attempt& aAttempt) const
+{
+  if (!mStreaming) {
+    return true;
+  }
+  // Every stream has an event, unless it goes on after the last one. Nothing
+  // else shows that an answer without a length ended behind its head.
+  const bool resumes =
+    mCursor.LastId().has_value() || mRequestInfo.mLastEvent.has_value();
+  const bool lacksEvents = aAttempt.Framing() == body_framing::Close &&
+                           mCursor.Count() == 0 && !resumes;
+  return !lacksEvents && !mCursor.IsInsideEvent(aAttempt.Body());
+}
+
 void
 exchange::OnAnswerEnd(attempt& aAttempt)
 {
@@ -301,7 +331,6 @@
     ForwardCompleteAnswer(aAttempt);
     return;
   }
-  ForwardEvents(aAttempt);
   mTrailingBytes = aAttempt.Body().size();
   if (!mHeadWritten) {
     mFirstEventAt = mContext.mLoop.Now();
@@ -369,7 +398,8 @@
         { "framing", FramingName(aAttempt.Framing()) },
         { "at_fault", aAttempt.Info().mFaultyHelperAddress },
         { "after_ms", Milliseconds(mContext.mLoop.Now() - aAttempt.SentAt()) },
-        { "last_event", mCursor.LastId().value_or(0) } });
+        { "last_event", mCursor.LastId().value_or(0) },
+        { "trailing_bytes", aAttempt.Body().size() } });
   const bool wrongEndpoint = aAttempt.Info().mWrongEndpoint;
   ApplyEndpointNotice(aAttempt);
   switch (aEnd) {
@@ -423,6 +453,7 @@
       GiveUp(error_kind::Overloaded, aWhy);
       return;
     case attempt_end::ConnectionLost:
+    case attempt_end::Truncated:
       ReportUnfinishedAttempt(aAttempt, true);
       [[fallthrough]];
     case attempt_end::InvalidAnswer:
--- a/Libraries/LibNet/HttpReader.h
+++ b/Libraries/LibNet/HttpReader.h
@@ -68,6 +68,7 @@
   const http_head& Head() const { return mHead; }
   /// The bytes of the body that the caller has not removed yet.
   std::string& Body() { return mBody; }
+  const std::string& Body() const { return mBody; }
   body_framing Framing() const { return mFraming; }
 
 private:
--- a/Tests/Gateway/StreamTest.cpp
+++ b/Tests/Gateway/StreamTest.cpp
@@ -17,6 +17,9 @@
   CPPUNIT_TEST(BrokenStreamIsNotRefusedOnRetry);
   CPPUNIT_TEST(StreamThatCannotResumeIsAborted);
   CPPUNIT_TEST(StreamThatEndsInsideEventIsNotComplete);
+  CPPUNIT_TEST(WholeStreamIsForwardedUnchanged);
+  CPPUNIT_TEST(StreamWithoutLengthThatLacksEventsIsNotComplete);
+  CPPUNIT_TEST(AnswerOfAnotherMediaTypeIsForwardedWhole);
   CPPUNIT_TEST(SlowCallerAppliesBackpressure);
   CPPUNIT_TEST(GiantPromptReservesAndReleasesMemory);
   CPPUNIT_TEST(PartialReservationIsReleased);
@@ -339,6 +342,70 @@
     }
   }
 
+  /// Guards against cutting or repeating a whole stream because of the line
+  /// ends that it uses or of what follows its last event.
+  void WholeStreamIsForwardedUnchanged()
+  {
+    const std::vector<std::string> streams = {
+      Event(1) + Event(2) + "\n",
+      Event(1) + Event(2) + "\n\n\n",
+      Event(1) + Event(2) + ": end\n",
+      "id: 1\r\ndata: x\r\n\r\nid: 2\r\ndata: x\r\n\r\n",
+      "id: 1\r\ndata: x\r\n\r\n\r\n",
+      "id: 1\rdata: x\r\rid: 2\rdata: x\r\r",
+      "\xEF\xBB\xBFid: 1\ndata: x\n\n",
+    };
+    for (const body_framing framing : kFramings) {
+      for (const std::string& stream : streams) {
+        two_engines_world w(framing);
+        w.mFirst = stream;
+        const standin_caller& caller = w.Run();
+        CPPUNIT_ASSERT_MESSAGE(stream, caller.Answered());
+        CPPUNIT_ASSERT_EQUAL(stream, caller.Body());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), w.mRequests);
+      }
+    }
+  }
+
+  /// Guards against an empty success where an engine that gives no length ends
+  /// before its first event. An empty stream with a length or a last chunk is
+  /// whole.
+  void StreamWithoutLengthThatLacksEventsIsNotComplete()
+  {
+    for (const body_framing framing : kFramings) {
+      two_engines_world w(framing);
+      w.mSecond = Event(1);
+      const standin_caller& caller = w.Run();
+      CPPUNIT_ASSERT(caller.Answered());
+      CPPUNIT_ASSERT_EQUAL(framing == body_framing::Close ? Event(1) : "",
+                           caller.Body());
+    }
+  }
+
+  /// Guards against judging by the format of event streams whether an answer of
+  /// another media type is complete.
+  void AnswerOfAnotherMediaTypeIsForwardedWhole()
+  {
+    world w;
+    const std::string body = R"({"note":"no events"})";
+    w.mModel.mAnswer = [&body](connection& aConnection,
+                               const http_head& aHead) {
+      aConnection.mChannel->Write(
+        SuccessHead(aHead,
+                    "Content-Type: application/json; charset=utf-8\r\n"
+                    "Content-Length: " +
+                      std::to_string(body.size()) + "\r\n") +
+        body);
+      aConnection.Next();
+    };
+    w.List("i-model", "model", w.mModel.mServer.Address());
+    w.Start();
+    const standin_caller& caller =
+      w.Answered(w.Request("r1", "stream", "Token-Usage: 1000,50\r\n"));
+    CPPUNIT_ASSERT(caller.Answered());
+    CPPUNIT_ASSERT_EQUAL(body, caller.Body());
+  }
+
   void SlowCallerAppliesBackpressure()
   {
     world w;
