--- a/Libraries/LibHttp/ServerSentEvents.cpp
+++ b/Libraries/LibHttp/ServerSentEvents.cpp
@@ -9,7 +9,13 @@
 {
   std::vector<std::string> events;
   while (!aBytes.empty()) {
-    const std::size_t end = aBytes.find('\n');
+    if (mAfterCarriageReturn && mLine.empty() && aBytes.front() == '\n') {
+      // The second half of a CR LF, whose CR has ended the line.
+      mAfterCarriageReturn = false;
+      aBytes.remove_prefix(1);
+      continue;
+    }
+    const std::size_t end = aBytes.find_first_of("\r\n");
     mLine += aBytes.substr(0, end);
     if (mLine.size() + mData.size() > mMaxEventBytes) {
       return Fail(error_kind::EndpointFailed,
@@ -19,10 +25,8 @@
     if (end == std::string_view::npos) {
       break;
     }
+    mAfterCarriageReturn = aBytes[end] == '\r';
     aBytes.remove_prefix(end + 1);
-    if (mLine.ends_with('\r')) {
-      mLine.pop_back();
-    }
     ProcessLine(mLine, events);
     mLine.clear();
   }
--- a/Libraries/LibHttp/ServerSentEvents.h
+++ b/Libraries/LibHttp/ServerSentEvents.h
@@ -34,6 +34,7 @@
   std::string mLine;
   std::string mData;
   bool mHasData = false;
+  bool mAfterCarriageReturn = false; ///< The last line ended with CR.
 };
 
 /// Formats one event with the given data, one `data` field for each line.
--- a/Tests/Unit/ParserTest.cpp
+++ b/Tests/Unit/ParserTest.cpp
@@ -14,6 +14,8 @@
 {
   CPPUNIT_TEST_SUITE(parser_test);
   CPPUNIT_TEST(EventsAreParsedAcrossChunkBoundaries);
+  CPPUNIT_TEST(EventsAreParsedWithEachLineEnd);
+  CPPUNIT_TEST(EventThatIsCutIsNotReturned);
   CPPUNIT_TEST(OversizedEventIsRefused);
   CPPUNIT_TEST(ArbitraryBytesAreParsedOrRejected);
   CPPUNIT_TEST(DeepNestingIsRefused);
@@ -51,6 +53,46 @@
     CPPUNIT_ASSERT(held);
   }
 
+  static std::vector<std::string> ParseInPieces(const std::string& aBytes,
+                                                std::size_t aSize)
+  {
+    sse_parser parser;
+    std::vector<std::string> received;
+    for (std::size_t i = 0; i < aBytes.size(); i += aSize) {
+      const std::string piece = aBytes.substr(i, aSize);
+      const outcome<std::vector<std::string>> events =
+        Capture<std::vector<std::string>>([&]() { return parser.Feed(piece); });
+      CPPUNIT_ASSERT(bool(events));
+      received.insert(
+        received.end(), events.mValue->begin(), events.mValue->end());
+    }
+    return received;
+  }
+
+  /// Guards against an engine's whole stream without any event, because its
+  /// lines end with CR.
+  void EventsAreParsedWithEachLineEnd()
+  {
+    const std::vector<std::string> expected = { "a\nb", "", "c" };
+    for (const std::string end : { "\n", "\r\n", "\r" }) {
+      const std::string bytes = "data: a" + end + "data:b" + end + end + end +
+                                "data:" + end + end + "data: c" + end + end;
+      for (std::size_t size = 1; size <= bytes.size(); ++size) {
+        CPPUNIT_ASSERT(ParseInPieces(bytes, size) == expected);
+      }
+    }
+  }
+
+  /// Guards against passing on the beginning of an event as an event.
+  void EventThatIsCutIsNotReturned()
+  {
+    const std::vector<std::string> whole = { "a" };
+    for (const std::string rest :
+         { "d", "data: b", "data: b\n", "data: b\r" }) {
+      CPPUNIT_ASSERT(ParseInPieces("data: a\n\n" + rest, 1) == whole);
+    }
+  }
+
   void OversizedEventIsRefused()
   {
     sse_parser parser(100);
