--- a/Libraries/LibNet/HttpClientCall.cpp
+++ b/Libraries/LibNet/HttpClientCall.cpp
@@ -137,6 +137,12 @@
     FinishCall({});
     return;
   }
+  DeliverAnswer();
+}
+
+void
+serial_http_client::DeliverAnswer()
+{
   const http_answer answer{ mReader.Head().mStatus,
                             std::move(mReader.Body()),
                             mLoop.Now() - mFirstByteAt };
@@ -147,12 +153,19 @@
 }
 
 void
-serial_http_client::OnEnd(tcp_channel&, channel_end)
+serial_http_client::OnEnd(tcp_channel&, channel_end aEnd)
 {
   DropChannel();
-  if (mBusy) {
-    FinishCall({});
+  if (!mBusy) {
+    return;
+  }
+  if (aEnd == channel_end::Finished &&
+      mReader.Framing() == body_framing::Close &&
+      mReader.Finish() == read_state::Complete) {
+    DeliverAnswer();
+    return;
   }
+  FinishCall({});
 }
 
 } // namespace primrose
--- a/Libraries/LibNet/HttpClientCall.h
+++ b/Libraries/LibNet/HttpClientCall.h
@@ -45,7 +45,8 @@
   serial_http_client(const serial_http_client&) = delete;
   serial_http_client& operator=(const serial_http_client&) = delete;
 
-  /// Queues a call. `aOnAnswer` is called once, never from within `Call`, and
+  /// Queues a call. An answer without a length ends with its connection, and
+  /// nothing but its content shows whether it was cut before. `aOnAnswer` is called once, never from within `Call`, and
   /// not at all after `CancelCalls`. The answer has to begin within `aTimeout`
   /// after the call was sent.
   void Call(const http_call& aCall,
@@ -73,6 +74,7 @@
     answer_callback mOnAnswer;
   };
   void SendNext();
+  void DeliverAnswer();
   void FinishCall(const http_answer& aAnswer);
   void DropChannel();
   /// Fails the call in flight unless more bytes arrive within `aTime`.
--- a/Tests/Gateway/Standin.cpp
+++ b/Tests/Gateway/Standin.cpp
@@ -310,10 +310,17 @@
                       unsigned aStatus,
                       const std::string& aBody)
 {
-  const std::string text =
-    "HTTP/1.1 " + std::to_string(aStatus) +
-    " X\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
-    aBody;
+  const std::string status = "HTTP/1.1 " + std::to_string(aStatus) + " X\r\n";
+  if (mAnswerEnd != answer_end::Length) {
+    const bool cut = mAnswerEnd == answer_end::CutConnection;
+    aConnection.mChannel->Write(
+      status + "\r\n" + aBody.substr(0, cut ? aBody.size() / 2 : aBody.size()));
+    aConnection.mChannel->CloseWhenDrained();
+    return;
+  }
+  const std::string text = status +
+                           "Content-Length: " + std::to_string(aBody.size()) +
+                           "\r\n\r\n" + aBody;
   if (mSliceBytes == 0) {
     aConnection.mChannel->Write(text);
     aConnection.Next();
--- a/Tests/Gateway/Standin.h
+++ b/Tests/Gateway/Standin.h
@@ -82,6 +82,13 @@
   /// Sends later answers in slices of aSliceBytes each aEvery, as over a narrow
   /// link.
   void ThrottleAnswers(std::size_t aSliceBytes, duration aEvery);
+  enum class answer_end : std::uint8_t
+  {
+    Length,
+    Connection,   ///< Answers have no length and end with their connection.
+    CutConnection ///< The same, but the second half of the body is missing.
+  };
+  void SetAnswerEnd(answer_end aEnd) { mAnswerEnd = aEnd; }
   std::size_t Calls() const { return mCalls; }
   /// Returns the number of requests for a table, answered or not.
   std::size_t RequestsForTable(const std::string& aTable) const;
@@ -149,6 +156,7 @@
   std::uint64_t mOldestKnownRevision = 0;
   std::vector<long_poll> mLongPolls;
   response_mode mResponseMode = response_mode::Good;
+  answer_end mAnswerEnd = answer_end::Length;
   std::size_t mCalls = 0;
   standin_server mServer;
 };
--- a/Tests/Gateway/StoreOutageTest.cpp
+++ b/Tests/Gateway/StoreOutageTest.cpp
@@ -28,6 +28,8 @@
   CPPUNIT_TEST(OnlyNewestMissedVersionIsRead);
   CPPUNIT_TEST(ManyMissedChangesCauseFullRead);
   CPPUNIT_TEST(ArrivingAnswerIsNotAbandoned);
+  CPPUNIT_TEST(AnswerThatEndsWithItsConnectionIsRead);
+  CPPUNIT_TEST(CutAnswerOfStoreChangesNothing);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint64_t kVersions = 60;
@@ -64,6 +66,36 @@
   };
 
 public:
+  /// Guards against losing a store whose answers have neither a length nor
+  /// chunks.
+  void AnswerThatEndsWithItsConnectionIsRead()
+  {
+    world w;
+    w.mStore.SetAnswerEnd(standin_store::answer_end::Connection);
+    w.Start();
+    w.PutManifest(9);
+    w.Until([&w]() { return Version(*w.mGateway) == 9; }, "the change");
+    CPPUNIT_ASSERT_EQUAL(200U, w.Answered(w.Request("r1", "safe")).Status());
+  }
+
+  /// Guards against taking the first half of a table for the whole one, after
+  /// which endpoints that are listed would be unknown.
+  void CutAnswerOfStoreChangesNothing()
+  {
+    world w;
+    w.Start();
+    w.mStore.SetAnswerEnd(standin_store::answer_end::CutConnection);
+    w.mStore.LoseHistory();
+    const std::size_t calls = w.mStore.Calls();
+    w.PutManifest(9);
+    w.Until([&w, calls]() { return w.mStore.Calls() >= calls + 4; },
+            "the tables are read several times");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), Version(*w.mGateway));
+    CPPUNIT_ASSERT_EQUAL(200U, w.Answered(w.Request("r1", "safe")).Status());
+    w.mStore.SetAnswerEnd(standin_store::answer_end::Length);
+    w.Until([&w]() { return Version(*w.mGateway) == 9; }, "the change");
+  }
+
   /// The first abandoned poll counts as a failure of the store, and the newer
   /// version is fetched from a peer.
   void UnansweredPollCausesPeerFetch()
