--- a/Utilities/Load/LoadRun.cpp
+++ b/Utilities/Load/LoadRun.cpp
@@ -358,10 +358,13 @@
   const time_point started = mClock.Now();
   return mHttp.Open(std::move(request))
     .then([this, started](kj::Own<http_stream> aStream) {
+      KJ_REQUIRE(aStream->Status() == kStatusOk, "no stream");
       kj::Promise<std::string> first = aStream->Read();
-      return first.then([this, started, stream = kj::mv(aStream)](std::string) {
-        return Seconds(mClock.Now() - started);
-      });
+      return first.then(
+        [this, started, stream = kj::mv(aStream)](std::string aBytes) {
+          KJ_REQUIRE(!aBytes.empty(), "the stream ended without an event");
+          return Seconds(mClock.Now() - started);
+        });
     });
 }
 
