--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -1,155 +1,181 @@
 #include "LibHttp/HttpClient.h"
 
-#include <libsoup/soup.h>
+#include "LibNet/LibNet.h"
+#include "LibWire/LibWire.h"
 
-#include <functional>
+#include <algorithm>
 #include <kj/debug.h>
+#include <limits>
 
 namespace primrose {
 
 namespace {
 
-constexpr unsigned kMaxConnections = 4096;
-constexpr unsigned kIdleTimeoutSeconds = 30;
-constexpr gsize kReadSize = gsize{ 64 } * 1024;
+constexpr std::size_t kReadSize = std::size_t{ 64 } * 1024;
+constexpr std::size_t kMaxHeadBytes = std::size_t{ 64 } * 1024;
+constexpr std::string_view kScheme = "http://";
 
-/// Cancels a GLib operation when the promise of its result is dropped.
-struct cancel_on_drop
+struct request_target
 {
-  GCancellable* mCancellable = g_cancellable_new();
-
-  cancel_on_drop() = default;
-  cancel_on_drop(const cancel_on_drop&) = delete;
-  cancel_on_drop& operator=(const cancel_on_drop&) = delete;
-  ~cancel_on_drop()
-  {
-    g_cancellable_cancel(mCancellable);
-    g_object_unref(mCancellable);
-  }
+  ip_address mServer;
+  std::string mPath;
 };
 
-/// A GLib call in flight. It outlives a dropped promise, since GLib calls the
-/// callback in any case; the result is then discarded.
-template<typename T>
-struct pending_call
+result<request_target>
+ParseUrl(const std::string& aUrl)
 {
-  kj::Own<kj::PromiseFulfiller<T>> mFulfiller;
-  std::function<T(GObject*, GAsyncResult*)> mFinish;
-
-  static void Done(GObject* aSource, GAsyncResult* aResult, gpointer aSelf)
-  {
-    const std::unique_ptr<pending_call> self(static_cast<pending_call*>(aSelf));
-    self->mFulfiller->rejectIfThrows(
-      [&]() { self->mFulfiller->fulfill(self->mFinish(aSource, aResult)); });
+  if (!aUrl.starts_with(kScheme)) {
+    return Fail(error_kind::BadValue, "not a URL: " + aUrl);
   }
-};
+  const std::size_t path =
+    std::min(aUrl.find('/', kScheme.size()), aUrl.size());
+  BOOST_LEAF_ASSIGN(
+    const ip_address server,
+    ParseAddress(aUrl.substr(kScheme.size(), path - kScheme.size())));
+  return request_target{ server,
+                         path == aUrl.size() ? "/" : aUrl.substr(path) };
+}
 
-/// Starts an asynchronous GLib call and returns a promise of its result.
-template<typename T, typename Start>
-kj::Promise<T>
-Await(std::function<T(GObject*, GAsyncResult*)> aFinish, Start&& aStart)
+std::string
+RequestBytes(const http_request& aRequest, const request_target& aTarget)
 {
-  kj::PromiseFulfillerPair<T> promiseAndFulfiller =
-    kj::newPromiseAndFulfiller<T>();
-  kj::Own<cancel_on_drop> canceller = kj::heap<cancel_on_drop>();
-  pending_call<T>* const call =
-    new pending_call<T>{ kj::mv(promiseAndFulfiller.fulfiller),
-                         std::move(aFinish) };
-  aStart(canceller->mCancellable, &pending_call<T>::Done, call);
-  return promiseAndFulfiller.promise.attach(kj::mv(canceller));
+  std::string bytes = aRequest.mMethod + ' ' + aTarget.mPath + " HTTP/1.1\r\n";
+  AppendField(bytes, "Host", aTarget.mServer.Text());
+  // Without it the server would keep the connection open until its timeout.
+  AppendField(bytes, "Connection", "close");
+  for (const auto& [name, value] : aRequest.mHeaders) {
+    AppendField(bytes, name, value);
+  }
+  if (!aRequest.mBody.empty()) {
+    AppendField(bytes, "Content-Type", aRequest.mContentType);
+  }
+  if (aRequest.mMethod != "GET" || !aRequest.mBody.empty()) {
+    AppendField(bytes, "Content-Length", std::to_string(aRequest.mBody.size()));
+  }
+  return bytes + "\r\n" + aRequest.mBody;
 }
 
-[[noreturn]] void
-ThrowError(GError* aError)
+bool
+IsLineSafe(std::string_view aText)
 {
-  const std::string message = aError->message;
-  g_error_free(aError);
-  throw KJ_EXCEPTION(DISCONNECTED, message.c_str());
+  return aText.find_first_of(std::string_view("\r\n\0", 3)) ==
+         std::string_view::npos;
 }
 
-struct object_unref
+/// True if no part of the head can be taken for the start of another one.
+bool
+IsHeadSafe(const http_request& aRequest)
 {
-  void operator()(gpointer aObject) const { g_object_unref(aObject); }
-};
-using message_pointer = std::unique_ptr<SoupMessage, object_unref>;
-using stream_pointer = std::unique_ptr<GInputStream, object_unref>;
+  return IsLineSafe(aRequest.mMethod) && IsLineSafe(aRequest.mUrl) &&
+         aRequest.mUrl.find(' ') == std::string::npos &&
+         IsLineSafe(aRequest.mContentType) &&
+         std::all_of(aRequest.mHeaders.begin(),
+                     aRequest.mHeaders.end(),
+                     [](const auto& aField) {
+                       return IsLineSafe(aField.first) &&
+                              IsLineSafe(aField.second);
+                     });
+}
 
-class soup_stream final : public http_stream
+/// The response on a connection that carries one request.
+class response_stream final : public http_stream
 {
 public:
-  soup_stream(message_pointer aMessage, stream_pointer aStream)
-    : mMessage(std::move(aMessage))
-    , mStream(std::move(aStream))
+  explicit response_stream(kj::Own<kj::AsyncIoStream> aSocket)
+    : mSocket(kj::mv(aSocket))
+    , mReader(
+        http_role::Answer,
+        http_limits{ kMaxHeadBytes, std::numeric_limits<std::size_t>::max() })
+    , mBuffer(kReadSize, '\0')
   {
   }
 
-  unsigned Status() const override
-  {
-    return soup_message_get_status(mMessage.get());
-  }
+  unsigned Status() const override { return mReader.Head().mStatus; }
 
   std::string Header(const char* aName) const override
   {
-    const char* const value = soup_message_headers_get_one(
-      soup_message_get_response_headers(mMessage.get()), aName);
-    return value == nullptr ? std::string() : std::string(value);
+    return std::string(FieldValue(mReader.Head().mFields, aName).value_or(""));
   }
 
   kj::Promise<std::string> Read() override
   {
-    return Await<std::string>(
-      [](GObject* aSource, GAsyncResult* aResult) {
-        GError* error = nullptr;
-        GBytes* const bytes = g_input_stream_read_bytes_finish(
-          G_INPUT_STREAM(aSource), aResult, &error);
-        if (bytes == nullptr) {
-          ThrowError(error);
-        }
-        gsize size = 0;
-        const gconstpointer data = g_bytes_get_data(bytes, &size);
-        std::string text(static_cast<const char*>(data), size);
-        g_bytes_unref(bytes);
-        return text;
-      },
-      [this](
-        GCancellable* aCancellable, GAsyncReadyCallback aDone, gpointer aData) {
-        g_input_stream_read_bytes_async(mStream.get(),
-                                        kReadSize,
-                                        G_PRIORITY_DEFAULT,
-                                        aCancellable,
-                                        aDone,
-                                        aData);
-      });
+    if (!mReader.Body().empty() || mReader.State() == read_state::Complete) {
+      return std::exchange(mReader.Body(), {});
+    }
+    return ReadMore().then([this]() { return Read(); });
+  }
+
+  kj::Promise<void> ReadHead()
+  {
+    if (mReader.State() != read_state::Head) {
+      return kj::READY_NOW;
+    }
+    return ReadMore().then([this]() { return ReadHead(); });
   }
 
-  SoupMessage* Message() const { return mMessage.get(); }
+  const http_fields& Fields() const { return mReader.Head().mFields; }
 
 private:
-  message_pointer mMessage;
-  stream_pointer mStream;
+  /// Reads bytes of the response, or its end.
+  kj::Promise<void> ReadMore()
+  {
+    return mSocket->tryRead(mBuffer.data(), 1, mBuffer.size())
+      .then([this](size_t aSize) -> kj::Promise<void> {
+        mInput.append(mBuffer, 0, aSize);
+        const bool ended = aSize == 0;
+        if (ended && mReader.Framing() != body_framing::Close) {
+          return KJ_EXCEPTION(DISCONNECTED,
+                              "the connection ended before the response did");
+        }
+        const read_state state =
+          ended ? mReader.Finish() : mReader.Read(mInput);
+        if (state != read_state::Head && state != read_state::Body &&
+            state != read_state::Complete) {
+          return KJ_EXCEPTION(FAILED, "the response is malformed");
+        }
+        return kj::READY_NOW;
+      });
+  }
+
+  kj::Own<kj::AsyncIoStream> mSocket;
+  http_reader mReader;
+  std::string mBuffer;
+  std::string mInput;
 };
 
-message_pointer
-MakeMessage(const http_request& aRequest)
+kj::Promise<kj::Own<http_stream>>
+SendOn(kj::Own<kj::AsyncIoStream> aSocket, std::string aRequest)
 {
-  message_pointer message(
-    soup_message_new(aRequest.mMethod.c_str(), aRequest.mUrl.c_str()));
-  if (message == nullptr) {
-    throw KJ_EXCEPTION(FAILED, "not a URL", aRequest.mUrl.c_str());
-  }
-  SoupMessageHeaders* const headers =
-    soup_message_get_request_headers(message.get());
-  for (const auto& [name, value] : aRequest.mHeaders) {
-    soup_message_headers_append(headers, name.c_str(), value.c_str());
-  }
-  if (!aRequest.mBody.empty()) {
-    GBytes* const body =
-      g_bytes_new(aRequest.mBody.data(), aRequest.mBody.size());
-    soup_message_set_request_body_from_bytes(
-      message.get(), aRequest.mContentType.c_str(), body);
-    g_bytes_unref(body);
+  kj::Own<std::string> bytes = kj::heap(std::move(aRequest));
+  // A server that answers before it has read the whole request may close; its
+  // answer counts.
+  kj::Promise<void> written = aSocket->write(bytes->data(), bytes->size())
+                                .catch_([](kj::Exception&&) {})
+                                .attach(kj::mv(bytes))
+                                .eagerlyEvaluate(nullptr);
+  kj::Own<response_stream> response =
+    kj::heap<response_stream>(kj::mv(aSocket));
+  kj::Promise<void> head = response->ReadHead();
+  return head
+    .then([response = kj::mv(response)]() mutable -> kj::Own<http_stream> {
+      return kj::mv(response);
+    })
+    .attach(kj::mv(written));
+}
+
+std::map<std::string, std::string>
+LowerCaseHeaders(const http_fields& aFields)
+{
+  std::map<std::string, std::string> headers;
+  for (const http_field& field : aFields) {
+    std::string name = field.mName;
+    std::transform(name.begin(), name.end(), name.begin(), [](char aOne) {
+      return aOne >= 'A' && aOne <= 'Z' ? static_cast<char>(aOne - 'A' + 'a')
+                                        : aOne;
+    });
+    headers.insert_or_assign(std::move(name), field.mValue);
   }
-  return message;
+  return headers;
 }
 
 kj::Promise<std::string>
@@ -172,79 +198,23 @@
     });
 }
 
-std::map<std::string, std::string>
-ResponseHeaders(SoupMessage* aMessage)
-{
-  std::map<std::string, std::string> headers;
-  SoupMessageHeadersIter iterator;
-  soup_message_headers_iter_init(&iterator,
-                                 soup_message_get_response_headers(aMessage));
-  const char* name = nullptr;
-  const char* value = nullptr;
-  while (soup_message_headers_iter_next(&iterator, &name, &value)) {
-    gchar* const lower = g_ascii_strdown(name, -1);
-    headers.insert_or_assign(lower, value);
-    g_free(lower);
-  }
-  return headers;
-}
-
 } // namespace
 
-http_client::http_client()
-  : mSession(SOUP_SESSION(g_object_new(SOUP_TYPE_SESSION,
-                                       "max-conns",
-                                       kMaxConnections,
-                                       "max-conns-per-host",
-                                       kMaxConnections,
-                                       "timeout",
-                                       0U,
-                                       "idle-timeout",
-                                       kIdleTimeoutSeconds,
-                                       nullptr)))
-{
-}
-
-http_client::~http_client()
-{
-  soup_session_abort(mSession);
-  g_object_unref(mSession);
-}
-
 kj::Promise<kj::Own<http_stream>>
 http_client::Open(http_request aRequest)
 {
-  message_pointer message = MakeMessage(aRequest);
-  // NOTE: libsoup retries a message if a keep-alive connection turns out to be
-  // closed. That could execute a guarded call twice, so every request except
-  // GET uses a new connection.
-  if (aRequest.mMethod != "GET") {
-    soup_message_add_flags(message.get(), SOUP_MESSAGE_NEW_CONNECTION);
-    // The new connection isn't reused afterwards. Without this header, each
-    // request would leave an idle connection on both sides until its timeout.
-    soup_message_headers_replace(
-      soup_message_get_request_headers(message.get()), "Connection", "close");
+  const outcome<request_target> target =
+    Capture<request_target>([&aRequest]() { return ParseUrl(aRequest.mUrl); });
+  if (!target) {
+    return KJ_EXCEPTION(FAILED, target.mFailure.mMessage.c_str());
   }
-  SoupMessage* const soupMessage = message.get();
-  kj::Promise<GInputStream*> opened = Await<GInputStream*>(
-    [](GObject* aSource, GAsyncResult* aResult) {
-      GError* error = nullptr;
-      GInputStream* const stream =
-        soup_session_send_finish(SOUP_SESSION(aSource), aResult, &error);
-      if (stream == nullptr) {
-        ThrowError(error);
-      }
-      return stream;
-    },
-    [this, soupMessage](
-      GCancellable* aCancellable, GAsyncReadyCallback aDone, gpointer aData) {
-      soup_session_send_async(
-        mSession, soupMessage, G_PRIORITY_DEFAULT, aCancellable, aDone, aData);
-    });
-  return opened.then(
-    [message = std::move(message)](GInputStream* aStream) mutable {
-      return kj::Own<http_stream>(
-        kj::heap<soup_stream>(std::move(message), stream_pointer(aStream)));
+  if (!IsHeadSafe(aRequest)) {
+    return KJ_EXCEPTION(FAILED, "a line break in a request's head");
+  }
+  return Connect(target.mValue->mServer, traffic_class::Http)
+    .then([bytes = RequestBytes(aRequest, *target.mValue)](
+            kj::Own<kj::AsyncIoStream> aSocket) mutable {
+      return SendOn(kj::mv(aSocket), std::move(bytes));
     });
 }
 
@@ -253,11 +223,11 @@
 {
   return Open(std::move(aRequest))
     .then([aMaxBodyBytes](kj::Own<http_stream> aStream) {
-      soup_stream& stream = kj::downcast<soup_stream>(*aStream);
+      const response_stream& stream = kj::downcast<response_stream>(*aStream);
       http_response response;
       response.mStatus = stream.Status();
       response.mContentType = stream.Header("Content-Type");
-      response.mHeaders = ResponseHeaders(stream.Message());
+      response.mHeaders = LowerCaseHeaders(stream.Fields());
       return ReadAll(kj::mv(aStream), std::string(), aMaxBodyBytes)
         .then([response = std::move(response)](std::string aBody) mutable {
           response.mBody = std::move(aBody);
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -7,7 +7,6 @@
 
 #include <kj/async.h>
 #include <kj/common.h>
-#include <libsoup/soup-types.h>
 
 #include <map>
 #include <memory>
@@ -40,10 +39,11 @@
 class http_stream
 {
 public:
-  virtual ~http_stream() = default;
+  virtual ~http_stream() noexcept(false) = default;
   virtual unsigned Status() const = 0;
   virtual std::string Header(const char* aName) const = 0;
   /// Resolves to the next bytes, or to an empty string at the end of the body.
+  /// Fails if the connection ends before the body does.
   virtual kj::Promise<std::string> Read() = 0;
 };
 
@@ -54,21 +54,14 @@
   static constexpr std::size_t kMaxResponseBytes =
     std::size_t{ 64 } * 1024 * 1024;
 
-  http_client();
-  ~http_client();
-  http_client(const http_client&) = delete;
-  http_client& operator=(const http_client&) = delete;
-
   /// Sends a request and reads the whole response. Fails if the body is larger
-  /// than `aMaxBodyBytes`.
+  /// than `aMaxBodyBytes`, or if the connection ends before the body does.
   kj::Promise<http_response> Send(
     http_request aRequest,
     std::size_t aMaxBodyBytes = kMaxResponseBytes);
-  /// Sends a request and resolves once the head of the response was received.
+  /// Sends a request on a new connection and resolves once the head of the
+  /// response was received. The URL is "http://", an address and a path.
   kj::Promise<kj::Own<http_stream>> Open(http_request aRequest);
-
-private:
-  SoupSession* mSession;
 };
 
 } // namespace primrose
--- a/Libraries/LibHttp/LibHttp.h
+++ b/Libraries/LibHttp/LibHttp.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// LibHttp: an HTTP client (with KJ promises) and server based on libsoup,
+/// LibHttp: an HTTP client (with KJ promises), a server based on libsoup,
 /// reading of JSON, and a parser of server-sent events.
 
 #include "LibHttp/HttpClient.h"
--- a/Libraries/LibWire/GlibStream.cpp
+++ b/Libraries/LibWire/GlibStream.cpp
@@ -73,8 +73,9 @@
 class glib_stream final : public kj::AsyncIoStream
 {
 public:
-  explicit glib_stream(int aDescriptor)
+  glib_stream(int aDescriptor, traffic_class aClass)
     : mDescriptor(aDescriptor)
+    , mCounted(aClass == traffic_class::Rpc)
   {
   }
   ~glib_stream() noexcept(false) { close(mDescriptor); }
@@ -101,7 +102,7 @@
           return write(next, aSize);
         });
       }
-      gTraffic.mSent += static_cast<std::uint64_t>(sent);
+      CountSent(static_cast<std::uint64_t>(sent));
       next += sent;
       aSize -= static_cast<size_t>(sent);
     }
@@ -131,7 +132,7 @@
       return SocketError("write failed");
     }
     const size_t done = sent < 0 ? 0 : static_cast<size_t>(sent);
-    gTraffic.mSent += done;
+    CountSent(done);
     return WriteRest(aPieces, done);
   }
 
@@ -145,6 +146,11 @@
   void abortRead() override { shutdown(mDescriptor, SHUT_RD); }
 
 private:
+  void CountSent(std::uint64_t aBytes)
+  {
+    gTraffic.mSent += mCounted ? aBytes : 0;
+  }
+
   kj::Promise<size_t> ReadMore(kj::byte* aBuffer,
                                size_t aMinimum,
                                size_t aMaximum,
@@ -165,7 +171,7 @@
             return ReadMore(aBuffer, aMinimum, aMaximum, aDone);
           });
       }
-      gTraffic.mReceived += static_cast<std::uint64_t>(got);
+      gTraffic.mReceived += mCounted ? static_cast<std::uint64_t>(got) : 0;
       aDone += static_cast<size_t>(got);
       if (aDone >= aMinimum) {
         return aDone;
@@ -194,6 +200,7 @@
   }
 
   int mDescriptor;
+  bool mCounted;
 };
 
 sockaddr_in
@@ -222,21 +229,21 @@
 }
 
 kj::Own<kj::AsyncIoStream>
-WrapSocket(int aDescriptor)
+WrapSocket(int aDescriptor, traffic_class aClass)
 {
   DisableNagle(aDescriptor);
-  return kj::heap<glib_stream>(aDescriptor);
+  return kj::heap<glib_stream>(aDescriptor, aClass);
 }
 
 kj::Promise<kj::Own<kj::AsyncIoStream>>
-Connect(const ip_address& aAddress)
+Connect(const ip_address& aAddress, traffic_class aClass)
 {
   const int descriptor =
     socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (descriptor < 0) {
     return SocketError("no socket");
   }
-  kj::Own<kj::AsyncIoStream> stream = WrapSocket(descriptor);
+  kj::Own<kj::AsyncIoStream> stream = WrapSocket(descriptor, aClass);
   const sockaddr_in address = SocketAddress(aAddress);
   const int connected = connect(
     descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address);
--- a/Libraries/LibWire/GlibStream.h
+++ b/Libraries/LibWire/GlibStream.h
@@ -12,7 +12,14 @@
 
 namespace primrose {
 
-/// Bytes that this process has sent and received over all its streams.
+/// What a stream carries; only RPC is counted as traffic.
+enum class traffic_class : std::uint8_t
+{
+  Rpc,
+  Http,
+};
+
+/// Bytes that this process has sent and received over its streams of RPC.
 struct stream_traffic
 {
   std::uint64_t mSent = 0;
@@ -27,11 +34,11 @@
 
 /// Makes a stream that owns a connected, non-blocking socket.
 kj::Own<kj::AsyncIoStream>
-WrapSocket(int aDescriptor);
+WrapSocket(int aDescriptor, traffic_class aClass = traffic_class::Rpc);
 
 /// Connects, or fails with a KJ exception of type DISCONNECTED.
 kj::Promise<kj::Own<kj::AsyncIoStream>>
-Connect(const ip_address& aAddress);
+Connect(const ip_address& aAddress, traffic_class aClass = traffic_class::Rpc);
 
 /// Listens until destroyed and passes each accepted connection to a handler.
 class listener
