--- a/Tests/Soak/Faults.cpp
+++ b/Tests/Soak/Faults.cpp
@@ -39,6 +39,10 @@
 constexpr double kMinEvacuationSeconds = 1;
 constexpr std::uint64_t kEvacuationSeedOffset = 0xeac;
 
+constexpr double kMeanUnframedInterval = 1;
+constexpr std::uint64_t kUnframedEnds = 3;
+constexpr std::uint64_t kUnframedSeedOffset = 0xf1a;
+
 } // namespace
 
 std::string_view
@@ -59,6 +63,24 @@
   return plan;
 }
 
+std::vector<planned_unframed_answers>
+PlanUnframedAnswers(std::uint64_t aSeed, duration aLength)
+{
+  random_engine random(aSeed + kUnframedSeedOffset);
+  std::vector<planned_unframed_answers> plan;
+  for (double at = 1; at < Seconds(aLength);
+       at += Exponential(random, kMeanUnframedInterval)) {
+    planned_unframed_answers one;
+    one.mAt = FromSeconds(at);
+    one.mTarget = Below(random, kTargetRange);
+    one.mEnd = static_cast<unframed_end>(Below(random, kUnframedEnds));
+    one.mDuration =
+      FromSeconds(0.2 + Uniform(random) * (kMaxFaultSeconds - 0.2));
+    plan.push_back(one);
+  }
+  return plan;
+}
+
 std::vector<planned_evacuation>
 PlanEvacuations(std::uint64_t aSeed, duration aLength)
 {
--- a/Tests/Soak/Faults.h
+++ b/Tests/Soak/Faults.h
@@ -65,6 +65,26 @@
   bool operator==(const planned_notice&) const = default;
 };
 
+/// How an answer without a length ends.
+enum class unframed_end : std::uint8_t
+{
+  Whole,
+  CutByClose, ///< Streams only: the connection closes inside an event.
+  CutByReset, ///< The connection is reset inside an event or a body.
+};
+
+/// A span in which an endpoint's answers have neither a length nor chunks.
+/// Planned apart, as crashes are.
+struct planned_unframed_answers
+{
+  duration mAt{};
+  std::size_t mTarget = 0; ///< Random; taken modulo the number of targets.
+  unframed_end mEnd = unframed_end::Whole;
+  duration mDuration{};
+
+  bool operator==(const planned_unframed_answers&) const = default;
+};
+
 /// An evacuation of a data centre, whose endpoints are cold when it ends.
 /// Planned apart, as crashes are.
 struct planned_evacuation
@@ -76,6 +96,9 @@
   bool operator==(const planned_evacuation&) const = default;
 };
 
+std::vector<planned_unframed_answers>
+PlanUnframedAnswers(std::uint64_t aSeed, duration aLength);
+
 /// One evacuation at a time.
 std::vector<planned_evacuation>
 PlanEvacuations(std::uint64_t aSeed, duration aLength);
--- a/Tests/Soak/SoakEnvironment.cpp
+++ b/Tests/Soak/SoakEnvironment.cpp
@@ -175,6 +175,7 @@
   one.mDrains = false;
   one.mSaysLeaving = false;
   one.mAsksForRest = false;
+  one.mUnframed.reset();
   one.mReservations.clear();
   one.mId =
     "i-" + std::to_string(aEndpoint) + "-" + std::to_string(++one.mIncarnation);
@@ -352,73 +353,140 @@
     aConnection.mChannel->Abort();
     return;
   }
+  if (one.mSaysLeaving && one.mFault != fault_kind::EndpointCutsAnswer &&
+      one.mUnframed.value_or(unframed_end::Whole) == unframed_end::Whole) {
+    RecordAnnouncement(one, id);
+  }
+  if (one.mService == "desk") {
+    ServeCall(aEndpoint, aConnection, aHead, leaving);
+  } else {
+    ServeStream(aEndpoint, aConnection, aHead, leaving);
+  }
+}
+
+void
+soak_environment::WriteLater(std::size_t aEndpoint,
+                             test::standin_server::connection& aConnection,
+                             duration aDelay,
+                             std::string aBytes,
+                             after_write aThen)
+{
   // The connection object lives as long as its server, and the server as long
   // as the endpoint's incarnation. Timers that fire later see that the
   // incarnation has changed and don't touch the connection.
-  const std::size_t incarnation = one.mIncarnation;
+  const std::size_t incarnation = mEndpoints[aEndpoint].mIncarnation;
   test::standin_server::connection* const connection = &aConnection;
-  const bool cutsAnswer = one.mFault == fault_kind::EndpointCutsAnswer;
-  if (one.mSaysLeaving && !cutsAnswer) {
-    RecordAnnouncement(one, id);
-  }
-  const auto writeLater =
-    [this, aEndpoint, incarnation, connection](
-      duration aDelay, std::string aBytes, bool aLast, bool aCut) {
-      After(aDelay,
-            [this,
-             aEndpoint,
-             incarnation,
-             connection,
-             bytes = std::move(aBytes),
-             aLast,
-             aCut]() {
-              if (mEndpoints[aEndpoint].mIncarnation != incarnation) {
-                return;
-              }
-              Write(*connection, bytes, aLast);
-              if (aCut) {
-                connection->mChannel->Close();
-              }
-            });
-    };
-  if (one.mService == "desk") {
-    const std::string body = CallBody(id);
-    std::string answer =
-      test::SuccessHead(
-        aHead,
-        leaving + "Content-Length: " + std::to_string(body.size()) + "\r\n") +
-      body;
+  After(aDelay,
+        [this,
+         aEndpoint,
+         incarnation,
+         connection,
+         bytes = std::move(aBytes),
+         aThen]() {
+          if (mEndpoints[aEndpoint].mIncarnation != incarnation) {
+            return;
+          }
+          Write(*connection, bytes, aThen == after_write::ReadNext);
+          if (aThen == after_write::Close) {
+            connection->mChannel->Close();
+          } else if (aThen == after_write::Reset) {
+            connection->mChannel->Abort();
+          }
+        });
+}
+
+void
+soak_environment::ServeCall(std::size_t aEndpoint,
+                            test::standin_server::connection& aConnection,
+                            const http_head& aHead,
+                            const std::string& aFields)
+{
+  const soak_endpoint& one = mEndpoints[aEndpoint];
+  const std::string body =
+    CallBody(std::string(*FieldValue(aHead.mFields, "request-id")));
+  const bool framed = !one.mUnframed.has_value();
+  std::string answer =
+    test::SuccessHead(aHead,
+                      framed ? aFields + "Content-Length: " +
+                                 std::to_string(body.size()) + "\r\n"
+                             : aFields) +
+    body;
+  const std::string firstHalf = answer.substr(0, answer.size() / 2);
+  if (one.mUnframed == unframed_end::CutByReset) {
+    WriteLater(aEndpoint,
+               aConnection,
+               kCallDuration,
+               answer.substr(0, answer.size() - body.size() / 2),
+               after_write::Reset);
+  } else if (!framed) {
+    WriteLater(
+      aEndpoint, aConnection, kCallDuration, answer, after_write::Close);
+  } else if (one.mFault == fault_kind::EndpointCutsAnswer) {
+    WriteLater(
+      aEndpoint, aConnection, kCallDuration, firstHalf, after_write::Close);
+  } else {
     if (one.mFault == fault_kind::EndpointAnswersTwice) {
       answer += answer;
     }
-    writeLater(kCallDuration,
-               cutsAnswer ? answer.substr(0, answer.size() / 2) : answer,
-               !cutsAnswer,
-               cutsAnswer);
-    return;
+    WriteLater(
+      aEndpoint, aConnection, kCallDuration, answer, after_write::ReadNext);
   }
+}
+
+void
+soak_environment::ServeStream(std::size_t aEndpoint,
+                              test::standin_server::connection& aConnection,
+                              const http_head& aHead,
+                              const std::string& aFields)
+{
+  const soak_endpoint& one = mEndpoints[aEndpoint];
+  const bool framed = !one.mUnframed.has_value();
+  const std::string id(*FieldValue(aHead.mFields, "request-id"));
   const std::optional<std::string_view> last =
     FieldValue(aHead.mFields, "last-event-id");
   const int first = last.has_value() ? std::stoi(std::string(*last)) + 1 : 1;
-  writeLater(
+  const bool cutsAnswer = framed ? one.mFault == fault_kind::EndpointCutsAnswer
+                                 : one.mUnframed != unframed_end::Whole;
+  const after_write atCut = one.mUnframed == unframed_end::CutByReset
+                              ? after_write::Reset
+                              : after_write::Close;
+  const after_write atEnd = framed ? after_write::ReadNext : after_write::Close;
+  WriteLater(
+    aEndpoint,
+    aConnection,
     duration::zero(),
-    test::SuccessHead(aHead, leaving + "Transfer-Encoding: chunked\r\n"),
-    false,
-    false);
+    test::SuccessHead(
+      aHead, framed ? aFields + "Transfer-Encoding: chunked\r\n" : aFields),
+    after_write::KeepOpen);
+  if (first > kEventsPerStream && !framed) {
+    WriteLater(aEndpoint, aConnection, kEventInterval, "", atEnd);
+  }
   for (int event = first; event <= kEventsPerStream; ++event) {
-    std::string chunk;
-    AppendChunk(chunk, EventText(id, event));
-    const bool cut = cutsAnswer && event == first + 3;
-    if (event == kEventsPerStream) {
-      chunk.append(kLastChunk);
+    const duration delay = kEventInterval * (event - first + 1);
+    const std::string text = EventText(id, event);
+    std::string bytes;
+    if (framed) {
+      AppendChunk(bytes, text);
+    } else {
+      bytes = text;
     }
-    writeLater(kEventInterval * (event - first + 1),
-               cut ? chunk.substr(0, chunk.size() / 2) : chunk,
-               event == kEventsPerStream,
-               cut);
-    if (cut) {
+    if (cutsAnswer && event == first + 3) {
+      // Without a length anywhere inside the event, at the same byte for the
+      // same request.
+      bytes.resize(framed ? bytes.size() / 2
+                          : 1 + Hash(id) % (bytes.size() - 1));
+      WriteLater(aEndpoint, aConnection, delay, bytes, atCut);
       return;
     }
+    const bool isLast = event == kEventsPerStream;
+    if (isLast && framed) {
+      bytes.append(kLastChunk);
+    }
+    WriteLater(aEndpoint,
+               aConnection,
+               delay,
+               bytes,
+               isLast ? atEnd : after_write::KeepOpen);
   }
 }
 
@@ -917,6 +985,13 @@
   for (const planned_evacuation& one : PlanEvacuations(aSeed, aLength)) {
     After(one.mAt, [this, one]() { Evacuate(one); });
   }
+  for (const planned_unframed_answers& one :
+       PlanUnframedAnswers(aSeed, aLength)) {
+    soak_endpoint& endpoint = mEndpoints[one.mTarget % mEndpoints.size()];
+    After(one.mAt, [&endpoint, one]() { endpoint.mUnframed = one.mEnd; });
+    After(one.mAt + one.mDuration,
+          [&endpoint]() { endpoint.mUnframed.reset(); });
+  }
   for (const fault& one : PlanFaults(aSeed, aLength)) {
     After(one.mAt, [this, one]() { BeginFault(one); });
     After(one.mAt + one.mDuration, [this, one]() { EndFault(one); });
--- a/Tests/Soak/SoakEnvironment.h
+++ b/Tests/Soak/SoakEnvironment.h
@@ -45,6 +45,8 @@
   bool mDrains = false;      ///< A new one follows.
   bool mSaysLeaving = false; ///< In each of its answers.
   bool mAsksForRest = false; ///< It refuses all requests and asks for rest.
+  /// Set while its answers have neither a length nor chunks.
+  std::optional<unframed_end> mUnframed;
   std::string mDataCentre;
   time_point mColdUntil{};
   /// Times at which requests arrived while it was cold.
@@ -124,6 +126,30 @@
                     test::standin_server::connection& aConnection,
                     const http_head& aHead,
                     const std::string& aBody);
+  /// Answers a request of the service "desk".
+  void ServeCall(std::size_t aEndpoint,
+                 test::standin_server::connection& aConnection,
+                 const http_head& aHead,
+                 const std::string& aFields);
+  /// Answers a stream. `aFields` are written into the head.
+  void ServeStream(std::size_t aEndpoint,
+                   test::standin_server::connection& aConnection,
+                   const http_head& aHead,
+                   const std::string& aFields);
+  /// What happens to a connection after bytes were written.
+  enum class after_write : std::uint8_t
+  {
+    KeepOpen,
+    ReadNext, ///< The answer is complete; the next request may follow.
+    Close,
+    Reset,
+  };
+  /// Writes unless the endpoint has crashed by then.
+  void WriteLater(std::size_t aEndpoint,
+                  test::standin_server::connection& aConnection,
+                  duration aDelay,
+                  std::string aBytes,
+                  after_write aThen);
   void ServeReservationCommand(soak_endpoint& aEndpoint,
                                test::standin_server::connection& aConnection,
                                const std::string& aBody);
