--- a/Tests/Soak/Faults.cpp
+++ b/Tests/Soak/Faults.cpp
@@ -43,6 +43,15 @@
 constexpr std::uint64_t kUnframedEnds = 3;
 constexpr std::uint64_t kUnframedSeedOffset = 0xf1a;
 
+constexpr double kMinFaultSeconds = 0.2;
+
+duration
+RandomDuration(random_engine& aRandom)
+{
+  return FromSeconds(kMinFaultSeconds +
+                     Uniform(aRandom) * (kMaxFaultSeconds - kMinFaultSeconds));
+}
+
 } // namespace
 
 std::string_view
@@ -74,8 +83,7 @@
     one.mAt = FromSeconds(at);
     one.mTarget = Below(random, kTargetRange);
     one.mEnd = static_cast<unframed_end>(Below(random, kUnframedEnds));
-    one.mDuration =
-      FromSeconds(0.2 + Uniform(random) * (kMaxFaultSeconds - 0.2));
+    one.mDuration = RandomDuration(random);
     plan.push_back(one);
   }
   return plan;
@@ -108,8 +116,7 @@
     one.mAt = FromSeconds(at);
     one.mTarget = Below(random, kTargetRange);
     one.mLeaves = Below(random, 3) == 0;
-    one.mDuration =
-      FromSeconds(0.2 + Uniform(random) * (kMaxFaultSeconds - 0.2));
+    one.mDuration = RandomDuration(random);
     plan.push_back(one);
   }
   return plan;
@@ -126,8 +133,7 @@
     one.mAt = FromSeconds(at);
     one.mKind = static_cast<fault_kind>(Below(random, kFaultKindCount));
     one.mTarget = Below(random, kTargetRange);
-    one.mDuration =
-      FromSeconds(0.2 + Uniform(random) * (kMaxFaultSeconds - 0.2));
+    one.mDuration = RandomDuration(random);
     plan.push_back(one);
     at += Exponential(random, kMeanFaultInterval);
   }
