--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -295,8 +295,8 @@
   if (!mStreaming) {
     return true;
   }
-  // Every stream has an event, unless it goes on after the last one. Nothing
-  // else shows that an answer without a length ended behind its head.
+  // An answer without a length that broke off after its head looks like an
+  // empty one. Only a stream that is resumed after its last event is empty.
   const bool resumes =
     mCursor.LastId().has_value() || mRequestInfo.mLastEvent.has_value();
   const bool lacksEvents = aAttempt.Framing() == body_framing::Close &&
