--- a/Libraries/LibNet/HttpClientCall.h
+++ b/Libraries/LibNet/HttpClientCall.h
@@ -46,9 +46,9 @@
   serial_http_client& operator=(const serial_http_client&) = delete;
 
   /// Queues a call. An answer without a length ends with its connection, and
-  /// nothing but its content shows whether it was cut before. `aOnAnswer` is called once, never from within `Call`, and
-  /// not at all after `CancelCalls`. The answer has to begin within `aTimeout`
-  /// after the call was sent.
+  /// nothing but its content shows whether it was cut before. `aOnAnswer` is
+  /// called once, never from within `Call`, and not at all after `CancelCalls`.
+  /// The answer has to begin within `aTimeout` after the call was sent.
   void Call(const http_call& aCall,
             duration aTimeout,
             answer_callback aOnAnswer);
--- a/Tests/Unit/HttpReaderTest.cpp
+++ b/Tests/Unit/HttpReaderTest.cpp
@@ -1,6 +1,7 @@
 #include "LibNet/HttpReader.h"
 #include "LibNet/EventCursor.h"
 #include "LibObserve/LibObserve.h"
+#include "LineEnds.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <unistd.h>
@@ -204,11 +205,10 @@
   void EventsEndWithEachLineEndOfTheFormat()
   {
     constexpr std::size_t kMaxPiece = 5;
-    for (const std::string end : { "\n", "\r\n", "\r" }) {
-      const std::string events = "id: 1" + end + "data: a" + end + end +
-                                 ": comment" + end + end + "id:2" + end +
-                                 "data" + end + end;
-      const std::string partial = "id: 3" + end + "data: c" + end;
+    for (const std::string_view end : { "\n", "\r\n", "\r" }) {
+      const std::string events = test::WithLineEnds(
+        "id: 1\ndata: a\n\n: comment\n\nid:2\ndata\n\n", end);
+      const std::string partial = test::WithLineEnds("id: 3\ndata: c\n", end);
       for (std::size_t size = 0; size <= kMaxPiece; ++size) {
         const received_stream whole = ReadInPieces(events, size);
         CPPUNIT_ASSERT_EQUAL(events, whole.mEvents);
--- a/Tests/Unit/ParserTest.cpp
+++ b/Tests/Unit/ParserTest.cpp
@@ -1,6 +1,8 @@
 /// Tests of the parsers for external input: event streams, JSON bodies,
 /// addresses and claim rows.
 
+#include "LineEnds.h"
+
 #include "LibHttp/LibHttp.h"
 #include "LibStore/LibStore.h"
 #include "LibWire/LibWire.h"
@@ -74,9 +76,9 @@
   void EventsAreParsedWithEachLineEnd()
   {
     const std::vector<std::string> expected = { "a\nb", "", "c" };
-    for (const std::string end : { "\n", "\r\n", "\r" }) {
-      const std::string bytes = "data: a" + end + "data:b" + end + end + end +
-                                "data:" + end + end + "data: c" + end + end;
+    for (const std::string_view end : { "\n", "\r\n", "\r" }) {
+      const std::string bytes =
+        test::WithLineEnds("data: a\ndata:b\n\n\ndata:\n\ndata: c\n\n", end);
       for (std::size_t size = 1; size <= bytes.size(); ++size) {
         CPPUNIT_ASSERT(ParseInPieces(bytes, size) == expected);
       }
