--- a/Tests/Soak/SoakEnvironment.cpp
+++ b/Tests/Soak/SoakEnvironment.cpp
@@ -176,6 +176,7 @@
   one.mSaysLeaving = false;
   one.mAsksForRest = false;
   one.mUnframed.reset();
+  one.mUnframedStreams.clear();
   one.mReservations.clear();
   one.mId =
     "i-" + std::to_string(aEndpoint) + "-" + std::to_string(++one.mIncarnation);
@@ -439,8 +440,11 @@
                               const http_head& aHead,
                               const std::string& aFields)
 {
-  const soak_endpoint& one = mEndpoints[aEndpoint];
+  soak_endpoint& one = mEndpoints[aEndpoint];
   const bool framed = !one.mUnframed.has_value();
+  if (!framed) {
+    one.mUnframedStreams.push_back(&aConnection);
+  }
   const std::string id(*FieldValue(aHead.mFields, "request-id"));
   const std::optional<std::string_view> last =
     FieldValue(aHead.mFields, "last-event-id");
@@ -490,6 +494,16 @@
   }
 }
 
+void
+soak_environment::ResetUnframedStreams(soak_endpoint& aEndpoint)
+{
+  for (test::standin_server::connection* const one :
+       aEndpoint.mUnframedStreams) {
+    one->mChannel->Abort();
+  }
+  aEndpoint.mUnframedStreams.clear();
+}
+
 void
 soak_environment::CrashEndpoint(std::size_t aEndpoint)
 {
@@ -498,6 +512,7 @@
     return;
   }
   one.mCrashed = true;
+  ResetUnframedStreams(one);
   one.mServer->End();
   // Makes pending timers of its connections do nothing.
   ++one.mIncarnation;
@@ -782,6 +797,7 @@
   After(kDrainTime, [this, aEndpoint, id]() {
     if (mEndpoints[aEndpoint].mId == id) {
       mStore.Remove("servers", id);
+      ResetUnframedStreams(mEndpoints[aEndpoint]);
       mLoop.DeleteLater(std::shared_ptr<test::standin_server>(
         std::move(mEndpoints[aEndpoint].mServer)));
       StartEndpoint(aEndpoint);
--- a/Tests/Soak/SoakEnvironment.h
+++ b/Tests/Soak/SoakEnvironment.h
@@ -47,6 +47,8 @@
   bool mAsksForRest = false; ///< It refuses all requests and asks for rest.
   /// Set while its answers have neither a length nor chunks.
   std::optional<unframed_end> mUnframed;
+  /// Connections with a stream that had neither.
+  std::vector<test::standin_server::connection*> mUnframedStreams;
   std::string mDataCentre;
   time_point mColdUntil{};
   /// Times at which requests arrived while it was cold.
@@ -162,6 +164,10 @@
   void SendCrashingRequest();
   /// Counts a crash by this request, and whether the send came too late.
   void OnCrashingRequest(const std::string& aId);
+  /// Resets the streams that have neither a length nor chunks, before their
+  /// endpoint ends: an orderly end between two events can't be told from that
+  /// of the stream (docs/PROMISES.md).
+  static void ResetUnframedStreams(soak_endpoint& aEndpoint);
   /// Ends an endpoint without draining; a new one replaces it.
   void CrashEndpoint(std::size_t aEndpoint);
   /// Returns a random gateway among those that take callers now.
