--- a/Libraries/LibFleet/EngineLedger.cpp
+++ b/Libraries/LibFleet/EngineLedger.cpp
@@ -171,16 +171,6 @@
       !aLedger.mPlacements.emplace(aPlaced.mKey, aPlaced).second) {
     return;
   }
-  kind_demand& demand =
-    aLedger.mDemand[{ aPlaced.mObjective, aPlaced.mLongestPause }];
-  const double keep = std::exp(-Seconds(aNow - demand.mAt) / 6.0);
-  demand.mAsked = demand.mAsked * keep + 1;
-  demand.mRefused = demand.mRefused * keep + (aPlaced.mWouldRefuse ? 1 : 0);
-  demand.mAt = aNow;
-  if (aPlaced.mRefused) {
-    aLedger.mPlacements.erase(aPlaced.mKey);
-    return;
-  }
   for (const engine_key engine : aPlaced.mEngines) {
     engine_load& load = aLedger.mEngines[engine];
     AddPrefillTime(load, aPlaced.mPartPrefillMs, aNow);
--- a/Libraries/LibFleet/EngineLedger.h
+++ b/Libraries/LibFleet/EngineLedger.h
@@ -5,7 +5,6 @@
 
 #include "LibCore/LibCore.h"
 
-#include <map>
 #include <optional>
 #include <string_view>
 #include <unordered_map>
@@ -51,8 +50,6 @@
   /// A pause of its stream is known to exceed `mLongestPause`, so more prefill
   /// on its engine costs its caller nothing more.
   bool mPauseExceeded = false;
-  bool mRefused = false;     ///< Not placed.
-  bool mWouldRefuse = false; ///< Without regard to depth.
   /// Estimated time when the last of its engines has prefilled its part.
   time_point mPrefillEndsAt{};
 
@@ -78,16 +75,8 @@
   bool operator==(const engine_load&) const = default;
 };
 
-struct kind_demand
-{
-  double mAsked = 0;
-  double mRefused = 0;
-  time_point mAt{};
-};
-
 struct engine_ledger
 {
-  std::map<std::pair<duration, duration>, kind_demand> mDemand;
   std::unordered_map<engine_key, engine_load> mEngines;
   std::unordered_map<placement_key, placement> mPlacements;
 };
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -74,7 +74,6 @@
   placement_harm mHarm;
   double mPrefillSecondPrice = 0; ///< Price of a second of one engine.
   double mPrice = 0;              ///< Price of the prefill; see `mGain`.
-  bool mWouldRefuse = false;
   double mGain = 0; ///< Worth to the caller of serving the prompt.
 
   bool operator==(const engine_choice&) const = default;
--- a/Libraries/LibFleet/PlacementAdmission.cpp
+++ b/Libraries/LibFleet/PlacementAdmission.cpp
@@ -3,7 +3,6 @@
 #include "LibFleet/PlacementCosts.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace primrose {
 
@@ -33,8 +32,6 @@
 constexpr duration kMaxWait = std::chrono::milliseconds(2500);
 
 constexpr double kMsPerSecond = 1e3;
-constexpr double LOW = 0.4;
-constexpr double HIGH = 0.6;
 
 /// The mean worth of the placed requests of the same kind, that is, with the
 /// same latency target and allowed pause. Falls back to the worth of the
@@ -116,26 +113,9 @@
   const bool hasWaited = aRequest.mElapsed >= kReevaluationInterval;
   const double harm = TotalHarm(aChoice.mHarm);
   const double cost = harm + aChoice.mPrice;
-  const bool usually =
+  const bool covered =
     cost <= aChoice.mGain ||
     cost <= ScaledGain(aChoice, aLedger, aRequest, hasWaited);
-  aChoice.mWouldRefuse = !usually;
-  const auto demand =
-    aLedger.mDemand.find({ aRequest.mObjective, aRequest.mLongestPause });
-  const double share =
-    demand == aLedger.mDemand.end() || demand->second.mAsked < 4
-      ? 0
-      : demand->second.mRefused / demand->second.mAsked;
-  const double depth = std::clamp((share - LOW) / (HIGH - LOW), 0.0, 1.0);
-  const double ratio = aRequest.mWorth / MeanWorthOfKind(aLedger, aRequest);
-  const double today = std::clamp(ratio, 1.0, kMaxGainFactor);
-  const double deep = std::clamp(0.8 * std::pow(ratio, 1.5), 0.2, 4.0);
-  const double factor = today + depth * (deep - today);
-  const bool covered =
-    depth <= 0
-      ? usually
-      : cost <=
-          aChoice.mGain * (hasWaited && factor > 1 ? factor * factor : factor);
   if (harm > aChoice.mGain * kMaxHarmWithoutWait && (covered || hasWaited) &&
       aRequest.mElapsed < MaxWait(aRequest)) {
     aChoice.mVerdict = placement_verdict::Wait;
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -162,20 +162,6 @@
                       mContext.mSettings.mDataCentre,
                       mContext.mLoop.Now(),
                       TimeLeft() / kMaxRetryAfterDivisor);
-  if (fits) {
-    gateway_state& shared = mContext.mBoard;
-    placement refused = MakePlacement(
-      aChoice,
-      DescribeEngineWork(),
-      PlacementKey(shared.mGatewayIncarnation, ++shared.mLastPlacementNumber));
-    refused.mOwner = shared.mGatewayIncarnation;
-    refused.mBegan = mStarted;
-    refused.mExpires = mContext.mLoop.Now();
-    refused.mRefused = true;
-    refused.mWouldRefuse = aChoice.mWouldRefuse;
-    AddPlacement(shared.mLedger, refused, mContext.mLoop.Now());
-    mContext.mGossipSender.AnnouncePlacement(refused);
-  }
   mContext.mBoard.mMetrics.Count(
     Labelled("gateway_turned_away_total", "why", fits ? "costs" : "no_memory"));
   Log(log_level::Info,
@@ -211,7 +197,6 @@
   placed.mOwner = shared.mGatewayIncarnation;
   placed.mBegan = mStarted;
   placed.mExpires = mDeadline;
-  placed.mWouldRefuse = aChoice.mWouldRefuse;
   AddPlacement(shared.mLedger, placed, mContext.mLoop.Now());
   mContext.mGossipSender.AnnouncePlacement(placed);
   mPlacement = placed.mKey;
--- a/Libraries/LibGossip/PeerMessage.cpp
+++ b/Libraries/LibGossip/PeerMessage.cpp
@@ -107,7 +107,7 @@
   aEncoded.setLifeMs(RoundToMilliseconds(aPlacement.mExpires - aNow));
   aEncoded.setObjectiveMs(RoundToMilliseconds(aPlacement.mObjective));
   aEncoded.setElapsedMs(RoundToMilliseconds(aNow - aPlacement.mBegan));
-  aEncoded.setWorthCents(RoundToUint32(aPlacement.mWorth * kCentsPerUnit) | (aPlacement.mRefused ? 1U << 30U : 0U) | (aPlacement.mWouldRefuse ? 1U << 31U : 0U));
+  aEncoded.setWorthCents(RoundToUint32(aPlacement.mWorth * kCentsPerUnit));
   if (!aPlacement.mHolders.empty()) {
     WriteNumbers(
       aEncoded.initHolders(static_cast<unsigned>(aPlacement.mHolders.size())),
@@ -129,9 +129,7 @@
   decoded.mLongestPause = std::chrono::milliseconds(aEncoded.getPauseMs());
   decoded.mObjective = std::chrono::milliseconds(aEncoded.getObjectiveMs());
   decoded.mBegan = aNow - std::chrono::milliseconds(aEncoded.getElapsedMs());
-  decoded.mWorth = (aEncoded.getWorthCents() & ((1U << 30U) - 1)) / kCentsPerUnit;
-  decoded.mRefused = (aEncoded.getWorthCents() >> 30U & 1U) != 0;
-  decoded.mWouldRefuse = (aEncoded.getWorthCents() >> 31U) != 0;
+  decoded.mWorth = aEncoded.getWorthCents() / kCentsPerUnit;
   decoded.mTokens = aEncoded.getTokens();
   decoded.mHolders = ReadNumbers(aEncoded.getHolders());
   decoded.mHolderTokens = aEncoded.getHolderTokens();
