--- a/Tests/Soak/Faults.cpp
+++ b/Tests/Soak/Faults.cpp
@@ -52,6 +52,24 @@
                      Uniform(aRandom) * (kMaxFaultSeconds - kMinFaultSeconds));
 }
 
+/// Plans entries from the first second on, which `aMake` makes from the random
+/// engine and their time.
+template<typename T, typename Make>
+std::vector<T>
+PlanAtRandomTimes(std::uint64_t aSeed,
+                  duration aLength,
+                  double aMeanInterval,
+                  Make&& aMake)
+{
+  random_engine random(aSeed);
+  std::vector<T> plan;
+  for (double at = 1; at < Seconds(aLength);
+       at += Exponential(random, aMeanInterval)) {
+    plan.push_back(aMake(random, FromSeconds(at)));
+  }
+  return plan;
+}
+
 } // namespace
 
 std::string_view
@@ -63,30 +81,30 @@
 std::vector<planned_crash>
 PlanCrashes(std::uint64_t aSeed, duration aLength)
 {
-  random_engine random(aSeed + kCrashSeedOffset);
-  std::vector<planned_crash> plan;
-  for (double at = 1; at < Seconds(aLength);
-       at += Exponential(random, kMeanCrashInterval)) {
-    plan.push_back({ FromSeconds(at), Below(random, kTargetRange) });
-  }
-  return plan;
+  return PlanAtRandomTimes<planned_crash>(
+    aSeed + kCrashSeedOffset,
+    aLength,
+    kMeanCrashInterval,
+    [](random_engine& aRandom, duration aAt) {
+      return planned_crash{ aAt, Below(aRandom, kTargetRange) };
+    });
 }
 
 std::vector<planned_unframed_answers>
 PlanUnframedAnswers(std::uint64_t aSeed, duration aLength)
 {
-  random_engine random(aSeed + kUnframedSeedOffset);
-  std::vector<planned_unframed_answers> plan;
-  for (double at = 1; at < Seconds(aLength);
-       at += Exponential(random, kMeanUnframedInterval)) {
-    planned_unframed_answers one;
-    one.mAt = FromSeconds(at);
-    one.mTarget = Below(random, kTargetRange);
-    one.mEnd = static_cast<unframed_end>(Below(random, kUnframedEnds));
-    one.mDuration = RandomDuration(random);
-    plan.push_back(one);
-  }
-  return plan;
+  return PlanAtRandomTimes<planned_unframed_answers>(
+    aSeed + kUnframedSeedOffset,
+    aLength,
+    kMeanUnframedInterval,
+    [](random_engine& aRandom, duration aAt) {
+      planned_unframed_answers one;
+      one.mAt = aAt;
+      one.mTarget = Below(aRandom, kTargetRange);
+      one.mEnd = static_cast<unframed_end>(Below(aRandom, kUnframedEnds));
+      one.mDuration = RandomDuration(aRandom);
+      return one;
+    });
 }
 
 std::vector<planned_evacuation>
@@ -108,36 +126,35 @@
 std::vector<planned_notice>
 PlanNotices(std::uint64_t aSeed, duration aLength)
 {
-  random_engine random(aSeed + kNoticeSeedOffset);
-  std::vector<planned_notice> plan;
-  for (double at = 1; at < Seconds(aLength);
-       at += Exponential(random, kMeanNoticeInterval)) {
-    planned_notice one;
-    one.mAt = FromSeconds(at);
-    one.mTarget = Below(random, kTargetRange);
-    one.mLeaves = Below(random, 3) == 0;
-    one.mDuration = RandomDuration(random);
-    plan.push_back(one);
-  }
-  return plan;
+  return PlanAtRandomTimes<planned_notice>(
+    aSeed + kNoticeSeedOffset,
+    aLength,
+    kMeanNoticeInterval,
+    [](random_engine& aRandom, duration aAt) {
+      planned_notice one;
+      one.mAt = aAt;
+      one.mTarget = Below(aRandom, kTargetRange);
+      one.mLeaves = Below(aRandom, 3) == 0;
+      one.mDuration = RandomDuration(aRandom);
+      return one;
+    });
 }
 
 std::vector<fault>
 PlanFaults(std::uint64_t aSeed, duration aLength)
 {
-  random_engine random(aSeed);
-  std::vector<fault> plan;
-  double at = 1;
-  while (at < Seconds(aLength)) {
-    fault one;
-    one.mAt = FromSeconds(at);
-    one.mKind = static_cast<fault_kind>(Below(random, kFaultKindCount));
-    one.mTarget = Below(random, kTargetRange);
-    one.mDuration = RandomDuration(random);
-    plan.push_back(one);
-    at += Exponential(random, kMeanFaultInterval);
-  }
-  return plan;
+  return PlanAtRandomTimes<fault>(aSeed,
+                                  aLength,
+                                  kMeanFaultInterval,
+                                  [](random_engine& aRandom, duration aAt) {
+                                    fault one;
+                                    one.mAt = aAt;
+                                    one.mKind = static_cast<fault_kind>(
+                                      Below(aRandom, kFaultKindCount));
+                                    one.mTarget = Below(aRandom, kTargetRange);
+                                    one.mDuration = RandomDuration(aRandom);
+                                    return one;
+                                  });
 }
 
 } // namespace primrose::soak
