--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -197,7 +197,6 @@
     return;
   }
   if (aEnd == channel_end::Finished && mHeadAccepted &&
-      mReader.Framing() == body_framing::Close &&
       mReader.Finish() == read_state::Complete) {
     Complete();
     return;
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -36,45 +36,38 @@
                          path == aUrl.size() ? "/" : aUrl.substr(path) };
 }
 
-std::string
-RequestBytes(const http_request& aRequest, const request_target& aTarget)
+http_call
+MakeCall(http_request aRequest, std::string aPath)
 {
-  std::string bytes = aRequest.mMethod + ' ' + aTarget.mPath + " HTTP/1.1\r\n";
-  AppendField(bytes, "Host", aTarget.mServer.Text());
-  // Without it the server would keep the connection open until its timeout.
-  AppendField(bytes, "Connection", "close");
-  for (const auto& [name, value] : aRequest.mHeaders) {
-    AppendField(bytes, name, value);
-  }
-  if (!aRequest.mBody.empty()) {
-    AppendField(bytes, "Content-Type", aRequest.mContentType);
+  http_call call{ std::move(aRequest.mMethod),
+                  std::move(aPath),
+                  std::move(aRequest.mBody),
+                  "",
+                  // Without it the server would keep the connection open until
+                  // its timeout.
+                  { { "Connection", "close" } } };
+  if (!call.mBody.empty()) {
+    call.mContentType = std::move(aRequest.mContentType);
   }
-  if (aRequest.mMethod != "GET" || !aRequest.mBody.empty()) {
-    AppendField(bytes, "Content-Length", std::to_string(aRequest.mBody.size()));
+  for (const auto& [name, value] : aRequest.mHeaders) {
+    call.mFields.push_back({ name, value });
   }
-  return bytes + "\r\n" + aRequest.mBody;
-}
-
-bool
-IsLineSafe(std::string_view aText)
-{
-  return aText.find_first_of(std::string_view("\r\n\0", 3)) ==
-         std::string_view::npos;
+  return call;
 }
 
 /// True if no part of the head can be taken for the start of another one.
 bool
 IsHeadSafe(const http_request& aRequest)
 {
-  return IsLineSafe(aRequest.mMethod) && IsLineSafe(aRequest.mUrl) &&
+  return !HasLineBreak(aRequest.mMethod) && !HasLineBreak(aRequest.mUrl) &&
          aRequest.mUrl.find(' ') == std::string::npos &&
-         IsLineSafe(aRequest.mContentType) &&
-         std::all_of(aRequest.mHeaders.begin(),
-                     aRequest.mHeaders.end(),
-                     [](const auto& aField) {
-                       return IsLineSafe(aField.first) &&
-                              IsLineSafe(aField.second);
-                     });
+         !HasLineBreak(aRequest.mContentType) &&
+         std::none_of(aRequest.mHeaders.begin(),
+                      aRequest.mHeaders.end(),
+                      [](const auto& aField) {
+                        return HasLineBreak(aField.first) ||
+                               HasLineBreak(aField.second);
+                      });
 }
 
 /// The response on a connection that carries one request.
@@ -122,13 +115,11 @@
     return mSocket->tryRead(mBuffer.data(), 1, mBuffer.size())
       .then([this](size_t aSize) -> kj::Promise<void> {
         mInput.append(mBuffer, 0, aSize);
-        const bool ended = aSize == 0;
-        if (ended && mReader.Framing() != body_framing::Close) {
+        if (aSize == 0 && mReader.Finish() != read_state::Complete) {
           return KJ_EXCEPTION(DISCONNECTED,
                               "the connection ended before the response did");
         }
-        const read_state state =
-          ended ? mReader.Finish() : mReader.Read(mInput);
+        const read_state state = mReader.Read(mInput);
         if (state != read_state::Head && state != read_state::Body &&
             state != read_state::Complete) {
           return KJ_EXCEPTION(FAILED, "the response is malformed");
@@ -168,12 +159,7 @@
 {
   std::map<std::string, std::string> headers;
   for (const http_field& field : aFields) {
-    std::string name = field.mName;
-    std::transform(name.begin(), name.end(), name.begin(), [](char aOne) {
-      return aOne >= 'A' && aOne <= 'Z' ? static_cast<char>(aOne - 'A' + 'a')
-                                        : aOne;
-    });
-    headers.insert_or_assign(std::move(name), field.mValue);
+    headers.insert_or_assign(LowerCaseFieldName(field.mName), field.mValue);
   }
   return headers;
 }
@@ -211,9 +197,11 @@
   if (!IsHeadSafe(aRequest)) {
     return KJ_EXCEPTION(FAILED, "a line break in a request's head");
   }
-  return Connect(target.mValue->mServer, traffic_class::Http)
-    .then([bytes = RequestBytes(aRequest, *target.mValue)](
-            kj::Own<kj::AsyncIoStream> aSocket) mutable {
+  const ip_address& server = target.mValue->mServer;
+  return Connect(server, traffic_class::Http)
+    .then([bytes =
+             RequestBytes(MakeCall(std::move(aRequest), target.mValue->mPath),
+                          server)](kj::Own<kj::AsyncIoStream> aSocket) mutable {
       return SendOn(kj::mv(aSocket), std::move(bytes));
     });
 }
--- a/Libraries/LibNet/HttpClientCall.cpp
+++ b/Libraries/LibNet/HttpClientCall.cpp
@@ -17,6 +17,23 @@
 
 } // namespace
 
+std::string
+RequestBytes(const http_call& aCall, const ip_address& aServer)
+{
+  std::string bytes = aCall.mMethod + ' ' + aCall.mTarget + " HTTP/1.1\r\n";
+  AppendField(bytes, "Host", aServer.Text());
+  for (const http_field& field : aCall.mFields) {
+    AppendField(bytes, field.mName, field.mValue);
+  }
+  if (!aCall.mContentType.empty()) {
+    AppendField(bytes, "Content-Type", aCall.mContentType);
+  }
+  if (aCall.mMethod != "GET" || !aCall.mBody.empty()) {
+    AppendField(bytes, "Content-Length", std::to_string(aCall.mBody.size()));
+  }
+  return bytes + "\r\n" + aCall.mBody;
+}
+
 serial_http_client::serial_http_client(event_loop& aLoop, ip_address aServer)
   : mLoop(aLoop)
   , mServer(std::move(aServer))
@@ -34,19 +51,8 @@
                          duration aTimeout,
                          answer_callback aOnAnswer)
 {
-  std::string bytes = aCall.mMethod + ' ' + aCall.mTarget + " HTTP/1.1\r\n";
-  AppendField(bytes, "Host", mServer.Text());
-  for (const http_field& field : aCall.mFields) {
-    AppendField(bytes, field.mName, field.mValue);
-  }
-  if (!aCall.mContentType.empty()) {
-    AppendField(bytes, "Content-Type", aCall.mContentType);
-  }
-  if (aCall.mMethod != "GET") {
-    AppendField(bytes, "Content-Length", std::to_string(aCall.mBody.size()));
-  }
-  bytes += "\r\n" + aCall.mBody;
-  mQueue.push_back({ std::move(bytes), aTimeout, std::move(aOnAnswer) });
+  mQueue.push_back(
+    { RequestBytes(aCall, mServer), aTimeout, std::move(aOnAnswer) });
   SendNext();
 }
 
@@ -160,7 +166,6 @@
     return;
   }
   if (aEnd == channel_end::Finished &&
-      mReader.Framing() == body_framing::Close &&
       mReader.Finish() == read_state::Complete) {
     DeliverAnswer();
     return;
--- a/Libraries/LibNet/HttpClientCall.h
+++ b/Libraries/LibNet/HttpClientCall.h
@@ -26,6 +26,10 @@
   bool operator==(const http_call&) const = default;
 };
 
+/// The bytes of a request to this server.
+std::string
+RequestBytes(const http_call& aCall, const ip_address& aServer);
+
 struct http_answer
 {
   unsigned mStatus = 0; ///< 0: no answer was received.
--- a/Libraries/LibNet/HttpMessage.cpp
+++ b/Libraries/LibNet/HttpMessage.cpp
@@ -56,6 +56,21 @@
     [](char aLeft, char aRight) { return Lower(aLeft) == Lower(aRight); });
 }
 
+std::string
+LowerCaseFieldName(std::string_view aName)
+{
+  std::string name(aName);
+  std::transform(name.begin(), name.end(), name.begin(), &Lower);
+  return name;
+}
+
+bool
+HasLineBreak(std::string_view aText)
+{
+  return aText.find_first_of(std::string_view("\r\n\0", 3)) !=
+         std::string_view::npos;
+}
+
 std::optional<std::string_view>
 FieldValue(const http_fields& aFields, std::string_view aName)
 {
--- a/Libraries/LibNet/HttpMessage.h
+++ b/Libraries/LibNet/HttpMessage.h
@@ -37,6 +37,14 @@
 bool
 SameFieldName(std::string_view aOne, std::string_view aOther);
 
+/// The name in lower case.
+std::string
+LowerCaseFieldName(std::string_view aName);
+
+/// True if the text would end a line of a head, or is not text at all.
+bool
+HasLineBreak(std::string_view aText);
+
 /// The value of the first field with this name, ignoring case.
 std::optional<std::string_view>
 FieldValue(const http_fields& aFields, std::string_view aName);
--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -151,8 +151,7 @@
     }
   }
   for (const http_field& field : mHead.mFields) {
-    if (!IsToken(field.mName) || field.mValue.find_first_of(std::string_view(
-                                   "\r\n\0", 3)) != std::string::npos) {
+    if (!IsToken(field.mName) || HasLineBreak(field.mValue)) {
       return false;
     }
   }
