--- a/Tests/Gateway/StoreOutageTest.cpp
+++ b/Tests/Gateway/StoreOutageTest.cpp
@@ -30,6 +30,9 @@
   CPPUNIT_TEST(ArrivingAnswerIsNotAbandoned);
   CPPUNIT_TEST(AnswerThatEndsWithItsConnectionIsRead);
   CPPUNIT_TEST(CutAnswerOfStoreChangesNothing);
+  CPPUNIT_TEST(TablesStayCurrentIfAnswersEndWithTheirConnection);
+  CPPUNIT_TEST(ChangesComeFromPeerWhileAnswerOfStoreStalls);
+  CPPUNIT_TEST(CopyIsNotNewerThanTheReadThatConfirmedIt);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint64_t kVersions = 60;
@@ -96,6 +99,85 @@
     w.Until([&w]() { return Version(*w.mGateway) == 9; }, "the change");
   }
 
+  /// Guards against running gateways that keep both tables as they were, since
+  /// the store's answers have neither a length nor chunks from some moment on:
+  /// added routes are refused and leaving endpoints still get requests.
+  void TablesStayCurrentIfAnswersEndWithTheirConnection()
+  {
+    world w;
+    w.List("i-second", "desk", w.mSecond.mServer.Address());
+    w.mSettings.mPeers.mPort = w.FreePort();
+    w.Start();
+    const std::unique_ptr<gateway> second =
+      StartSecondGateway(w, w.mStore.Address());
+    w.Until([&second]() { return Version(*second) == 3; }, "the manifest");
+    w.mStore.SetAnswerEnd(standin_store::answer_end::Connection);
+    w.PutManifest(9, "added");
+    w.List("i-desk", "desk", w.mDeskEndpoint.mServer.Address(), "draining");
+    for (const gateway* const one : { w.mGateway.get(), second.get() }) {
+      w.Until(
+        [one]() {
+          const std::map<std::string, known_endpoint>& endpoints =
+            one->Board().mEndpoints.mEndpoints;
+          const auto desk = endpoints.find("i-desk");
+          return Version(*one) == 9 && desk != endpoints.end() &&
+                 desk->second.mListed.mLeaving;
+        },
+        "both changes");
+    }
+    CPPUNIT_ASSERT_EQUAL(200U, w.Answered(w.Request("r1", "added")).Status());
+    CPPUNIT_ASSERT_EQUAL(200U, w.Answered(w.Request("r2", "safe")).Status());
+    CPPUNIT_ASSERT(w.mDeskEndpoint.mHeads.empty());
+  }
+
+  /// Guards against a gateway whose copy is outdated for as long as an answer
+  /// of the store keeps arriving, although its peers have the change.
+  void ChangesComeFromPeerWhileAnswerOfStoreStalls()
+  {
+    constexpr std::size_t kRoutes = 500;
+    constexpr std::size_t kSliceBytes = 40;
+    constexpr duration kSliceEvery = milliseconds(50);
+    gateway_with_own_store setup;
+    world& w = setup.mWorld;
+    setup.mStore.ThrottleAnswers(kSliceBytes, kSliceEvery);
+    WriteManifest(setup.mStore, 9, "added", kRoutes);
+    w.PutManifest(9, "added", kRoutes);
+    w.Until([&setup]() { return Version(*setup.mSecond) == 9; }, "the change");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, setup.mStore.AbortedAnswers());
+  }
+
+  /// Guards against peers that take an outdated copy for current: a gateway
+  /// states that its copy is current as of the arrival of an answer which the
+  /// store had made seconds before.
+  void CopyIsNotNewerThanTheReadThatConfirmedIt()
+  {
+    constexpr std::size_t kRoutes = 300;
+    constexpr std::size_t kSliceBytes = 4000;
+    constexpr duration kSliceEvery = milliseconds(50);
+    world w;
+    w.PutManifest(4, "", kRoutes);
+    w.Start();
+    w.Until([&w]() { return w.mStore.RequestsForTable("op") == 2; },
+            "the question about changes is open");
+    w.mStore.ThrottleAnswers(kSliceBytes, kSliceEvery);
+    w.mStore.LoseHistory();
+    w.Until([&w]() { return w.mStore.RequestsForTable("op") == 3; },
+            "the table is read");
+    w.PutManifest(9, "", kRoutes);
+    const time_point changed = w.mLoop.Now();
+    bool statedTooNew = false;
+    w.Until(
+      [&w, changed, &statedTooNew]() {
+        const std::optional<time_point>& confirmed =
+          FreshnessOf(w.mGateway->Board(), belief::Operator).mConfirmedAt;
+        const bool outdated = Version(*w.mGateway) < 9;
+        statedTooNew = statedTooNew || (outdated && *confirmed > changed);
+        return !outdated;
+      },
+      "the change");
+    CPPUNIT_ASSERT(!statedTooNew);
+  }
+
   /// The first abandoned poll counts as a failure of the store, and the newer
   /// version is fetched from a peer.
   void UnansweredPollCausesPeerFetch()
