--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -232,7 +232,8 @@
   if (follower.Reached()) {
     follower.Refresh(aWaitTime);
   }
-  if (!follower.Reached() || follower.Resting()) {
+  // An answer of the store that keeps arriving may take many seconds.
+  if (!follower.Reached() || follower.Resting() || follower.AwaitsAnswer()) {
     mPeerFetchesLeft = kMaxPeerFetches;
     FetchRowsFromPeer();
   }
--- a/Libraries/LibGossip/TableFollower.h
+++ b/Libraries/LibGossip/TableFollower.h
@@ -57,6 +57,8 @@
   bool Reached() const { return mReached; }
   /// True while peers' copies keep this gateway's copy current.
   bool Resting() const { return mResting; }
+  /// True while a call is in flight.
+  bool AwaitsAnswer() const { return mCaller.Busy(); }
   /// Reads the store if it is this gateway's turn; called several times a
   /// second.
   void Tick();
