--- a/Libraries/LibGossip/TableFollower.cpp
+++ b/Libraries/LibGossip/TableFollower.cpp
@@ -168,10 +168,11 @@
   if (aFromKey.empty()) {
     mAccumulated = table_read_result{};
   }
-  mCaller.Call(
-    mAdapter.mReadTable(mTable, aFromKey),
-    kReadTimeout,
-    [this](const http_answer& aAnswer) { OnTablePage(DecodeAnswer(aAnswer)); });
+  mCaller.Call(mAdapter.mReadTable(mTable, aFromKey),
+               kReadTimeout,
+               [this](const http_answer& aAnswer) {
+                 OnTablePage(DecodeAnswer(aAnswer), aAnswer.mSentAt);
+               });
 }
 
 table_read_result
@@ -195,17 +196,18 @@
 }
 
 void
-table_follower::OnTablePage(table_read_result aReading)
+table_follower::OnTablePage(table_read_result aReading, time_point aSentAt)
 {
   if (aReading.mOutcome != table_read_result::outcome::Good) {
     RetryAfterFailure(aReading);
     return;
   }
   RecordSuccess();
-  const bool isFirstPage = mAccumulated.mRows.empty();
   // A table read in several pages is only as new as its first page.
-  mAccumulated.mRevision =
-    isFirstPage ? aReading.mRevision : mAccumulated.mRevision;
+  if (mAccumulated.mRows.empty()) {
+    mAccumulated.mRevision = aReading.mRevision;
+    mFullReadSentAt = aSentAt;
+  }
   mAccumulated.mRows.insert(
     mAccumulated.mRows.end(), aReading.mRows.begin(), aReading.mRows.end());
   if (HasMoreRows(aReading)) {
@@ -219,6 +221,7 @@
   mJitterNextPoll = true;
   mListener.mOnTable(mAccumulated);
   mAccumulated = table_read_result{};
+  ConfirmCopyAsOf(mFullReadSentAt);
   ResumeOrRest();
 }
 
@@ -241,14 +244,22 @@
 {
   const duration wait = PollWait();
   mJitterNextPoll = false;
-  mCaller.Call(
-    mAdapter.mReadChanges(mTable, *mRevision, wait),
-    wait + kLongPollSlack,
-    [this](const http_answer& aAnswer) { OnChanges(DecodeAnswer(aAnswer)); });
+  mCaller.Call(mAdapter.mReadChanges(mTable, *mRevision, wait),
+               wait + kLongPollSlack,
+               [this, wait](const http_answer& aAnswer) {
+                 const table_read_result reading = DecodeAnswer(aAnswer);
+                 // The store holds the poll that long before it states no
+                 // changes.
+                 const bool held = reading.mRows.empty() &&
+                                   mLoop.Now() - aAnswer.mSentAt >= wait;
+                 OnChanges(reading,
+                           held ? aAnswer.mSentAt + wait : aAnswer.mSentAt);
+               });
 }
 
 void
-table_follower::OnChanges(const table_read_result& aReading)
+table_follower::OnChanges(const table_read_result& aReading,
+                          time_point aCurrentAt)
 {
   if (aReading.mOutcome != table_read_result::outcome::Good) {
     RetryAfterFailure(aReading);
@@ -257,6 +268,7 @@
   RecordSuccess();
   mFailures = 0;
   mRevision = std::max(*mRevision, aReading.mRevision);
+  ConfirmCopyAsOf(aCurrentAt);
   if (aReading.mRows.empty()) {
     mListener.mOnConfirmed();
     ResumeOrRest();
@@ -289,12 +301,18 @@
         { "failures", mFailures } });
   }
   mBoard.mStoreAnsweredAt[mTable] = mLoop.Now();
-  FreshnessOf(mBoard, mBelief).mConfirmedAt = mLoop.Now();
   CountStoreCall(mBoard.mMetrics, table_read_result::outcome::Good);
   mReached = true;
   mFailing = false;
 }
 
+void
+table_follower::ConfirmCopyAsOf(time_point aTime)
+{
+  std::optional<time_point>& known = FreshnessOf(mBoard, mBelief).mConfirmedAt;
+  known = std::max(known.value_or(aTime), aTime);
+}
+
 void
 table_follower::RecordFailure(const table_read_result& aReading)
 {
--- a/Libraries/LibGossip/TableFollower.h
+++ b/Libraries/LibGossip/TableFollower.h
@@ -76,16 +76,19 @@
   void ReadTableFrom(const std::string& aFromKey);
   /// Decodes an answer; logs slow and large ones.
   table_read_result DecodeAnswer(const http_answer& aAnswer);
-  void OnTablePage(table_read_result aReading);
+  void OnTablePage(table_read_result aReading, time_point aSentAt);
   /// How long the store may hold the next poll.
   duration PollWait();
   void ReadChanges();
-  void OnChanges(const table_read_result& aReading);
+  /// `aCurrentAt` is a time as of which the answer is certainly complete.
+  void OnChanges(const table_read_result& aReading, time_point aCurrentAt);
   /// Updates state, log and metrics after a failed call.
   void RecordFailure(const table_read_result& aReading);
   /// Records the failure and schedules a retry with back-off.
   void RetryAfterFailure(const table_read_result& aReading);
   void RecordSuccess();
+  /// The copy has all rows that the table had at this time.
+  void ConfirmCopyAsOf(time_point aTime);
 
   event_loop& mLoop;
   const store_adapter& mAdapter;
@@ -98,6 +101,7 @@
   listener mListener;
   serial_http_client mCaller;
   table_read_result mAccumulated;
+  time_point mFullReadSentAt{}; ///< When its first page was asked for.
   std::optional<std::uint64_t> mRevision;
   /// If set, the next call is a full read. Polling instead would transfer each
   /// version of each row since the last revision, while a full read has only
--- a/Libraries/LibNet/HttpClientCall.cpp
+++ b/Libraries/LibNet/HttpClientCall.cpp
@@ -151,7 +151,8 @@
 {
   const http_answer answer{ mReader.Head().mStatus,
                             std::move(mReader.Body()),
-                            mLoop.Now() - mFirstByteAt };
+                            mLoop.Now() - mFirstByteAt,
+                            mSentAt };
   if (!mReader.Head().mKeepAlive) {
     DropChannel();
   }
--- a/Libraries/LibNet/HttpClientCall.h
+++ b/Libraries/LibNet/HttpClientCall.h
@@ -34,7 +34,8 @@
 {
   unsigned mStatus = 0; ///< 0: no answer was received.
   std::string mBody;
-  duration mArrival{}; ///< Time from the first byte to the last.
+  duration mArrival{};  ///< Time from the first byte to the last.
+  time_point mSentAt{}; ///< When the call was sent.
 
   bool operator==(const http_answer&) const = default;
 };
