--- a/Libraries/LibGossip/TableFollower.cpp
+++ b/Libraries/LibGossip/TableFollower.cpp
@@ -182,6 +182,14 @@
   mBoard.mMetrics.Count(
     Labelled("gateway_store_read_bytes_total", "table", mTable),
     static_cast<double>(aAnswer.mBody.size()));
+  if (reading.mOutcome == table_read_result::outcome::NoAnswer &&
+      aAnswer.mReceivedBytes > 0 && !mFailing) {
+    Log(log_level::Warning,
+        "store_answer_incomplete",
+        { { "table", mTable },
+          { "status", aAnswer.mStatus },
+          { "received_bytes", aAnswer.mReceivedBytes } });
+  }
   if (aAnswer.mBody.size() > kLargeAnswer || aAnswer.mArrival > kSlowAnswer) {
     Log(log_level::Info,
         "store_answer",
--- a/Libraries/LibNet/HttpClientCall.cpp
+++ b/Libraries/LibNet/HttpClientCall.cpp
@@ -82,7 +82,7 @@
   mTimer = mLoop.After(aTime, [this]() {
     mTimer = 0;
     DropChannel();
-    FinishCall({});
+    FailCall();
   });
 }
 
@@ -122,6 +122,15 @@
   SendNext();
 }
 
+void
+serial_http_client::FailCall()
+{
+  http_answer none;
+  none.mSentAt = mSentAt;
+  none.mReceivedBytes = mReceived;
+  FinishCall(none);
+}
+
 void
 serial_http_client::OnInput(tcp_channel& aChannel)
 {
@@ -140,7 +149,7 @@
   }
   if (state != read_state::Complete) {
     DropChannel();
-    FinishCall({});
+    FailCall();
     return;
   }
   DeliverAnswer();
@@ -152,7 +161,8 @@
   const http_answer answer{ mReader.Head().mStatus,
                             std::move(mReader.Body()),
                             mLoop.Now() - mFirstByteAt,
-                            mSentAt };
+                            mSentAt,
+                            mReceived };
   if (!mReader.Head().mKeepAlive) {
     DropChannel();
   }
@@ -171,7 +181,7 @@
     DeliverAnswer();
     return;
   }
-  FinishCall({});
+  FailCall();
 }
 
 } // namespace primrose
--- a/Libraries/LibNet/HttpClientCall.h
+++ b/Libraries/LibNet/HttpClientCall.h
@@ -36,6 +36,8 @@
   std::string mBody;
   duration mArrival{};  ///< Time from the first byte to the last.
   time_point mSentAt{}; ///< When the call was sent.
+  /// Bytes that were received, also of an answer that was not complete.
+  std::size_t mReceivedBytes = 0;
 
   bool operator==(const http_answer&) const = default;
 };
@@ -81,6 +83,8 @@
   void SendNext();
   void DeliverAnswer();
   void FinishCall(const http_answer& aAnswer);
+  /// Ends the call in flight without a complete answer.
+  void FailCall();
   void DropChannel();
   /// Fails the call in flight unless more bytes arrive within `aTime`.
   void RestartTimeout(duration aTime);
