--- a/Libraries/LibFleet/Quarantine.cpp
+++ b/Libraries/LibFleet/Quarantine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace primrose {
 
@@ -20,6 +21,9 @@
 /// Longer than crash reports and quarantined requests are in flight between
 /// gateways.
 constexpr duration kClearedLifetime = std::chrono::seconds(5);
+/// Shorter, because a part may crash endpoints of a new release soon after it
+/// was answered by the old one.
+constexpr duration kPartClearedLifetime = std::chrono::seconds(1);
 
 /// Delay before each trial. The first is short, for requests that were only in
 /// flight beside the cause; if it fails, the request has crashed one endpoint
@@ -29,6 +33,20 @@
   std::chrono::minutes(10)
 };
 
+/// The same for a part of a prompt. A sound one is cleared by its first trial,
+/// unless the endpoint happens to crash for another reason.
+constexpr std::array<duration, kMaxTrials> kPartTrialDelays = {
+  std::chrono::seconds(0),
+  std::chrono::seconds(3)
+};
+
+/// Crashes under one part within this time count as one event. Endpoints that
+/// fail together for another reason are detected within tens of milliseconds.
+constexpr duration kPartCrashSpacing = std::chrono::milliseconds(200);
+/// Parts whose last crashes are within this time of each other may have been
+/// quarantined for the same crashes. Gateways exchange the times in seconds.
+constexpr duration kSameCrashes = std::chrono::seconds(5);
+
 /// Enough for the requests in flight on hundreds of endpoints that crash at
 /// once.
 constexpr std::size_t kMaxSuspects = 4096;
@@ -51,21 +69,35 @@
     }));
 }
 
+/// Score that a crash adds to those of the suspect's earlier crashes.
 crash_score
-TotalCrashScore(const suspected_request& aSuspect)
+AddedScore(const suspected_request& aSuspect,
+           const crash_report& aReport,
+           time_point aNow)
 {
-  crash_score sum = 0;
-  for (const crash_report& report : aSuspect.mReports) {
-    sum += ScoreOfCrash(report.mAnswering);
+  if (!IsPromptPart(aReport.mRequest)) {
+    return ScoreOfCrash(aReport.mAnswering);
   }
-  return sum;
+  const bool isFirst = aSuspect.mScore == 0;
+  return isFirst || aNow >= aSuspect.mLastCounted + kPartCrashSpacing
+           ? kCrashScore
+           : 0;
 }
 
 time_point
-NextTrialTime(unsigned aTrials, time_point aNow)
+NextTrialTime(request_digest aRequest, unsigned aTrials, time_point aNow)
+{
+  if (aTrials >= kMaxTrials) {
+    return aNow + kQuarantineLifetime;
+  }
+  return aNow + (IsPromptPart(aRequest) ? kPartTrialDelays.at(aTrials)
+                                        : kTrialDelays.at(aTrials));
+}
+
+duration
+ClearedLifetime(request_digest aRequest)
 {
-  return aNow + (aTrials < kMaxTrials ? kTrialDelays.at(aTrials)
-                                      : kQuarantineLifetime);
+  return IsPromptPart(aRequest) ? kPartClearedLifetime : kClearedLifetime;
 }
 
 void
@@ -94,7 +126,8 @@
   const auto held = aQuarantine.mHeld.find(aReport.mRequest);
   if (held != aQuarantine.mHeld.end()) {
     held->second.mLastCrash = aNow;
-    held->second.mNextTrial = NextTrialTime(held->second.mTrials, aNow);
+    held->second.mNextTrial =
+      NextTrialTime(aReport.mRequest, held->second.mTrials, aNow);
     return crash_effect::Recorded;
   }
   suspected_request& suspect = aQuarantine.mSuspects[aReport.mRequest];
@@ -106,11 +139,15 @@
   if (known) {
     return crash_effect::Nothing;
   }
+  const crash_score added = AddedScore(suspect, aReport, aNow);
   suspect.mReports.push_back(aReport);
+  suspect.mScore += added;
   suspect.mLastCrash = aNow;
-  if (TotalCrashScore(suspect) >= kQuarantineThreshold) {
-    Quarantine(
-      aQuarantine, aReport.mRequest, { 0, NextTrialTime(0, aNow), aNow });
+  suspect.mLastCounted = added > 0 ? aNow : suspect.mLastCounted;
+  if (suspect.mScore >= kQuarantineThreshold) {
+    Quarantine(aQuarantine,
+               aReport.mRequest,
+               { 0, NextTrialTime(aReport.mRequest, 0, aNow), aNow });
     return crash_effect::Held;
   }
   EvictOldestIfOver(aQuarantine.mSuspects, kMaxSuspects);
@@ -123,10 +160,15 @@
                time_point aNow)
 {
   const auto suspect = aQuarantine.mSuspects.find(aRequest);
-  const bool suspected = suspect != aQuarantine.mSuspects.end() &&
-                         suspect->second.mReports.size() > 1;
+  const std::size_t reports = suspect == aQuarantine.mSuspects.end()
+                                ? 0
+                                : suspect->second.mReports.size();
   const bool held = aQuarantine.mHeld.erase(aRequest) != 0;
   aQuarantine.mSuspects.erase(aRequest);
+  if (IsPromptPart(aRequest)) {
+    // Only an answer after a crash counts, so it need not be remembered.
+    return reports > 0 || held;
+  }
   aQuarantine.mAnswered[aRequest] = aNow;
   aQuarantine.mAnsweredOrder.emplace_back(aNow, aRequest);
   while (aQuarantine.mAnsweredOrder.size() > kMaxAnswered ||
@@ -138,7 +180,7 @@
       aQuarantine.mAnswered.erase(answered);
     }
   }
-  return suspected || held;
+  return reports > 1 || held;
 }
 
 bool
@@ -174,7 +216,7 @@
     Quarantine(aQuarantine,
                aReceived.mRequest,
                { aReceived.mTrials,
-                 NextTrialTime(aReceived.mTrials, aNow),
+                 NextTrialTime(aReceived.mRequest, aReceived.mTrials, aNow),
                  aNow - aReceived.mAge });
     return true;
   }
@@ -182,7 +224,8 @@
     std::max(held->second.mLastCrash, aNow - aReceived.mAge);
   if (aReceived.mTrials > held->second.mTrials) {
     held->second.mTrials = aReceived.mTrials;
-    held->second.mNextTrial = NextTrialTime(aReceived.mTrials, aNow);
+    held->second.mNextTrial =
+      NextTrialTime(aReceived.mRequest, aReceived.mTrials, aNow);
   }
   return false;
 }
@@ -196,10 +239,27 @@
   const auto held = aQuarantine.mHeld.find(aRequest);
   if (held != aQuarantine.mHeld.end() && aTrial > held->second.mTrials) {
     held->second.mTrials = aTrial;
-    held->second.mNextTrial = NextTrialTime(aTrial, aNow);
+    held->second.mNextTrial = NextTrialTime(aRequest, aTrial, aNow);
+  }
+}
+
+void
+RecordUnusedTrial(quarantine& aQuarantine, request_digest aRequest)
+{
+  const auto held = aQuarantine.mHeld.find(aRequest);
+  if (held != aQuarantine.mHeld.end()) {
+    held->second.mHasUnusedTrial = true;
   }
 }
 
+bool
+TakeUnusedTrial(quarantine& aQuarantine, request_digest aRequest)
+{
+  const auto held = aQuarantine.mHeld.find(aRequest);
+  return held != aQuarantine.mHeld.end() &&
+         std::exchange(held->second.mHasUnusedTrial, false);
+}
+
 quarantine_verdict
 QuarantineVerdictFor(const quarantine& aQuarantine,
                      request_digest aRequest,
@@ -208,22 +268,78 @@
 {
   const auto held = aQuarantine.mHeld.find(aRequest);
   if (held != aQuarantine.mHeld.end()) {
-    return held->second.mTrials < kMaxTrials && aNow >= held->second.mNextTrial
-             ? quarantine_verdict::Try
-             : quarantine_verdict::Refuse;
+    const quarantine_record& record = held->second;
+    const bool isDue = record.mTrials < kMaxTrials && aNow >= record.mNextTrial;
+    return isDue || record.mHasUnusedTrial ? quarantine_verdict::Try
+                                           : quarantine_verdict::Refuse;
   }
   if (aPending == 0 || AnsweredRecently(aQuarantine, aRequest, aNow)) {
     return quarantine_verdict::Send;
   }
   const auto suspect = aQuarantine.mSuspects.find(aRequest);
-  const crash_score confirmed = suspect == aQuarantine.mSuspects.end()
-                                  ? 0
-                                  : TotalCrashScore(suspect->second);
+  const crash_score confirmed =
+    suspect == aQuarantine.mSuspects.end() ? 0 : suspect->second.mScore;
   return confirmed + aPending >= kQuarantineThreshold
            ? quarantine_verdict::Refuse
            : quarantine_verdict::Send;
 }
 
+namespace {
+
+/// True if a part that is not among these was quarantined for the crashes of
+/// one of these. A request with only these then tells which one is to blame.
+bool
+LacksPartOfSameCrashes(const quarantine& aQuarantine,
+                       const std::vector<request_digest>& aQuarantined)
+{
+  return std::any_of(
+    aQuarantine.mHeld.begin(),
+    aQuarantine.mHeld.end(),
+    [&aQuarantine, &aQuarantined](const auto& aOther) {
+      if (!IsPromptPart(aOther.first) ||
+          std::find(aQuarantined.begin(), aQuarantined.end(), aOther.first) !=
+            aQuarantined.end()) {
+        return false;
+      }
+      return std::any_of(aQuarantined.begin(),
+                         aQuarantined.end(),
+                         [&aQuarantine, &aOther](request_digest aOne) {
+                           return std::chrono::abs(
+                                    aQuarantine.mHeld.at(aOne).mLastCrash -
+                                    aOther.second.mLastCrash) <= kSameCrashes;
+                         });
+    });
+}
+
+} // namespace
+
+suspects_verdict
+SuspectsVerdictFor(const quarantine& aQuarantine,
+                   const std::vector<request_digest>& aSuspects,
+                   crash_score aPending,
+                   time_point aNow)
+{
+  suspects_verdict sum;
+  bool mayTry = true;
+  for (const request_digest suspect : aSuspects) {
+    const quarantine_verdict one = QuarantineVerdictFor(
+      aQuarantine, suspect, IsPromptPart(suspect) ? 0 : aPending, aNow);
+    if (one != quarantine_verdict::Send) {
+      mayTry = mayTry && one == quarantine_verdict::Try;
+      sum.mVerdict = quarantine_verdict::Refuse;
+    }
+    if (aQuarantine.mHeld.contains(suspect)) {
+      sum.mQuarantined.push_back(suspect);
+    }
+  }
+  if (!sum.mQuarantined.empty() && mayTry &&
+      (sum.mQuarantined.size() == 1 ||
+       LacksPartOfSameCrashes(aQuarantine, sum.mQuarantined))) {
+    sum.mVerdict = quarantine_verdict::Try;
+  }
+  return sum;
+}
+
 duration
 TimeUntilTrial(const quarantine& aQuarantine,
                request_digest aRequest,
@@ -233,7 +349,9 @@
   if (held == aQuarantine.mHeld.end()) {
     return kTrialDelays.front();
   }
-  return std::max(duration::zero(), held->second.mNextTrial - aNow);
+  return held->second.mHasUnusedTrial
+           ? duration::zero()
+           : std::max(duration::zero(), held->second.mNextTrial - aNow);
 }
 
 std::vector<quarantined_request>
@@ -265,7 +383,7 @@
     return aElement.second.mLastCrash + kSuspectLifetime <= aNow;
   });
   std::erase_if(aQuarantine.mCleared, [aNow](const auto& aElement) {
-    return aElement.second + kClearedLifetime <= aNow;
+    return aElement.second + ClearedLifetime(aElement.first) <= aNow;
   });
   std::vector<request_digest> expired;
   for (const auto& [request, record] : aQuarantine.mHeld) {
--- a/Libraries/LibFleet/Quarantine.h
+++ b/Libraries/LibFleet/Quarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/// Quarantine of requests that crash the endpoints which run them.
+/// Quarantine of requests, and of parts of prompts, that crash the endpoints
+/// which run them.
 ///
 /// Callers send such a request again, to any gateway, and each time it takes
 /// down one endpoint with everything in flight there. No gateway alone sees
@@ -14,6 +15,16 @@
 /// - a quarantined request gets a few trial sends, far apart, each made by only
 ///   one gateway of the fleet.
 ///
+/// If the cause is a part of a prompt, no two requests with it need to be
+/// alike. Each part that other requests may share is a suspect of its own. All
+/// parts of a crashed request look the same at first, but a part that crashes
+/// endpoints is never answered, and the others are. Therefore:
+/// - any complete answer clears the parts of its prompt;
+/// - crashes at the same moment count once, since one failure of another kind
+///   may hit requests with a common part at many endpoints;
+/// - the first trial is due at once, and is made with a request that lacks one
+///   of the parts quarantined for the same crashes.
+///
 /// No I/O, no clock.
 
 #include "LibFleet/EngineLedger.h"
@@ -24,7 +35,8 @@
 
 namespace primrose {
 
-/// An endpoint ended, unplanned, with this request in flight there.
+/// An endpoint ended, unplanned, with this request, or a request with this part
+/// in its prompt, in flight there.
 struct crash_report
 {
   request_digest mRequest = 0;
@@ -37,7 +49,7 @@
   bool operator==(const crash_report&) const = default;
 };
 
-/// A quarantined request, as gateways send it to each other.
+/// A quarantined request or part, as gateways send it to each other.
 struct quarantined_request
 {
   request_digest mRequest = 0;
@@ -63,14 +75,17 @@
 
 /// Trials of a quarantined request by the whole fleet. Operators allow three
 /// more sends of a request that has crashed three endpoints; one of them may
-/// already be in flight.
+/// already be in flight. They allow as many of requests with a part that has
+/// crashed five, some seconds later.
 inline constexpr unsigned kMaxTrials = 2;
 
 /// A request with crashes, below the threshold.
 struct suspected_request
 {
   std::vector<crash_report> mReports; ///< One for each endpoint.
+  crash_score mScore = 0;
   time_point mLastCrash{};
+  time_point mLastCounted{}; ///< The last crash that added to the score.
 
   bool operator==(const suspected_request&) const = default;
 };
@@ -81,6 +96,9 @@
   unsigned mTrials = 0;
   time_point mNextTrial{};
   time_point mLastCrash{}; ///< Last crash, or when it was quarantined.
+  /// This gateway was granted a trial that reached no endpoint. Its next
+  /// request may use it.
+  bool mHasUnusedTrial = false;
 
   bool operator==(const quarantine_record&) const = default;
 };
@@ -113,9 +131,9 @@
             const crash_report& aReport,
             time_point aNow);
 
-/// Records that the request was answered completely, here. True if it was
-/// quarantined or had crashes at more than one endpoint, so that the peers must
-/// be notified.
+/// Records that the request, or one with this part, was answered completely,
+/// here. True if the peers must be notified: it was quarantined, or had crashes
+/// at more than one endpoint, or is a part that had any crash.
 bool
 RecordAnswered(quarantine& aQuarantine,
                request_digest aRequest,
@@ -149,6 +167,14 @@
             unsigned aTrial,
             time_point aNow);
 
+/// Records that a trial which this gateway was granted reached no endpoint.
+void
+RecordUnusedTrial(quarantine& aQuarantine, request_digest aRequest);
+
+/// Takes such a trial; false if there is none.
+bool
+TakeUnusedTrial(quarantine& aQuarantine, request_digest aRequest);
+
 /// What to do with a request.
 enum class quarantine_verdict : std::uint8_t
 {
@@ -164,6 +190,24 @@
                      crash_score aPending,
                      time_point aNow);
 
+/// A verdict on a request together with the parts of its prompt.
+struct suspects_verdict
+{
+  quarantine_verdict mVerdict = quarantine_verdict::Send;
+  /// The quarantined ones among its suspects. A trial of the request is a trial
+  /// of each of them.
+  std::vector<request_digest> mQuarantined;
+
+  bool operator==(const suspects_verdict&) const = default;
+};
+
+/// `aSuspects` are the digest of the request, then those of the parts.
+suspects_verdict
+SuspectsVerdictFor(const quarantine& aQuarantine,
+                   const std::vector<request_digest>& aSuspects,
+                   crash_score aPending,
+                   time_point aNow);
+
 /// Time until a refused request may be sent as a trial; up to a day if no trial
 /// is left. If only unconfirmed crashes made it refused, the delay of a first
 /// trial.
--- a/Libraries/LibFleet/RequestDigest.cpp
+++ b/Libraries/LibFleet/RequestDigest.cpp
@@ -20,7 +20,13 @@
                                        aIdentity.mBody }) {
     digest = Hash(part, digest);
   }
-  return digest;
+  return digest & ~kPromptPartBit;
+}
+
+request_digest
+DigestOfPromptPart(std::string_view aPartId)
+{
+  return Hash(aPartId, 0) | kPromptPartBit;
 }
 
 std::string
--- a/Libraries/LibFleet/RequestDigest.h
+++ b/Libraries/LibFleet/RequestDigest.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/// Recognizes a request that a caller sends again, at any gateway.
+/// Recognizes a request that a caller sends again, at any gateway, and a part
+/// of a prompt that different requests share.
 
 #include <cstdint>
 #include <string>
@@ -8,11 +9,14 @@
 
 namespace primrose {
 
-/// Hash of the parts of a request that stay the same when a caller sends it
-/// again. The request id is not among them, since it changes.
+/// Hash of what stays the same when a caller sends a request again, or of one
+/// part of a prompt. The request id is not covered, since it changes.
 using request_digest = std::uint64_t;
 
-/// The parts of a request that its digest covers.
+/// Set in the digests of parts of prompts only.
+inline constexpr request_digest kPromptPartBit = request_digest{ 1 } << 63U;
+
+/// What the digest of a request covers.
 struct request_identity
 {
   std::string_view mHost;
@@ -27,6 +31,16 @@
 request_digest
 DigestOf(const request_identity& aIdentity);
 
+/// The digest of the part of a prompt with this id, the same in all requests.
+request_digest
+DigestOfPromptPart(std::string_view aPartId);
+
+constexpr bool
+IsPromptPart(request_digest aDigest)
+{
+  return (aDigest & kPromptPartBit) != 0;
+}
+
 /// The digest as logs, metrics and rows of the platform show it: 16
 /// hexadecimal digits.
 std::string
--- a/Libraries/LibGateway/Adapter.h
+++ b/Libraries/LibGateway/Adapter.h
@@ -17,6 +17,8 @@
   std::optional<duration> mTimeLeft; ///< How long the caller will wait.
   double mPromptTokens = 0;
   double mMaxAnswerTokens = 0;
+  /// Ids of the parts of the prompt that other requests may have too.
+  std::vector<std::string> mSharedPromptParts;
   /// The last event that the caller has received; the stream resumes after it.
   std::optional<std::uint64_t> mLastEvent;
 
--- a/Libraries/LibGateway/CrashDetector.cpp
+++ b/Libraries/LibGateway/CrashDetector.cpp
@@ -164,7 +164,7 @@
 {
   const std::string& id = aAttempt.mEndpointId;
   if (mCrashed.contains(id)) {
-    ReportCrash({ aAttempt.mRequest, EngineKey(id), aAttempt.mAnswering });
+    ReportCrashes(aAttempt);
     return;
   }
   const auto known = mBoard.mEndpoints.mEndpoints.find(id);
@@ -244,9 +244,7 @@
       { "requests", failures.size() },
       { "after_ms", Milliseconds(mLoop.Now() - failures.front().mFailedAt) } });
   for (const unresolved_failure& one : failures) {
-    ReportCrash({ one.mAttempt.mRequest,
-                  EngineKey(aEndpointId),
-                  one.mAttempt.mAnswering });
+    ReportCrashes(one.mAttempt);
   }
 }
 
@@ -272,6 +270,15 @@
   }
 }
 
+void
+crash_detector::ReportCrashes(const failed_attempt& aAttempt)
+{
+  for (const request_digest suspect : aAttempt.mSuspects) {
+    ReportCrash(
+      { suspect, EngineKey(aAttempt.mEndpointId), aAttempt.mAnswering });
+  }
+}
+
 void
 crash_detector::ReportCrash(const crash_report& aReport)
 {
@@ -337,17 +344,17 @@
 }
 
 void
-crash_detector::OnRequestAnswered(request_digest aRequest)
+crash_detector::OnAnswered(request_digest aSuspect)
 {
-  const bool wasQuarantined = mBoard.mQuarantine.mHeld.contains(aRequest);
-  if (!RecordAnswered(mBoard.mQuarantine, aRequest, mLoop.Now())) {
+  const bool wasQuarantined = mBoard.mQuarantine.mHeld.contains(aSuspect);
+  if (!RecordAnswered(mBoard.mQuarantine, aSuspect, mLoop.Now())) {
     return;
   }
-  LogCleared(log_level::Warning, aRequest, "", wasQuarantined);
-  mSender.BroadcastCleared(aRequest);
+  LogCleared(log_level::Warning, aSuspect, "", wasQuarantined);
+  mSender.BroadcastCleared(aSuspect);
   if (wasQuarantined) {
-    mWrittenRows.erase(aRequest);
-    mTable.Remove(aRequest);
+    mWrittenRows.erase(aSuspect);
+    mTable.Remove(aSuspect);
   }
 }
 
@@ -416,8 +423,8 @@
   crash_score sum = 0;
   for (const auto& [endpoint, failures] : mUnresolvedFailures) {
     for (const unresolved_failure& one : failures) {
-      if (one.mAttempt.mRequest == aRequest && one.mAttempt.mConnectionBroke &&
-          !one.mReached) {
+      if (one.mAttempt.mSuspects.front() == aRequest &&
+          one.mAttempt.mConnectionBroke && !one.mReached) {
         sum += ScoreOfCrash(one.mAttempt.mAnswering);
       }
     }
@@ -425,17 +432,58 @@
   return sum;
 }
 
-quarantine_verdict
-crash_detector::Verdict(request_digest aRequest) const
+suspects_verdict
+crash_detector::Verdict(const std::vector<request_digest>& aSuspects) const
 {
-  return QuarantineVerdictFor(
-    mBoard.mQuarantine, aRequest, PendingSuspicion(aRequest), mLoop.Now());
+  return SuspectsVerdictFor(mBoard.mQuarantine,
+                            aSuspects,
+                            PendingSuspicion(aSuspects.front()),
+                            mLoop.Now());
+}
+
+void
+crash_detector::ClaimTrials(std::vector<request_digest> aQuarantined,
+                            std::function<void(bool)> aCallback)
+{
+  if (aQuarantined.empty()) {
+    aCallback(true);
+    return;
+  }
+  const request_digest next = aQuarantined.back();
+  aQuarantined.pop_back();
+  ClaimTrial(
+    next,
+    [this, next, rest = std::move(aQuarantined), then = std::move(aCallback)](
+      bool aGranted) {
+      if (!aGranted) {
+        then(false);
+        return;
+      }
+      ClaimTrials(rest, [this, next, then](bool aRestGranted) {
+        if (!aRestGranted) {
+          ReturnTrials({ next });
+        }
+        then(aRestGranted);
+      });
+    });
+}
+
+void
+crash_detector::ReturnTrials(const std::vector<request_digest>& aQuarantined)
+{
+  for (const request_digest one : aQuarantined) {
+    RecordUnusedTrial(mBoard.mQuarantine, one);
+  }
 }
 
 void
 crash_detector::ClaimTrial(request_digest aRequest,
                            std::function<void(bool)> aCallback)
 {
+  if (TakeUnusedTrial(mBoard.mQuarantine, aRequest)) {
+    aCallback(true);
+    return;
+  }
   const auto held = mBoard.mQuarantine.mHeld.find(aRequest);
   if (held == mBoard.mQuarantine.mHeld.end() || mLoop.Now() < mNextClaimAt ||
       !mClaimsInProgress.insert(aRequest).second) {
--- a/Libraries/LibGateway/CrashDetector.h
+++ b/Libraries/LibGateway/CrashDetector.h
@@ -20,7 +20,8 @@
 /// An attempt that ended without a complete answer.
 struct failed_attempt
 {
-  request_digest mRequest = 0;
+  /// The request, then the parts of its prompt that others may share.
+  std::vector<request_digest> mSuspects;
   std::string mEndpointId;
   bool mAnswering = false; ///< Part of the answer was received.
   /// The connection broke, so the endpoint's reachability is checked at once.
@@ -64,8 +65,8 @@
   void OnEndpointRestarted(const std::string& aEndpointId);
   /// The endpoint was removed from the platform's list.
   void OnEndpointUnlisted(const std::string& aEndpointId);
-  /// A request was answered completely.
-  void OnRequestAnswered(request_digest aRequest);
+  /// A request, or one with this part in its prompt, was answered completely.
+  void OnAnswered(request_digest aSuspect);
 
   void OnPeerCrashReport(const crash_report& aReport,
                          const std::string& aHost) override;
@@ -76,15 +77,21 @@
   void OnPeerQuarantineHash(std::uint64_t aPeerHash,
                             const std::string& aHost) override;
 
-  quarantine_verdict Verdict(request_digest aRequest) const;
-  /// Claims the next trial of a quarantined request in the platform's store.
-  /// The store grants each trial to at most one gateway.
-  void ClaimTrial(request_digest aRequest, std::function<void(bool)> aCallback);
+  /// `aSuspects` are the digest of a request, then those of its prompt's parts.
+  suspects_verdict Verdict(const std::vector<request_digest>& aSuspects) const;
+  /// Claims the next trial of each of these in the platform's store, which
+  /// grants each trial to at most one gateway. All must be granted.
+  void ClaimTrials(std::vector<request_digest> aQuarantined,
+                   std::function<void(bool)> aCallback);
+  /// The request that made these trials was sent to no endpoint, so this
+  /// gateway's next one may make them.
+  void ReturnTrials(const std::vector<request_digest>& aQuarantined);
 
   /// Runs due work and expires old state; called several times a second.
   void Tick();
 
 private:
+  void ClaimTrial(request_digest aRequest, std::function<void(bool)> aCallback);
   struct unresolved_failure
   {
     failed_attempt mAttempt;
@@ -99,6 +106,8 @@
                          const ip_address& aAddress);
   void OnReachabilityResult(const std::string& aEndpointId,
                             reachability aResult);
+  /// Reports a crash under each suspect of the attempt.
+  void ReportCrashes(const failed_attempt& aAttempt);
   void ReportCrash(const crash_report& aReport);
   void OnQuarantined(request_digest aRequest, const std::string& aReporter);
   void ScheduleClearedBroadcast(request_digest aRequest);
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -107,39 +107,53 @@
 void
 exchange::DispatchUnlessQuarantined()
 {
-  switch (mContext.mCrashDetector.Verdict(mDigest)) {
+  const suspects_verdict verdict = mContext.mCrashDetector.Verdict(mSuspects);
+  switch (verdict.mVerdict) {
     case quarantine_verdict::Send:
       Dispatch();
       return;
     case quarantine_verdict::Refuse:
-      RefuseQuarantined();
+      RefuseQuarantined(verdict);
       return;
     case quarantine_verdict::Try:
       break;
   }
-  mContext.mCrashDetector.ClaimTrial(
-    mDigest, [weak = weak_from_this()](bool aGranted) {
+  mContext.mCrashDetector.ClaimTrials(
+    verdict.mQuarantined, [weak = weak_from_this(), verdict](bool aGranted) {
       const std::shared_ptr<exchange> self = weak.lock();
       if (self == nullptr || self->mState == state::Ended) {
         return;
       }
       if (!aGranted) {
-        self->RefuseQuarantined();
+        self->RefuseQuarantined(verdict);
         return;
       }
-      self->mIsQuarantineTrial = true;
+      self->mTrialOf = verdict.mQuarantined;
       self->Dispatch();
     });
 }
 
 void
-exchange::RefuseQuarantined()
+exchange::RefuseQuarantined(const suspects_verdict& aVerdict)
 {
   mContext.mBoard.mMetrics.Count("gateway_quarantine_refusals_total");
+  // Of a request, if only crashes that are not confirmed yet refused it.
+  const request_digest decisive =
+    aVerdict.mQuarantined.empty() ? mDigest : aVerdict.mQuarantined.back();
+  const std::ptrdiff_t suspect =
+    std::find(mSuspects.begin(), mSuspects.end(), decisive) - mSuspects.begin();
+  Log(log_level::Info,
+      "request_held",
+      { { "request", mRequestInfo.mId },
+        { "because_of", DigestText(decisive) },
+        { "part",
+          suspect == 0 ? "" : mRequestInfo.mSharedPromptParts[suspect - 1] },
+        { "held", aVerdict.mQuarantined.size() } });
+  const duration wait =
+    TimeUntilTrial(mContext.mBoard.mQuarantine, decisive, mContext.mLoop.Now());
   GiveUp(error_kind::Quarantined,
-         "ends_endpoints",
-         Seconds(TimeUntilTrial(
-           mContext.mBoard.mQuarantine, mDigest, mContext.mLoop.Now())));
+         IsPromptPart(decisive) ? "part_ends_endpoints" : "ends_endpoints",
+         std::max(Seconds(wait), Seconds(kMinRetryAfter)));
 }
 
 bool
@@ -168,6 +182,10 @@
   }
   mDigest =
     DigestOf({ mRequestInfo.mHost, mHead.mTarget, mOrganisation, mBody });
+  mSuspects = { mDigest };
+  for (const std::string& part : mRequestInfo.mSharedPromptParts) {
+    mSuspects.push_back(DigestOfPromptPart(part));
+  }
   mService = mManifest->FindService(
     ChooseService(*mRoute, Uniform(mContext.mBoard.mRandom)));
   if (mService == nullptr) {
@@ -246,12 +264,12 @@
   // The request may have become quarantined since it was sent last, because it
   // ended a third endpoint: under this gateway, or when another caller sent it
   // through another gateway. A quarantine trial is sent only once.
-  const bool mayBeSent =
-    mIsQuarantineTrial
-      ? !mReachedEndpoint
-      : mContext.mCrashDetector.Verdict(mDigest) == quarantine_verdict::Send;
+  const suspects_verdict verdict = mContext.mCrashDetector.Verdict(mSuspects);
+  const bool mayBeSent = !mTrialOf.empty()
+                           ? !mReachedEndpoint
+                           : verdict.mVerdict == quarantine_verdict::Send;
   if (!mayBeSent) {
-    RefuseQuarantined();
+    RefuseQuarantined(verdict);
     return;
   }
   const bool chosen = mService->mEngine.has_value() ? TrySendToEngines()
@@ -346,6 +364,9 @@
     return;
   }
   mState = state::Ended;
+  if (!mReachedEndpoint) {
+    mContext.mCrashDetector.ReturnTrials(mTrialOf);
+  }
   --mContext.mBoard.mOpenRequests;
   mContext.mLoop.Cancel(mDeadlineTimer);
   mContext.mLoop.Cancel(mResponseTimer);
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -84,11 +84,11 @@
   /// True if the gateway is draining and a request with this time limit may not
   /// end before the drain period does.
   bool WouldExceedDrain(duration aLimit) const;
-  /// Dispatches the request unless it is quarantined, that is, suspected of
-  /// crashing endpoints. Refuses a quarantined request, or claims its
-  /// quarantine trial where one is due.
+  /// Dispatches the request unless it, or a part of its prompt, is quarantined,
+  /// that is, suspected of crashing endpoints. Otherwise refuses it, or claims
+  /// a quarantine trial where one is due.
   void DispatchUnlessQuarantined();
-  void RefuseQuarantined();
+  void RefuseQuarantined(const suspects_verdict& aVerdict);
   void Dispatch();
   /// Chooses engines and sends, postpones or refuses the request; false if no
   /// engine can be chosen.
@@ -196,6 +196,9 @@
   std::string mOrganisation;
   allowed_regions mRegions; ///< Of the route and the organisation.
   request_digest mDigest = 0;
+  /// What may crash endpoints: the request, and the parts of its prompt that
+  /// others may share.
+  std::vector<request_digest> mSuspects;
   time_point mStarted{};
   time_point mDeadline{};
   std::shared_ptr<attempt> mAttempt;
@@ -211,8 +214,9 @@
   std::size_t mHelperCount = 0;
   bool mMayHaveRun = false; ///< Sent, and not known to be refused.
   bool mNeedsNewConnection = false;
-  bool mPostponed = false;         ///< See `PostponePlacement`.
-  bool mIsQuarantineTrial = false; ///< Quarantined; sent only once.
+  bool mPostponed = false; ///< See `PostponePlacement`.
+  /// What this request is a quarantine trial of. A trial is sent only once.
+  std::vector<request_digest> mTrialOf;
   bool mReachedEndpoint = false;
   bool mStreaming = false;
   bool mAttemptHasEvents = false; ///< The current attempt has sent an event.
--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -116,7 +116,7 @@
                                   bool aEndpointAtFault)
 {
   if (aAttempt.WasSent()) {
-    mContext.mCrashDetector.OnAttemptFailed({ mDigest,
+    mContext.mCrashDetector.OnAttemptFailed({ mSuspects,
                                               aAttempt.Endpoint().mId,
                                               mAttemptHasEvents,
                                               aEndpointAtFault });
@@ -309,7 +309,13 @@
 {
   const std::shared_ptr<exchange> self = shared_from_this();
   const unsigned status = aAttempt.Head().mStatus;
-  mContext.mCrashDetector.OnRequestAnswered(mDigest);
+  mContext.mCrashDetector.OnAnswered(mDigest);
+  if (status < kFirstError) {
+    // A failure may come from an endpoint that never began to write an answer.
+    for (std::size_t i = 1; i < mSuspects.size(); ++i) {
+      mContext.mCrashDetector.OnAnswered(mSuspects[i]);
+    }
+  }
   if (status >= kFirstServerError) {
     UpdateEndpointHealth(aAttempt, endpoint_health_event::Failed);
     if (CanRetryElsewhere() && ConsumeRetryBudget()) {
--- a/Tests/Gateway/CrashFixtures.h
+++ b/Tests/Gateway/CrashFixtures.h
@@ -38,7 +38,7 @@
                  const http_head& aHead)
   {
     if (!mCrashesEndpoint(aHead, aEndpoint.mBodies.back())) {
-      AnswerOk(aConnection, aHead);
+      mAnswerSound(aConnection, aHead);
       return;
     }
     ++mSendCount;
@@ -55,6 +55,7 @@
     mCrashesEndpoint = [](const http_head&, const std::string& aBody) {
       return aBody == kCrashingBody;
     };
+  std::function<void(connection&, const http_head&)> mAnswerSound = &AnswerOk;
   /// If set, handles the crashing request instead of a crash.
   std::function<void(endpoint_fixture&, connection&, const http_head&)>
     mOnCrashingRequest;
--- a/Tests/Gateway/CrashTest.cpp
+++ b/Tests/Gateway/CrashTest.cpp
@@ -154,17 +154,17 @@
     const auto note = [&granted](bool aGranted) {
       granted.push_back(aGranted);
     };
-    one.mDetector.ClaimTrial(kQuarantined, note);
-    other.mDetector.ClaimTrial(kQuarantined, note);
+    one.mDetector.ClaimTrials({ kQuarantined }, note);
+    other.mDetector.ClaimTrials({ kQuarantined }, note);
     // A second claim while the first of the same gateway is running.
-    one.mDetector.ClaimTrial(kQuarantined, note);
+    one.mDetector.ClaimTrials({ kQuarantined }, note);
     w.Until([&granted]() { return granted.size() == 3; }, "three answers");
     CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{ 1 },
                          std::count(granted.begin(), granted.end(), true));
     // Neither may start another trial at once.
-    CPPUNIT_ASSERT(one.mDetector.Verdict(kQuarantined) ==
+    CPPUNIT_ASSERT(one.mDetector.Verdict({ kQuarantined }).mVerdict ==
                    quarantine_verdict::Refuse);
-    CPPUNIT_ASSERT(other.mDetector.Verdict(kQuarantined) ==
+    CPPUNIT_ASSERT(other.mDetector.Verdict({ kQuarantined }).mVerdict ==
                    quarantine_verdict::Refuse);
   }
 
@@ -174,12 +174,12 @@
     world w;
     single_detector one(w, kQuarantined);
     bool granted = false;
-    one.mDetector.ClaimTrial(kQuarantined,
-                             [&granted](bool aGranted) { granted = aGranted; });
+    one.mDetector.ClaimTrials(
+      { kQuarantined }, [&granted](bool aGranted) { granted = aGranted; });
     w.Until([&granted]() { return granted; }, "the trial");
     CPPUNIT_ASSERT(w.mStore.Has("quarantine", TrialRowKey(kQuarantined, 1)));
-    one.mDetector.OnRequestAnswered(kQuarantined);
-    CPPUNIT_ASSERT(one.mDetector.Verdict(kQuarantined) ==
+    one.mDetector.OnAnswered(kQuarantined);
+    CPPUNIT_ASSERT(one.mDetector.Verdict({ kQuarantined }).mVerdict ==
                    quarantine_verdict::Send);
     w.Until(
       [&w]() {
@@ -270,7 +270,8 @@
     single_detector one(w, 0);
     (void)ApplyRow(one.mBoard.mEndpoints,
                    { "i-desk", 1, endpoint{ "i-desk", {}, "desk", "a", 1 } });
-    one.mDetector.OnAttemptFailed({ kDisconnected, "i-desk", false, false });
+    one.mDetector.OnAttemptFailed(
+      { { kDisconnected }, "i-desk", false, false });
     CPPUNIT_ASSERT(one.mBoard.mQuarantine.mSuspects.empty());
     one.mDetector.OnPeerCrashReport({ 7, EngineKey("i-desk"), false }, "peer");
     CPPUNIT_ASSERT(one.mBoard.mQuarantine.mSuspects.contains(kDisconnected));
--- a/Tests/Gateway/PromptPartTest.cpp
+++ b/Tests/Gateway/PromptPartTest.cpp
@@ -27,6 +27,14 @@
                .value_or("")
                .find(kCrashingPart) != std::string_view::npos;
     };
+    mGateways.mPool.mAnswerSound = [](connection& aConnection,
+                                      const http_head& aHead) {
+      std::string bytes = SuccessHead(aHead, "Transfer-Encoding: chunked\r\n");
+      AppendChunk(bytes, "id: 1\ndata: x\n\n");
+      bytes.append(kLastChunk);
+      aConnection.mChannel->Write(bytes);
+      aConnection.Next();
+    };
     if (!aAfterFirstEvent) {
       return;
     }
@@ -79,6 +87,10 @@
   CPPUNIT_TEST_SUITE(prompt_part_test);
   CPPUNIT_TEST(RequestsWithCrashingPartAreQuarantined);
   CPPUNIT_TEST(SoundRequestsWithTheOtherPartsAreServed);
+  CPPUNIT_TEST(QuarantinedPartOutlivesAllGateways);
+  CPPUNIT_TEST(StartedGatewayLearnsQuarantinedPartFromPeer);
+  CPPUNIT_TEST(ResetsQuarantineNoPart);
+  CPPUNIT_TEST(PlannedShutdownsQuarantineNoPart);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -124,8 +136,12 @@
            scenario{ "aa01:40,aa02:40,dead10:40", "aa01:40,aa02:40" } }) {
       part_setup setup(false);
       setup.Crash(one.mCrashing);
-      // A sound request may be needed to find which part is to blame.
-      (void)setup.Send(one.mSound);
+      // Sound requests are needed to find which part is to blame.
+      const time_point end = setup.mGateways.mWorld.mLoop.Now() + kContactTime;
+      while (setup.Send(one.mSound).Status() != 200 &&
+             setup.mGateways.mWorld.mLoop.Now() < end) {
+        setup.mGateways.mWorld.For(milliseconds(60));
+      }
       setup.mGateways.mWorld.For(kGossipTime);
       std::size_t served = 0;
       for (std::size_t i = 0; i < kRequests; ++i) {
@@ -138,6 +154,99 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::string(), failures);
   }
+
+  /// Guards against five more crashes under a part after all gateways were
+  /// lost.
+  void QuarantinedPartOutlivesAllGateways()
+  {
+    part_setup setup(false);
+    setup.Crash("aa01:40,dead10:40");
+    const std::size_t sends = setup.Sends();
+    world& w = setup.mGateways.mWorld;
+    const std::string row = QuarantineRowKey(DigestOfPromptPart(kCrashingPart));
+    w.Until([&w, &row]() { return w.mStore.Has("quarantine", row); },
+            "the platform's row");
+    setup.mGateways.mSecond = nullptr;
+    w.mGateway = nullptr;
+    w.Start();
+    setup.mGateways.mSecond = StartSecondGateway(w, w.mStore.Address());
+    for (int i = 0; i < 6; ++i) {
+      (void)setup.Send("aa01:40,dead10:40");
+    }
+    CPPUNIT_ASSERT_EQUAL(sends, setup.Sends());
+  }
+
+  /// Guards against a gateway that starts while the store is away, and forwards
+  /// requests with a part that its peers have quarantined.
+  void StartedGatewayLearnsQuarantinedPartFromPeer()
+  {
+    part_setup setup(false);
+    setup.Crash("aa01:40,dead10:40");
+    const std::size_t sends = setup.Sends();
+    std::unique_ptr<gateway>& second = setup.mGateways.mSecond;
+    second = nullptr;
+    second = StartSecondGateway(setup.mGateways.mWorld, kUnreachableStore);
+    setup.mGateways.mWorld.Until(
+      [&second]() {
+        const gateway_state& board = second->Board();
+        return board.mManifest != nullptr && board.mEndpointsKnown &&
+               board.mQuarantine.mHeld.contains(
+                 DigestOfPromptPart(kCrashingPart));
+      },
+      "what the peer has quarantined");
+    for (int i = 0; i < 6; ++i) {
+      (void)setup.Send("aa01:40,dead10:40");
+    }
+    CPPUNIT_ASSERT_EQUAL(sends, setup.Sends());
+  }
+
+  static bool HasSuspects(const part_setup& aSetup)
+  {
+    const quarantine& state =
+      aSetup.mGateways.mWorld.mGateway->Board().mQuarantine;
+    return !state.mSuspects.empty() || !state.mHeld.empty();
+  }
+
+  /// Guards against quarantining a part because the network reset connections
+  /// on which requests with it ran.
+  void ResetsQuarantineNoPart()
+  {
+    part_setup setup(false);
+    setup.mGateways.mPool.mOnCrashingRequest =
+      [](endpoint_fixture&, connection& aConnection, const http_head&) {
+        aConnection.mChannel->Abort();
+      };
+    for (int i = 0; i < 8; ++i) {
+      (void)setup.Send("aa01:40,dead10:40");
+      setup.mGateways.mWorld.For(milliseconds(220));
+    }
+    CPPUNIT_ASSERT(!HasSuspects(setup));
+  }
+
+  /// Guards against the same after endpoints were drained and ended as planned.
+  void PlannedShutdownsQuarantineNoPart()
+  {
+    part_setup setup(false, 5);
+    two_gateways& gateways = setup.mGateways;
+    gateways.mPool.mOnCrashingRequest =
+      [&gateways](endpoint_fixture& aEndpoint, connection&, const http_head&) {
+        std::size_t index = 0;
+        while (gateways.mPool.mEndpoints[index].get() != &aEndpoint) {
+          ++index;
+        }
+        gateways.mWorld.List("i-model" + std::to_string(index),
+                             "model",
+                             aEndpoint.mServer.Address(),
+                             "draining");
+        gateways.mWorld.mLoop.After(
+          milliseconds(1100), [&aEndpoint]() { aEndpoint.mServer.End(); });
+      };
+    for (int i = 0; i < 4; ++i) {
+      (void)setup.Send("aa01:40,dead10:40");
+    }
+    CPPUNIT_ASSERT(gateways.mPool.mSendCount >= kCrashesUntilQuarantine);
+    CPPUNIT_ASSERT(!HasSuspects(setup));
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(prompt_part_test, "gateway-prompt-parts");
--- a/Tests/Unit/QuarantineTest.cpp
+++ b/Tests/Unit/QuarantineTest.cpp
@@ -13,6 +13,7 @@
 
 constexpr time_point kStart{ std::chrono::hours(1) };
 constexpr request_digest kRequest = 0x5eed;
+constexpr request_digest kPart = kPromptPartBit | 1U;
 
 crash_report
 CrashOf(engine_key aEndpoint, bool aAnswering = false)
@@ -42,6 +43,8 @@
     duration mResendInterval{}; ///< Of the request, in the whole fleet.
     bool mPartition = false;    ///< Of a tenth of the gateways, for a while.
     bool mRestarts = false;     ///< Of half of the gateways, and later of all.
+    /// What crashes the endpoints: a request, or a part of different ones.
+    request_digest mSuspect = kRequest;
   };
 
   explicit quarantine_simulation(const scenario& aScenario)
@@ -75,8 +78,8 @@
   std::size_t CrashCount() const { return mCrashes; }
 
 private:
-  /// Time that operators allow between the third crash and the last send that
-  /// is not a trial.
+  /// Time that operators allow between the last of these crashes and the last
+  /// send that is not a trial.
   static constexpr duration kMaxPropagation = seconds(3);
   /// From a send until the gateway detects the endpoint's crash.
   static constexpr duration kCrashDelay = milliseconds(250);
@@ -112,17 +115,20 @@
   void Resend(std::size_t aGateway)
   {
     quarantine& state = mStates[aGateway];
-    switch (QuarantineVerdictFor(state, kRequest, 0, mNow)) {
+    switch (QuarantineVerdictFor(state, mScenario.mSuspect, 0, mNow)) {
       case quarantine_verdict::Refuse:
         return;
       case quarantine_verdict::Try: {
-        const unsigned trial = state.mHeld.at(kRequest).mTrials + 1;
+        const unsigned trial = state.mHeld.at(mScenario.mSuspect).mTrials + 1;
         const bool granted = mTrials.insert(trial).second;
-        RecordTrial(state, kRequest, trial, mNow);
+        RecordTrial(state, mScenario.mSuspect, trial, mNow);
         for (std::size_t to = 0; granted && to < mStates.size(); ++to) {
-          Post(
-            aGateway,
-            { {}, to, {}, { { kRequest, trial, duration::zero() } }, false });
+          Post(aGateway,
+               { {},
+                 to,
+                 {},
+                 { { mScenario.mSuspect, trial, duration::zero() } },
+                 false });
         }
         if (!granted) {
           return;
@@ -132,12 +138,16 @@
       case quarantine_verdict::Send:
         break;
     }
-    if (mThirdCrash.has_value() && mNow > *mThirdCrash + kMaxPropagation &&
+    if (mBoundSince.has_value() && mNow > *mBoundSince + kMaxPropagation &&
         IsConnected(aGateway)) {
       ++mLateSends;
     }
     mInFlight.push_back(
-      { mNow + kCrashDelay, aGateway, CrashOf(++mLastEndpoint), {}, true });
+      { mNow + kCrashDelay,
+        aGateway,
+        crash_report{ mScenario.mSuspect, ++mLastEndpoint, false },
+        {},
+        true });
   }
 
   void Deliver()
@@ -168,8 +178,8 @@
     if (!aMessage.mOwn) {
       return;
     }
-    if (++mCrashes == 3) {
-      mThirdCrash = mNow;
+    if (++mCrashes == (IsPromptPart(mScenario.mSuspect) ? 5 : 3)) {
+      mBoundSince = mNow;
     }
     for (std::size_t to = 0; to < mStates.size(); ++to) {
       if (to != aMessage.mTo) {
@@ -197,10 +207,11 @@
   {
     mStates[aGateway] = {};
     // The table has its row shortly after the request was quarantined.
-    if (mThirdCrash.has_value() && mNow > *mThirdCrash + kTableDelay) {
+    if (mBoundSince.has_value() && mNow > *mBoundSince + kTableDelay) {
       const unsigned trials = mTrials.empty() ? 0 : *mTrials.rbegin();
-      (void)RecordQuarantined(
-        mStates[aGateway], { kRequest, trials, duration::zero() }, mNow);
+      (void)RecordQuarantined(mStates[aGateway],
+                              { mScenario.mSuspect, trials, duration::zero() },
+                              mNow);
     }
   }
 
@@ -236,7 +247,8 @@
   engine_key mLastEndpoint = 0;
   std::size_t mCrashes = 0;
   std::size_t mLateSends = 0;
-  std::optional<time_point> mThirdCrash;
+  /// When as many endpoints had crashed as the operators' limit assumes.
+  std::optional<time_point> mBoundSince;
 };
 
 } // namespace
@@ -255,7 +267,14 @@
   CPPUNIT_TEST(OrderOfReportsDoesNotMatter);
   CPPUNIT_TEST(MassCrashKeepsMemoryBounded);
   CPPUNIT_TEST(FleetSendsCrashingRequestWithinLimit);
+  CPPUNIT_TEST(FleetSendsCrashingPartWithinLimit);
   CPPUNIT_TEST(DigestsDistinguishRequestParts);
+  CPPUNIT_TEST(PartIsQuarantinedAfterSeparateCrashes);
+  CPPUNIT_TEST(SimultaneousCrashesOfPartCountOnce);
+  CPPUNIT_TEST(AnswerClearsPart);
+  CPPUNIT_TEST(TrialOfPartsLeavesOneOut);
+  CPPUNIT_TEST(UnusedTrialIsNotLost);
+  CPPUNIT_TEST(ManyNewPartsKeepMemoryBounded);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -441,7 +460,12 @@
   /// crash. Each resend reaches a random gateway, and 3 of 100 messages between
   /// gateways are lost. A tenth of the gateways is partitioned during the first
   /// crashes, half are restarted later, and then all.
-  void FleetSendsCrashingRequestWithinLimit()
+  void FleetSendsCrashingRequestWithinLimit() { CheckFleetLimit(kRequest); }
+
+  /// The same for a part of different requests, from the fifth crash on.
+  void FleetSendsCrashingPartWithinLimit() { CheckFleetLimit(kPart); }
+
+  static void CheckFleetLimit(request_digest aSuspect)
   {
     constexpr std::size_t kAllowed = 3;
     for (const std::size_t gateways : { 15U, 103U, 350U }) {
@@ -451,7 +475,7 @@
                                         milliseconds(700),
                                         milliseconds(4000) }) {
           quarantine_simulation fleet(
-            { gateways, seed, between, seed % 2 == 0, seed > 2 });
+            { gateways, seed, between, seed % 2 == 0, seed > 2, aSuspect });
           fleet.Run(seconds(70));
           CPPUNIT_ASSERT(fleet.CrashCount() >= 3);
           CPPUNIT_ASSERT_MESSAGE(std::to_string(gateways) + " entries, seed " +
@@ -472,6 +496,120 @@
     CPPUNIT_ASSERT(one != DigestOf({ "h", "/a", "other", "body" }));
     CPPUNIT_ASSERT_EQUAL(std::string("0000000000005eed"), DigestText(kRequest));
   }
+
+  static constexpr request_digest kOtherPart = kPromptPartBit | 2U;
+  static constexpr duration kCrashInterval = seconds(1);
+
+  /// Three crashes under requests with all these parts.
+  static void CrashThree(quarantine& aState,
+                         const std::vector<request_digest>& aParts)
+  {
+    for (engine_key endpoint = 1; endpoint <= 3; ++endpoint) {
+      for (const request_digest part : aParts) {
+        (void)RecordCrash(aState,
+                          { part, endpoint, false },
+                          kStart + static_cast<int>(endpoint) * kCrashInterval);
+      }
+    }
+  }
+
+  static quarantine_verdict VerdictOn(const quarantine& aState,
+                                      const std::vector<request_digest>& aParts,
+                                      time_point aNow)
+  {
+    std::vector<request_digest> suspects = { kRequest };
+    suspects.insert(suspects.end(), aParts.begin(), aParts.end());
+    return SuspectsVerdictFor(aState, suspects, 0, aNow).mVerdict;
+  }
+
+  void PartIsQuarantinedAfterSeparateCrashes()
+  {
+    quarantine state;
+    CrashThree(state, { kPart });
+    CPPUNIT_ASSERT(state.mHeld.contains(kPart));
+    CPPUNIT_ASSERT(VerdictOn(state, {}, kStart + seconds(4)) ==
+                   quarantine_verdict::Send);
+  }
+
+  /// Guards against refusing a common part after a rack has failed.
+  void SimultaneousCrashesOfPartCountOnce()
+  {
+    quarantine state;
+    for (engine_key endpoint = 1; endpoint <= 20; ++endpoint) {
+      (void)RecordCrash(state,
+                        { kPart, endpoint, false },
+                        kStart + static_cast<int>(endpoint) * milliseconds(5));
+    }
+    CPPUNIT_ASSERT(state.mHeld.empty());
+  }
+
+  /// Guards against suspecting a part that is answered between the crashes
+  /// beside which it runs.
+  void AnswerClearsPart()
+  {
+    quarantine state;
+    for (engine_key endpoint = 1; endpoint <= 20; ++endpoint) {
+      const time_point now =
+        kStart + static_cast<int>(endpoint) * kCrashInterval;
+      (void)RecordCrash(state, { kPart, endpoint, false }, now);
+      CPPUNIT_ASSERT(RecordAnswered(state, kPart, now + milliseconds(1)));
+    }
+    CPPUNIT_ASSERT(state.mHeld.empty() && state.mSuspects.empty());
+    CPPUNIT_ASSERT(state.mAnswered.empty());
+  }
+
+  /// Guards against trials that cannot tell which part is to blame, and against
+  /// sound parts that never get one.
+  void TrialOfPartsLeavesOneOut()
+  {
+    constexpr request_digest kThirdPart = kPromptPartBit | 3U;
+    quarantine state;
+    CrashThree(state, { kPart, kOtherPart, kThirdPart });
+    const time_point now = kStart + seconds(4);
+    CPPUNIT_ASSERT(VerdictOn(state, { kPart, kOtherPart, kThirdPart }, now) ==
+                   quarantine_verdict::Refuse);
+    CPPUNIT_ASSERT(VerdictOn(state, { kPart, kOtherPart }, now) ==
+                   quarantine_verdict::Try);
+    CPPUNIT_ASSERT(VerdictOn(state, { kPart }, now) == quarantine_verdict::Try);
+    // A part that was quarantined for other crashes makes no difference.
+    (void)RecordQuarantined(
+      state, { kPromptPartBit | 4U, 0, std::chrono::minutes(1) }, now);
+    CPPUNIT_ASSERT(VerdictOn(state, { kPart, kOtherPart, kThirdPart }, now) ==
+                   quarantine_verdict::Refuse);
+  }
+
+  /// Guards against spending the trials of a part on requests that reach no
+  /// endpoint, because those that have crashed are still listed.
+  void UnusedTrialIsNotLost()
+  {
+    quarantine state;
+    CrashThree(state, { kPart });
+    const time_point now = kStart + seconds(4);
+    RecordTrial(state, kPart, 1, now);
+    CPPUNIT_ASSERT(VerdictOn(state, { kPart }, now) ==
+                   quarantine_verdict::Refuse);
+    RecordUnusedTrial(state, kPart);
+    CPPUNIT_ASSERT(VerdictOn(state, { kPart }, now) == quarantine_verdict::Try);
+    CPPUNIT_ASSERT(TakeUnusedTrial(state, kPart));
+    CPPUNIT_ASSERT(!TakeUnusedTrial(state, kPart));
+  }
+
+  /// Guards against memory that grows with the number of parts, each of which
+  /// is in one request only.
+  void ManyNewPartsKeepMemoryBounded()
+  {
+    constexpr request_digest kParts = 20000;
+    constexpr std::size_t kMaxRecords = 5000;
+    quarantine state;
+    for (request_digest i = 0; i < kParts; ++i) {
+      const time_point now = kStart + static_cast<int>(i) * milliseconds(1);
+      (void)RecordCrash(
+        state, { kPromptPartBit | i, static_cast<engine_key>(i), false }, now);
+      (void)RecordAnswered(state, kPromptPartBit | (i + kParts), now);
+    }
+    CPPUNIT_ASSERT(state.mSuspects.size() <= kMaxRecords);
+    CPPUNIT_ASSERT(state.mAnswered.empty() && state.mHeld.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(quarantine_test, "quarantine");
