--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -15,6 +15,8 @@
 /// Interval of the status log line. A line has a few hundred bytes and has to
 /// be recent enough to diagnose a fleet while it is slow.
 constexpr duration kStatusLogInterval = std::chrono::seconds(30);
+/// Shortest time between two lines about connections that were closed unread.
+constexpr duration kClosedLogInterval = std::chrono::seconds(1);
 
 /// A gateway that starts reads the tables of the platform's store. If the store
 /// has not answered after this time, it asks the peers as well, so that a
@@ -136,6 +138,8 @@
                               [this]() { mGossipSender.SpreadVersions(); },
                               [this]() { mStartupGate.Open(); } });
   mBoard.mStarted = mLoop.Now();
+  mLoadUpdatedAt = mBoard.mStarted;
+  mBusyAtUpdate = mLoop.BusyTime();
   mStartupGate.Close();
   mStatusLoggedAt = mBoard.mStarted;
   mOperatorFollower->Start();
@@ -160,16 +164,7 @@
   BOOST_LEAF_ASSIGN(
     mCallers,
     tcp_listener::Open(mLoop, mSettings.mCallers, [this](int aSocket) {
-      const std::shared_ptr<caller_connection> opened =
-        std::make_shared<caller_connection>(
-          mContext, aSocket, [this](caller_connection& aClosed) {
-            const auto found = mCallerConnections.find(&aClosed);
-            if (found != mCallerConnections.end()) {
-              mLoop.DeleteLater(std::move(found->second));
-              mCallerConnections.erase(found);
-            }
-          });
-      mCallerConnections.emplace(opened.get(), opened);
+      OnCallerConnection(aSocket);
     }));
   BOOST_LEAF_ASSIGN(
     mReadiness,
@@ -185,6 +180,58 @@
   return {};
 }
 
+void
+gateway::OnCallerConnection(int aSocket)
+{
+  ++mBoard.mConnectionLoad.mNewSinceUpdate;
+  const connection_verdict verdict =
+    ConnectionVerdict(mBoard.mConnectionLoad,
+                      mCallerConnections.size(),
+                      mSettings.mMaxCallerConnections,
+                      PeersConnectionsPerSecond(mBoard));
+  if (verdict != connection_verdict::Accept) {
+    CloseUnread(aSocket);
+    mBoard.mMetrics.Count(
+      Labelled("gateway_connections_closed_unread_total",
+               "why",
+               verdict == connection_verdict::TooMany ? "limit" : "surge"));
+    ++mClosedUnread;
+    return;
+  }
+  const std::shared_ptr<caller_connection> opened =
+    std::make_shared<caller_connection>(
+      mContext, aSocket, [this](caller_connection& aClosed) {
+        const auto found = mCallerConnections.find(&aClosed);
+        if (found != mCallerConnections.end()) {
+          mLoop.DeleteLater(std::move(found->second));
+          mCallerConnections.erase(found);
+        }
+      });
+  mCallerConnections.emplace(opened.get(), opened);
+}
+
+void
+gateway::UpdateConnectionLoad()
+{
+  const time_point now = mLoop.Now();
+  const duration busy = mLoop.BusyTime();
+  mBoard.mConnectionLoad = UpdatedLoad(
+    mBoard.mConnectionLoad, now - mLoadUpdatedAt, busy - mBusyAtUpdate);
+  mLoadUpdatedAt = now;
+  mBusyAtUpdate = busy;
+  if (mClosedUnread > 0 && now - mClosedUnreadLoggedAt >= kClosedLogInterval) {
+    mClosedUnreadLoggedAt = now;
+    Log(log_level::Warning,
+        "connections_closed_unread",
+        { { "closed", std::exchange(mClosedUnread, 0) },
+          { "open", mCallerConnections.size() },
+          { "busy_share", mBoard.mConnectionLoad.mBusyShare },
+          { "per_second", mBoard.mConnectionLoad.mPerSecond },
+          { "peers_per_second",
+            PeersConnectionsPerSecond(mBoard).value_or(0) } });
+  }
+}
+
 std::uint16_t
 gateway::CallersPort() const
 {
@@ -606,6 +653,7 @@
 gateway::Tick()
 {
   FlushLog();
+  UpdateConnectionLoad();
   mConnections.CloseExpired();
   RemoveExpiredPlacements(mBoard.mLedger, mLoop.Now());
   mCrashDetector.Tick();
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -68,6 +68,9 @@
   void FetchRowsFrom(const std::string& aHost);
   void ApplyPeerRows(const table_snapshot& aRows);
   table_snapshot CollectRowsForPeers(const held_revisions& aHeld) const;
+  /// Serves a caller's new connection, or closes it unread.
+  void OnCallerConnection(int aSocket);
+  void UpdateConnectionLoad();
   void Tick();
   void CheckDrained();
   /// Answers a readiness probe or, with `aMetrics`, a scrape of the metrics.
@@ -90,6 +93,10 @@
   unsigned mPeerFetchesLeft = 0;
   bool mKnewPeers = false; ///< `KnowsPeers` at the last tick.
   time_point mStatusLoggedAt{};
+  time_point mLoadUpdatedAt{};
+  duration mBusyAtUpdate{};      ///< The loop's busy time then.
+  std::size_t mClosedUnread = 0; ///< Connections, since the last line on them.
+  time_point mClosedUnreadLoggedAt{};
   std::unique_ptr<table_follower> mOperatorFollower;
   std::unique_ptr<table_follower> mEndpointFollower;
   std::unique_ptr<gateway_registry> mGatewayRegistry;
--- a/Libraries/LibGossip/GatewayState.cpp
+++ b/Libraries/LibGossip/GatewayState.cpp
@@ -104,6 +104,19 @@
     ReaderRank("endpoints", hosts, aOwnHost);
 }
 
+std::optional<double>
+PeersConnectionsPerSecond(const gateway_state& aBoard)
+{
+  if (aBoard.mPeers.empty()) {
+    return std::nullopt;
+  }
+  double sum = 0;
+  for (const auto& [host, peer] : aBoard.mPeers) {
+    sum += peer.mConnectionsPerSecond;
+  }
+  return sum / static_cast<double>(aBoard.mPeers.size());
+}
+
 std::vector<std::string>
 PeerHosts(const gateway_state& aBoard)
 {
--- a/Libraries/LibGossip/GatewayState.h
+++ b/Libraries/LibGossip/GatewayState.h
@@ -23,6 +23,8 @@
   ip_address mPeers;     ///< Receives datagrams from peers.
   ip_address mStore;
   std::vector<std::string> mSeeds; ///< Hosts of the first peers to contact.
+  /// Callers' connections that may be open at once.
+  std::size_t mMaxCallerConnections = 1024;
   duration mGrace{}; ///< From the termination signal to the forced end.
   /// Time within which a change of the platform's tables has to be in force.
   duration mChangeBound = std::chrono::seconds(5);
@@ -60,6 +62,7 @@
   std::uint64_t mList = 0;     ///< Last reported endpoint list revision.
   /// Last reported revision of the operators' table; 0 if not reported.
   std::uint64_t mOperatorRevision = 0;
+  unsigned mConnectionsPerSecond = 0; ///< Last reported.
 
   bool operator==(const peer_state&) const = default;
 };
@@ -108,6 +111,7 @@
   std::uint64_t mGatewayIncarnation = 0;
   std::uint32_t mLastPlacementNumber = 0;
   std::size_t mOpenRequests = 0;
+  connection_load mConnectionLoad;
   bool mDraining = false;
   time_point mDrainStarted{};
   random_engine mRandom;
@@ -161,6 +165,11 @@
 void
 UpdateReaderRanks(gateway_state& aState, const std::string& aOwnHost);
 
+/// Mean of the rates of new connections that the peers report; no value if
+/// there are no peers.
+std::optional<double>
+PeersConnectionsPerSecond(const gateway_state& aState);
+
 std::vector<std::string>
 PeerHosts(const gateway_state& aState);
 
--- a/Libraries/LibGossip/GossipSender.cpp
+++ b/Libraries/LibGossip/GossipSender.cpp
@@ -230,6 +230,8 @@
   message.mGatewayIncarnation = mBoard.mGatewayIncarnation;
   message.mLeaving = mLeaving;
   message.mManifest = CurrentManifestVersion(mBoard);
+  message.mConnectionsPerSecond =
+    static_cast<unsigned>(mBoard.mConnectionLoad.mPerSecond + 0.5);
   message.mList = mBoard.mEndpoints.mNewestRevision;
   message.mOperatorRevision = mBoard.mOperatorRowRevision;
   message.mOperatorConfirmedAt =
--- a/Libraries/LibGossip/PeerGossip.cpp
+++ b/Libraries/LibGossip/PeerGossip.cpp
@@ -276,7 +276,8 @@
                            now,
                            aMessage.mManifest,
                            aMessage.mList,
-                           aMessage.mOperatorRevision };
+                           aMessage.mOperatorRevision,
+                           aMessage.mConnectionsPerSecond };
   if (isNew) {
     mBoard.mSubsetRingStale = true;
     mNewPeers.push_back(aHost);
--- a/Libraries/LibGossip/PeerMessage.cpp
+++ b/Libraries/LibGossip/PeerMessage.cpp
@@ -270,6 +270,7 @@
   message.mOperatorConfirmedAt = DecodeAge(aEncoded.getOperatorAgeMs(), aNow);
   message.mListConfirmedAt = DecodeAge(aEncoded.getListAgeMs(), aNow);
   message.mQuarantineHash = aEncoded.getHeldState();
+  message.mConnectionsPerSecond = aEncoded.getConnectionsPerSecond();
   for (const wire::PlacedWork::Reader work : aEncoded.getPlaced()) {
     message.mUpdates.mNewPlacements.push_back(
       ReadPlacement(work, message.mGatewayIncarnation, aNow));
@@ -303,6 +304,7 @@
   encoded.setOperatorAgeMs(EncodeAge(aMessage.mOperatorConfirmedAt, aNow));
   encoded.setListAgeMs(EncodeAge(aMessage.mListConfirmedAt, aNow));
   encoded.setHeldState(aMessage.mQuarantineHash);
+  encoded.setConnectionsPerSecond(aMessage.mConnectionsPerSecond);
   WriteNews(encoded, aMessage.mUpdates, aNow);
   if (!aMessage.mHosts.empty()) {
     capnp::List<capnp::Text>::Builder hosts =
--- a/Libraries/LibGossip/PeerMessage.h
+++ b/Libraries/LibGossip/PeerMessage.h
@@ -48,7 +48,8 @@
   /// Times as of which the sender's copies of the two tables were current.
   std::optional<time_point> mOperatorConfirmedAt;
   std::optional<time_point> mListConfirmedAt;
-  std::uint64_t mQuarantineHash = 0; ///< Of its quarantine; 0: not stated.
+  std::uint64_t mQuarantineHash = 0;  ///< Of its quarantine; 0: not stated.
+  unsigned mConnectionsPerSecond = 0; ///< New ones from callers.
   peer_updates mUpdates;
   std::vector<std::string> mHosts; ///< Of gateways known to the sender.
 
--- a/Libraries/LibGossip/PeerNews.capnp
+++ b/Libraries/LibGossip/PeerNews.capnp
@@ -81,6 +81,7 @@
   operatorAgeMs @16 :UInt32;     # Time since these rows were current, plus one;
                                  # 0: not stated.
   listAgeMs @17 :UInt32;         # The same for the list of endpoints.
+  connectionsPerSecond @18 :UInt32; # New ones from callers, at the entry that tells.
   heldState @13 :UInt64;         # Equal where the same requests are held; beats
                                  # say it, else 0.
 }
--- a/Libraries/LibGossip/PeerNews.capnp.h
+++ b/Libraries/LibGossip/PeerNews.capnp.h
@@ -814,6 +814,8 @@
 
   inline  ::uint32_t getListAgeMs() const;
 
+  inline  ::uint32_t getConnectionsPerSecond() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -942,6 +944,9 @@
   inline  ::uint32_t getListAgeMs();
   inline void setListAgeMs( ::uint32_t value);
 
+  inline  ::uint32_t getConnectionsPerSecond();
+  inline void setConnectionsPerSecond( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2019,6 +2024,20 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t PeerNews::Reader::getConnectionsPerSecond() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PeerNews::Builder::getConnectionsPerSecond() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void PeerNews::Builder::setConnectionsPerSecond( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibNet/EventLoop.cpp
+++ b/Libraries/LibNet/EventLoop.cpp
@@ -35,6 +35,7 @@
 event_loop::event_loop()
   : mLoop(g_main_loop_new(nullptr, FALSE))
   , mEpoll(epoll_create1(EPOLL_CLOEXEC))
+  , mStarted(Now())
 {
   // A write to a connection that the peer has closed must fail with an error
   // instead of ending the process by SIGPIPE.
@@ -195,7 +196,9 @@
     aPolled[i].revents = 0;
   }
   std::array<epoll_event, kEventsPerTurn> events{};
+  const time_point began = Now();
   const int count = epoll_wait(mEpoll, events.data(), kEventsPerTurn, aTimeout);
+  mWaited += Now() - began;
   gint forGlib = 0;
   for (int i = 0; i < count; ++i) {
     const epoll_event& event = events[static_cast<std::size_t>(i)];
--- a/Libraries/LibNet/EventLoop.h
+++ b/Libraries/LibNet/EventLoop.h
@@ -61,6 +61,8 @@
 
   time_point Now() const override;
   wall_time Wall() const override;
+  /// Time since the start in which the loop did not wait for events.
+  duration BusyTime() const { return Now() - mStarted - mWaited; }
 
 private:
   struct watch_entry
@@ -87,6 +89,8 @@
   GMainLoop* mLoop = nullptr;
   GSource* mSource = nullptr;
   int mEpoll = -1;
+  time_point mStarted;
+  duration mWaited{};
   std::uint32_t mGeneration = 0;
   timer_id mLastTimer = 0;
   std::unordered_map<int, watch_entry> mWatched;
--- a/Libraries/LibNet/TcpChannel.cpp
+++ b/Libraries/LibNet/TcpChannel.cpp
@@ -8,6 +8,7 @@
 #include <cstring>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -267,6 +268,21 @@
   }
 }
 
+void
+CloseUnread(int aSocket)
+{
+  close(aSocket);
+}
+
+std::size_t
+DescriptorLimit()
+{
+  rlimit limit{};
+  return getrlimit(RLIMIT_NOFILE, &limit) == 0
+           ? static_cast<std::size_t>(limit.rlim_cur)
+           : 0;
+}
+
 tcp_listener::tcp_listener(event_loop& aLoop,
                            int aSocket,
                            accept_callback aOnAccept)
--- a/Libraries/LibNet/TcpChannel.h
+++ b/Libraries/LibNet/TcpChannel.h
@@ -95,6 +95,14 @@
   std::size_t mSentBytes = 0;
 };
 
+/// Closes an accepted connection from which nothing was read.
+void
+CloseUnread(int aSocket);
+
+/// Descriptors that this process may have open.
+std::size_t
+DescriptorLimit();
+
 /// A listening socket that passes each accepted connection to a callback.
 class tcp_listener final : public io_handler
 {
--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(LimitEndsWhenAnAnswerReportsNone);
   CPPUNIT_TEST(GatewayAppliesLimitReceivedFromPeer);
   CPPUNIT_TEST(InvalidLimitIsIgnored);
+  CPPUNIT_TEST(ConnectionsOverTheLimitAreClosedUnread);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -672,6 +673,49 @@
          w.Request("r2", "unhurried-stream", "Token-Usage: 200000,50\r\n"))
         .Status());
   }
+
+  /// Guards against a gateway that takes on more callers than it has
+  /// descriptors for. Those beyond are closed unread and served elsewhere.
+  void ConnectionsOverTheLimitAreClosedUnread()
+  {
+    constexpr std::size_t kMaxConnections = 4;
+    constexpr std::size_t kCallers = 12;
+    world w;
+    w.mSettings.mPeers.mPort = w.FreePort();
+    w.mSettings.mMaxCallerConnections = kMaxConnections;
+    w.mDeskEndpoint.mAnswer = nullptr;
+    w.Start();
+    w.mSettings.mMaxCallerConnections = kCallers;
+    const std::unique_ptr<gateway> second =
+      StartSecondGateway(w, w.mSettings.mStore);
+    w.Until([&second]() { return second->Board().mEndpointsKnown; },
+            "the second gateway");
+    for (std::size_t i = 0; i < kCallers; ++i) {
+      (void)w.Ask(w.Request("r" + std::to_string(i), "safe"));
+    }
+    const auto closed = [&w]() {
+      return std::count_if(w.mCallers.begin(),
+                           w.mCallers.end(),
+                           [](const std::unique_ptr<standin_caller>& aCaller) {
+                             return aCaller->Ended() &&
+                                    aCaller->ReceivedBytes().empty();
+                           });
+    };
+    w.Until(
+      [&w, &closed]() {
+        return closed() == kCallers - kMaxConnections &&
+               w.mDeskEndpoint.mHeads.size() == kMaxConnections;
+      },
+      "the others are closed");
+    w.mDeskEndpoint.mAnswer = &AnswerOk;
+    for (std::size_t i = kMaxConnections; i < kCallers; ++i) {
+      standin_caller retry(w.mLoop,
+                           ip_address{ "127.0.0.2", second->CallersPort() });
+      retry.Send(w.Request("r" + std::to_string(i), "safe"));
+      w.Until([&retry]() { return retry.Answered(); }, "an answer");
+      CPPUNIT_ASSERT_EQUAL(200U, retry.Status());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(forwarding_test, "forwarding");
