--- a/Tests/Soak/Faults.cpp
+++ b/Tests/Soak/Faults.cpp
@@ -43,6 +43,9 @@
 constexpr std::uint64_t kUnframedEnds = 3;
 constexpr std::uint64_t kUnframedSeedOffset = 0xf1a;
 
+constexpr double kMeanSurgeInterval = 6;
+constexpr std::uint64_t kSurgeSeedOffset = 0x5e6;
+
 constexpr double kMinFaultSeconds = 0.2;
 
 duration
@@ -90,6 +93,22 @@
     });
 }
 
+std::vector<planned_surge>
+PlanSurges(std::uint64_t aSeed, duration aLength)
+{
+  return PlanAtRandomTimes<planned_surge>(
+    aSeed + kSurgeSeedOffset,
+    aLength,
+    kMeanSurgeInterval,
+    [](random_engine& aRandom, duration aAt) {
+      planned_surge one;
+      one.mAt = aAt;
+      one.mTarget = Below(aRandom, kTargetRange);
+      one.mDuration = RandomDuration(aRandom);
+      return one;
+    });
+}
+
 std::vector<planned_unframed_answers>
 PlanUnframedAnswers(std::uint64_t aSeed, duration aLength)
 {
--- a/Tests/Soak/Faults.h
+++ b/Tests/Soak/Faults.h
@@ -96,6 +96,20 @@
   bool operator==(const planned_evacuation&) const = default;
 };
 
+/// A span in which most new connections go to one gateway, and callers open
+/// more of them. Planned apart, as crashes are.
+struct planned_surge
+{
+  duration mAt{};
+  std::size_t mTarget = 0; ///< Random; taken modulo the number of targets.
+  duration mDuration{};
+
+  bool operator==(const planned_surge&) const = default;
+};
+
+std::vector<planned_surge>
+PlanSurges(std::uint64_t aSeed, duration aLength);
+
 std::vector<planned_unframed_answers>
 PlanUnframedAnswers(std::uint64_t aSeed, duration aLength);
 
--- a/Tests/Soak/History.h
+++ b/Tests/Soak/History.h
@@ -67,8 +67,9 @@
   /// Requests to endpoints that had announced to get none. Judged by the order
   /// of events, on busy machines too.
   std::vector<std::string> mIgnoredAnnouncements;
-  /// How often gateways that were healthy sent the request that crashes
-  /// engines although it had crashed three well before.
+  /// How often gateways that were healthy sent a request that crashes engines
+  /// well after it had crashed three, or one with a part that had crashed five;
+  /// the larger of both.
   std::size_t mLateCrashingRequests = 0;
   duration mTimeLimit{};    ///< Of each request.
   int mEventsPerStream = 0; ///< Of each whole stream.
--- a/Tests/Soak/SoakEnvironment.cpp
+++ b/Tests/Soak/SoakEnvironment.cpp
@@ -49,6 +49,11 @@
 /// Time within which an evacuation is in force, and a span for its message.
 constexpr duration kEvacuationTime = milliseconds(2000);
 const std::string kCrashingBody = "this ends whoever runs it";
+const std::string kCrashingPart = "dead10";
+/// Share of new connections that go to one gateway in a surge.
+constexpr double kSurgeShare = 0.8;
+/// Callers send as many times the usual requests then.
+constexpr double kSurgeFactor = 2;
 
 std::string
 RouteName(std::uint64_t aVersion)
@@ -341,8 +346,11 @@
           true);
     return;
   }
-  if (aBody == kCrashingBody) {
-    OnCrashingRequest(id);
+  const bool hasCrashingPart = FieldValue(aHead.mFields, "prompt-prefix")
+                                 .value_or("")
+                                 .starts_with(kCrashingPart);
+  if (aBody == kCrashingBody || hasCrashingPart) {
+    OnCrashingRequest(hasCrashingPart ? mCrashingPart : mCrashingRequest, id);
     CrashEndpoint(aEndpoint);
     return;
   }
@@ -528,7 +536,7 @@
 }
 
 void
-soak_environment::OnCrashingRequest(const std::string& aId)
+soak_environment::OnCrashingRequest(crash_cause& aCause, const std::string& aId)
 {
   // The id contains the index of the gateway that the request was sent to.
   const std::size_t gatewayIndex = std::stoul(aId.substr(1, aId.find('-') - 1));
@@ -538,22 +546,35 @@
   for (const disturbance_span& span : mHistory.mDisturbances) {
     healthy = healthy && (span.mGateway != gatewayIndex || span.mTo < now);
   }
-  if (mEndpointsCrashed >= 3 && now > mThirdCrashAt + kPropagationTime &&
-      healthy) {
-    ++mHistory.mLateCrashingRequests;
+  if (aCause.mEndpointsCrashed >= aCause.mCrashesUntilLimit &&
+      now > aCause.mLimitSince + kPropagationTime && healthy) {
+    ++aCause.mLateSends;
   }
-  if (++mEndpointsCrashed == 3) {
-    mThirdCrashAt = now;
+  if (++aCause.mEndpointsCrashed == aCause.mCrashesUntilLimit) {
+    aCause.mLimitSince = now;
   }
 }
 
 void
-soak_environment::SendCrashingRequest()
+soak_environment::SendCrashingRequests()
 {
   if (!mLoadIsOn) {
     return;
   }
-  After(kCrashingRequestInterval, [this]() { SendCrashingRequest(); });
+  After(kCrashingRequestInterval, [this]() { SendCrashingRequests(); });
+  SendCrashingRequest(mCrashingRequest, "", kCrashingBody);
+  const std::string number = std::to_string(mCrashingPart.mRequestsSent);
+  SendCrashingRequest(mCrashingPart,
+                      "Prompt-Prefix: " + kCrashingPart + ":40,ee" + number +
+                        ":960\r\n",
+                      "prompt " + number);
+}
+
+void
+soak_environment::SendCrashingRequest(crash_cause& aCause,
+                                      const std::string& aFields,
+                                      const std::string& aBody)
+{
   const std::optional<std::size_t> gatewayIndex = PickGatewayInRotation();
   if (!gatewayIndex.has_value()) {
     return;
@@ -563,14 +584,25 @@
       mLoop,
       ip_address{ mGateways[*gatewayIndex].mHost,
                   mGateways[*gatewayIndex].mPort });
-  caller->Send(test::RequestText("c" + std::to_string(*gatewayIndex) + "-" +
-                                   std::to_string(++mCrashingRequestsSent),
-                                 "stream",
-                                 "Token-Usage: 1000,50\r\n",
-                                 kCrashingBody));
+  const std::string id = std::string(&aCause == &mCrashingPart ? "p" : "c") +
+                         std::to_string(*gatewayIndex) + "-" +
+                         std::to_string(++aCause.mRequestsSent);
+  caller->Send(test::RequestText(
+    id, "stream", "Token-Usage: 1000,50\r\n" + aFields, aBody));
   After(std::chrono::seconds(1), [caller]() { caller->CloseConnection(); });
 }
 
+void
+soak_environment::ReportCrashes(const std::string& aName,
+                                const crash_cause& aCause)
+{
+  std::cout << aName << " asked=" << aCause.mRequestsSent
+            << " ended=" << aCause.mEndpointsCrashed
+            << " late=" << aCause.mLateSends << '\n';
+  mHistory.mLateCrashingRequests =
+    std::max(mHistory.mLateCrashingRequests, aCause.mLateSends);
+}
+
 void
 soak_environment::PutManifest()
 {
@@ -596,7 +628,9 @@
   if (open.empty()) {
     return std::nullopt;
   }
-  return open[Below(mRandom, open.size())];
+  return mSurgeTarget.has_value() && Uniform(mRandom) < kSurgeShare
+           ? open[*mSurgeTarget % open.size()]
+           : open[Below(mRandom, open.size())];
 }
 
 void
@@ -605,7 +639,8 @@
   if (!mLoadIsOn) {
     return;
   }
-  After(FromSeconds(Exponential(mRandom, kMeanRequestInterval)),
+  const double factor = mSurgeTarget.has_value() ? kSurgeFactor : 1;
+  After(FromSeconds(Exponential(mRandom, kMeanRequestInterval / factor)),
         [this]() { SendRequest(); });
   const time_point now = mLoop.Now();
   const std::optional<std::size_t> gatewayIndex = PickGatewayInRotation();
@@ -987,7 +1022,11 @@
   runUntil(begin + kStartupTime);
   mLoadIsOn = true;
   SendRequest();
-  SendCrashingRequest();
+  SendCrashingRequests();
+  for (const planned_surge& one : PlanSurges(aSeed, aLength)) {
+    After(one.mAt, [this, one]() { mSurgeTarget = one.mTarget; });
+    After(one.mAt + one.mDuration, [this]() { mSurgeTarget.reset(); });
+  }
   for (const planned_crash& one : PlanCrashes(aSeed, aLength)) {
     After(one.mAt, [this, one]() {
       std::cout << "crash at=" << Seconds(one.mAt) << '\n';
@@ -1018,9 +1057,8 @@
   runUntil(mLoop.Now() + kTimeLimit + kMemoryLease + std::chrono::seconds(1));
   CheckReservations();
   std::cout << "announcements_known=" << mKnownAnnouncements.size() << '\n';
-  std::cout << "crashing_request asked=" << mCrashingRequestsSent
-            << " ended=" << mEndpointsCrashed
-            << " late=" << mHistory.mLateCrashingRequests << '\n';
+  ReportCrashes("crashing_request", mCrashingRequest);
+  ReportCrashes("crashing_part", mCrashingPart);
   for (const std::shared_ptr<pending_call>& one : mPendingCalls) {
     FinishCall(one);
   }
--- a/Tests/Soak/SoakEnvironment.h
+++ b/Tests/Soak/SoakEnvironment.h
@@ -159,11 +159,25 @@
              const std::string& aBytes,
              bool aLast);
   void SendRequest();
-  /// Sends the request that crashes each engine that runs it, and repeats this
-  /// at a fixed interval.
-  void SendCrashingRequest();
-  /// Counts a crash by this request, and whether the send came too late.
-  void OnCrashingRequest(const std::string& aId);
+  /// Crashes of engines by one cause, which the operators' limit is for.
+  struct crash_cause
+  {
+    std::size_t mCrashesUntilLimit = 0;
+    std::size_t mRequestsSent = 0;
+    std::size_t mEndpointsCrashed = 0;
+    std::size_t mLateSends = 0;
+    time_point mLimitSince{};
+  };
+  /// Sends the request that crashes each engine that runs it, and one that is
+  /// like no other but for a part of its prompt that does the same. Repeats
+  /// this at a fixed interval.
+  void SendCrashingRequests();
+  void SendCrashingRequest(crash_cause& aCause,
+                           const std::string& aFields,
+                           const std::string& aBody);
+  /// Counts a crash, and whether the send came too late.
+  void OnCrashingRequest(crash_cause& aCause, const std::string& aId);
+  void ReportCrashes(const std::string& aName, const crash_cause& aCause);
   /// Resets the streams that have neither a length nor chunks, before their
   /// endpoint ends: an orderly end between two events can't be told from that
   /// of the stream (docs/PROMISES.md).
@@ -207,9 +221,10 @@
   time_point mStoreHealthySince{};
   unsigned mStoreFaults = 0;
   std::size_t mRequestsSent = 0;
-  std::size_t mCrashingRequestsSent = 0;
-  std::size_t mEndpointsCrashed = 0; ///< Endpoints crashed by the request.
-  time_point mThirdCrashAt{};
+  crash_cause mCrashingRequest{ 3 };
+  crash_cause mCrashingPart{ 5 };
+  /// Most new connections go to this gateway.
+  std::optional<std::size_t> mSurgeTarget;
   bool mLoadIsOn = false;
 };
 
