--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -22,6 +22,7 @@
 #include "LibFleet/ReadDuty.h"
 #include "LibFleet/RequestDigest.h"
 #include "LibFleet/RetryBudget.h"
+#include "LibFleet/StoreClock.h"
 #include "LibFleet/StorePolling.h"
 #include "LibFleet/StreamTimeouts.h"
 #include "LibFleet/WarmUp.h"
--- a/Libraries/LibGossip/GatewayState.cpp
+++ b/Libraries/LibGossip/GatewayState.cpp
@@ -54,7 +54,8 @@
 ConfirmCopy(gateway_state& aBoard,
             belief aTable,
             std::uint64_t aRowRevision,
-            time_point aConfirmedAt)
+            store_time aStoreTime,
+            time_point aNow)
 {
   if (aRowRevision < RowRevision(aBoard, aTable) ||
       aRowRevision > CopyRevision(aBoard, aTable)) {
@@ -64,16 +65,36 @@
   (aTable == belief::Operator ? aBoard.mOperatorRowRevision
                               : aBoard.mEndpoints.mNewestRevision) =
     aRowRevision;
-  std::optional<time_point>& known = FreshnessOf(aBoard, aTable).mConfirmedAt;
-  if (known.has_value() && *known >= aConfirmedAt) {
+  table_freshness& known = FreshnessOf(aBoard, aTable);
+  const std::optional<time_point> confirmed =
+    ToLocalTime(aBoard.mStoreClock, aStoreTime);
+  // A time in the future is one of an earlier clock of the store.
+  if (!confirmed.has_value() || *confirmed > aNow ||
+      (known.mConfirmedAt.has_value() && *known.mConfirmedAt >= *confirmed)) {
     return duration::zero();
   }
-  const duration newer =
-    known.has_value() ? aConfirmedAt - *known : duration::max();
-  known = aConfirmedAt;
+  const duration newer = known.mConfirmedAt.has_value()
+                           ? *confirmed - *known.mConfirmedAt
+                           : duration::max();
+  known.mConfirmedAt = confirmed;
+  known.mStoreTime = aStoreTime;
   return newer;
 }
 
+void
+RecordRead(gateway_state& aBoard,
+           belief aTable,
+           const std::optional<store_time>& aStoreTime,
+           time_point aSentAt)
+{
+  table_freshness& known = FreshnessOf(aBoard, aTable);
+  const std::optional<time_point> stated =
+    aStoreTime.has_value() ? ToLocalTime(aBoard.mStoreClock, *aStoreTime)
+                           : std::nullopt;
+  known.mConfirmedAt = stated.value_or(aSentAt);
+  known.mStoreTime = aStoreTime.has_value() ? aStoreTime : known.mStoreTime;
+}
+
 bool
 MustReadStore(const gateway_state& aBoard,
               belief aTable,
--- a/Libraries/LibGossip/GatewayState.h
+++ b/Libraries/LibGossip/GatewayState.h
@@ -44,8 +44,10 @@
 /// How current the copy of a table is, and who reads it.
 struct table_freshness
 {
-  /// Time as of which the copy is known to be current.
+  /// Time as of which the copy is known to be current, and the same by the
+  /// store's clock.
   std::optional<time_point> mConfirmedAt;
+  std::optional<store_time> mStoreTime;
   /// Of this gateway; see LibFleet/ReadDuty.
   std::size_t mReaderRank = 0;
 
@@ -90,6 +92,7 @@
   endpoint_registry mEndpoints;
   /// Revision at which the store last showed the list; no row needs to have it.
   std::uint64_t mEndpointListRevision = 0;
+  store_clock mStoreClock;
   /// Time of the last answer of the store, by table.
   std::map<std::string, time_point> mStoreAnsweredAt;
   /// Per kind of state, since when a peer has had a newer version; empty while
@@ -145,14 +148,24 @@
 CopyRevision(const gateway_state& aState, belief aTable);
 
 /// Applies a peer's statement that its newest row has `aRowRevision` and was
-/// current as of `aConfirmedAt`. Returns by how much the time has advanced as
-/// of which this gateway's own copy is known to be current; zero if the
-/// statement confirms nothing, because the peer or this gateway is behind.
+/// current as of `aStoreTime`. Returns by how much the time has advanced as of
+/// which this gateway's own copy is known to be current; zero if the statement
+/// confirms nothing, because the peer or this gateway is behind, or because
+/// this gateway does not know the store's clock.
 duration
 ConfirmCopy(gateway_state& aState,
             belief aTable,
             std::uint64_t aRowRevision,
-            time_point aConfirmedAt);
+            store_time aStoreTime,
+            time_point aNow);
+
+/// Records that this gateway's own read, sent at `aSentAt`, has made its copy
+/// complete as of `aStoreTime`, if the store stated it.
+void
+RecordRead(gateway_state& aState,
+           belief aTable,
+           const std::optional<store_time>& aStoreTime,
+           time_point aSentAt);
 
 /// True if this gateway has to read the table from the store now.
 bool
--- a/Libraries/LibGossip/GossipSender.cpp
+++ b/Libraries/LibGossip/GossipSender.cpp
@@ -234,10 +234,8 @@
     static_cast<unsigned>(mBoard.mConnectionLoad.mPerSecond + 0.5);
   message.mList = mBoard.mEndpoints.mNewestRevision;
   message.mOperatorRevision = mBoard.mOperatorRowRevision;
-  message.mOperatorConfirmedAt =
-    FreshnessOf(mBoard, belief::Operator).mConfirmedAt;
-  message.mListConfirmedAt =
-    FreshnessOf(mBoard, belief::Endpoints).mConfirmedAt;
+  message.mOperatorStoreTime = FreshnessOf(mBoard, belief::Operator).mStoreTime;
+  message.mListStoreTime = FreshnessOf(mBoard, belief::Endpoints).mStoreTime;
   return message;
 }
 
--- a/Libraries/LibGossip/PeerGossip.cpp
+++ b/Libraries/LibGossip/PeerGossip.cpp
@@ -272,12 +272,11 @@
     RemovePlacementsOfOwner(
       mBoard.mLedger, known->second.mGatewayIncarnation, now);
   }
-  mBoard.mPeers[aHost] = { aMessage.mGatewayIncarnation,
-                           now,
-                           aMessage.mManifest,
-                           aMessage.mList,
-                           aMessage.mOperatorRevision,
-                           aMessage.mConnectionsPerSecond };
+  mBoard.mPeers[aHost] = {
+    aMessage.mGatewayIncarnation, now,
+    aMessage.mManifest,           aMessage.mList,
+    aMessage.mOperatorRevision,   aMessage.mConnectionsPerSecond
+  };
   if (isNew) {
     mBoard.mSubsetRingStale = true;
     mNewPeers.push_back(aHost);
@@ -293,16 +292,16 @@
   const auto confirm = [this,
                         &newer](belief aTable,
                                 std::uint64_t aRowRevision,
-                                const std::optional<time_point>& aConfirmedAt) {
-    if (aConfirmedAt.has_value()) {
+                                const std::optional<store_time>& aStoreTime) {
+    if (aStoreTime.has_value()) {
       newer = std::max(
-        newer, ConfirmCopy(mBoard, aTable, aRowRevision, *aConfirmedAt));
+        newer,
+        ConfirmCopy(mBoard, aTable, aRowRevision, *aStoreTime, mLoop.Now()));
     }
   };
-  confirm(belief::Operator,
-          aMessage.mOperatorRevision,
-          aMessage.mOperatorConfirmedAt);
-  confirm(belief::Endpoints, aMessage.mList, aMessage.mListConfirmedAt);
+  confirm(
+    belief::Operator, aMessage.mOperatorRevision, aMessage.mOperatorStoreTime);
+  confirm(belief::Endpoints, aMessage.mList, aMessage.mListStoreTime);
   if (IsWorthSpreading(newer, mSettings.mChangeBound)) {
     mSender.SpreadVersions();
   }
--- a/Libraries/LibGossip/PeerMessage.cpp
+++ b/Libraries/LibGossip/PeerMessage.cpp
@@ -31,22 +31,22 @@
   return RoundToUint32(static_cast<double>(Milliseconds(aSpan)));
 }
 
-/// Time since `aConfirmedAt` in milliseconds, plus one; 0 for none.
-std::uint32_t
-EncodeAge(const std::optional<time_point>& aConfirmedAt, time_point aNow)
+/// In milliseconds, plus one; 0 for none.
+std::uint64_t
+EncodeStoreTime(const std::optional<store_time>& aTime)
 {
-  return aConfirmedAt.has_value()
-           ? RoundToMilliseconds(aNow - *aConfirmedAt) + 1
+  return aTime.has_value() && *aTime >= duration::zero()
+           ? static_cast<std::uint64_t>(Milliseconds(*aTime)) + 1
            : 0;
 }
 
-std::optional<time_point>
-DecodeAge(std::uint32_t aEncoded, time_point aNow)
+std::optional<store_time>
+DecodeStoreTime(std::uint64_t aEncoded)
 {
   if (aEncoded == 0) {
     return std::nullopt;
   }
-  return aNow - std::chrono::milliseconds(aEncoded - 1);
+  return std::chrono::milliseconds(aEncoded - 1);
 }
 
 void
@@ -267,8 +267,9 @@
   message.mManifest = aEncoded.getManifest();
   message.mList = aEncoded.getList();
   message.mOperatorRevision = aEncoded.getOperatorRow();
-  message.mOperatorConfirmedAt = DecodeAge(aEncoded.getOperatorAgeMs(), aNow);
-  message.mListConfirmedAt = DecodeAge(aEncoded.getListAgeMs(), aNow);
+  message.mOperatorStoreTime =
+    DecodeStoreTime(aEncoded.getOperatorStoreTimeMs());
+  message.mListStoreTime = DecodeStoreTime(aEncoded.getListStoreTimeMs());
   message.mQuarantineHash = aEncoded.getHeldState();
   message.mConnectionsPerSecond = aEncoded.getConnectionsPerSecond();
   for (const wire::PlacedWork::Reader work : aEncoded.getPlaced()) {
@@ -301,8 +302,8 @@
   encoded.setManifest(aMessage.mManifest);
   encoded.setList(aMessage.mList);
   encoded.setOperatorRow(aMessage.mOperatorRevision);
-  encoded.setOperatorAgeMs(EncodeAge(aMessage.mOperatorConfirmedAt, aNow));
-  encoded.setListAgeMs(EncodeAge(aMessage.mListConfirmedAt, aNow));
+  encoded.setOperatorStoreTimeMs(EncodeStoreTime(aMessage.mOperatorStoreTime));
+  encoded.setListStoreTimeMs(EncodeStoreTime(aMessage.mListStoreTime));
   encoded.setHeldState(aMessage.mQuarantineHash);
   encoded.setConnectionsPerSecond(aMessage.mConnectionsPerSecond);
   WriteNews(encoded, aMessage.mUpdates, aNow);
--- a/Libraries/LibGossip/PeerMessage.h
+++ b/Libraries/LibGossip/PeerMessage.h
@@ -46,8 +46,8 @@
   /// Newest revision of its rows of the operators' table; 0 if not stated.
   std::uint64_t mOperatorRevision = 0;
   /// Times as of which the sender's copies of the two tables were current.
-  std::optional<time_point> mOperatorConfirmedAt;
-  std::optional<time_point> mListConfirmedAt;
+  std::optional<store_time> mOperatorStoreTime;
+  std::optional<store_time> mListStoreTime;
   std::uint64_t mQuarantineHash = 0;  ///< Of its quarantine; 0: not stated.
   unsigned mConnectionsPerSecond = 0; ///< New ones from callers.
   peer_updates mUpdates;
--- a/Libraries/LibGossip/PeerNews.capnp
+++ b/Libraries/LibGossip/PeerNews.capnp
@@ -78,9 +78,11 @@
   cleared @12 :List(UInt64);     # Digests of requests that were answered.
   limits @14 :List(EndpointLimit);
   operatorRow @15 :UInt64;       # Newest revision of the operators' rows there.
-  operatorAgeMs @16 :UInt32;     # Time since these rows were current, plus one;
-                                 # 0: not stated.
-  listAgeMs @17 :UInt32;         # The same for the list of endpoints.
+  unusedOperatorAgeMs @16 :UInt32; # Earlier builds stated ages.
+  unusedListAgeMs @17 :UInt32;
+  operatorStoreTimeMs @19 :UInt64; # The store's clock as of which these rows were
+                                 # current, plus one; 0: not stated.
+  listStoreTimeMs @20 :UInt64;   # The same for the list of endpoints.
   connectionsPerSecond @18 :UInt32; # New ones from callers, at the entry that tells.
   heldState @13 :UInt64;         # Equal where the same requests are held; beats
                                  # say it, else 0.
--- a/Libraries/LibGossip/PeerNews.capnp.h
+++ b/Libraries/LibGossip/PeerNews.capnp.h
@@ -128,7 +128,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(866e2b3eef8a5cbd, 7, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(866e2b3eef8a5cbd, 9, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -810,12 +810,16 @@
 
   inline  ::uint64_t getOperatorRow() const;
 
-  inline  ::uint32_t getOperatorAgeMs() const;
+  inline  ::uint32_t getUnusedOperatorAgeMs() const;
 
-  inline  ::uint32_t getListAgeMs() const;
+  inline  ::uint32_t getUnusedListAgeMs() const;
 
   inline  ::uint32_t getConnectionsPerSecond() const;
 
+  inline  ::uint64_t getOperatorStoreTimeMs() const;
+
+  inline  ::uint64_t getListStoreTimeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -938,15 +942,21 @@
   inline  ::uint64_t getOperatorRow();
   inline void setOperatorRow( ::uint64_t value);
 
-  inline  ::uint32_t getOperatorAgeMs();
-  inline void setOperatorAgeMs( ::uint32_t value);
+  inline  ::uint32_t getUnusedOperatorAgeMs();
+  inline void setUnusedOperatorAgeMs( ::uint32_t value);
 
-  inline  ::uint32_t getListAgeMs();
-  inline void setListAgeMs( ::uint32_t value);
+  inline  ::uint32_t getUnusedListAgeMs();
+  inline void setUnusedListAgeMs( ::uint32_t value);
 
   inline  ::uint32_t getConnectionsPerSecond();
   inline void setConnectionsPerSecond( ::uint32_t value);
 
+  inline  ::uint64_t getOperatorStoreTimeMs();
+  inline void setOperatorStoreTimeMs( ::uint64_t value);
+
+  inline  ::uint64_t getListStoreTimeMs();
+  inline void setListStoreTimeMs( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1996,30 +2006,30 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PeerNews::Reader::getOperatorAgeMs() const {
+inline  ::uint32_t PeerNews::Reader::getUnusedOperatorAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PeerNews::Builder::getOperatorAgeMs() {
+inline  ::uint32_t PeerNews::Builder::getUnusedOperatorAgeMs() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void PeerNews::Builder::setOperatorAgeMs( ::uint32_t value) {
+inline void PeerNews::Builder::setUnusedOperatorAgeMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PeerNews::Reader::getListAgeMs() const {
+inline  ::uint32_t PeerNews::Reader::getUnusedListAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PeerNews::Builder::getListAgeMs() {
+inline  ::uint32_t PeerNews::Builder::getUnusedListAgeMs() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
-inline void PeerNews::Builder::setListAgeMs( ::uint32_t value) {
+inline void PeerNews::Builder::setUnusedListAgeMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
@@ -2038,6 +2048,34 @@
       ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t PeerNews::Reader::getOperatorStoreTimeMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerNews::Builder::getOperatorStoreTimeMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void PeerNews::Builder::setOperatorStoreTimeMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerNews::Reader::getListStoreTimeMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerNews::Builder::getListStoreTimeMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void PeerNews::Builder::setListStoreTimeMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibGossip/StoreAdapter.h
+++ b/Libraries/LibGossip/StoreAdapter.h
@@ -22,6 +22,8 @@
   std::vector<row_change<std::string>> mRows;
   std::uint64_t mRevision = 0;
   bool mTruncated = false;
+  /// The store's clock as of which the rows are complete, if it was stated.
+  std::optional<store_time> mStoreTime;
 
   bool operator==(const table_read_result&) const = default;
 };
--- a/Libraries/LibGossip/TableFollower.cpp
+++ b/Libraries/LibGossip/TableFollower.cpp
@@ -179,6 +179,10 @@
 table_follower::DecodeAnswer(const http_answer& aAnswer)
 {
   table_read_result reading = mAdapter.mDecodeTable(aAnswer);
+  if (reading.mStoreTime.has_value()) {
+    mBoard.mStoreClock = UpdatedClock(
+      mBoard.mStoreClock, *reading.mStoreTime, aAnswer.mSentAt, mLoop.Now());
+  }
   mBoard.mMetrics.Count(
     Labelled("gateway_store_read_bytes_total", "table", mTable),
     static_cast<double>(aAnswer.mBody.size()));
@@ -214,6 +218,7 @@
   // A table read in several pages is only as new as its first page.
   if (mAccumulated.mRows.empty()) {
     mAccumulated.mRevision = aReading.mRevision;
+    mAccumulated.mStoreTime = aReading.mStoreTime;
     mFullReadSentAt = aSentAt;
   }
   mAccumulated.mRows.insert(
@@ -228,8 +233,9 @@
   mMayHaveMissedChanges = false;
   mJitterNextPoll = true;
   mListener.mOnTable(mAccumulated);
+  const std::optional<store_time> storeTime = mAccumulated.mStoreTime;
   mAccumulated = table_read_result{};
-  ConfirmCopyAsOf(mFullReadSentAt);
+  RecordRead(mBoard, mBelief, storeTime, mFullReadSentAt);
   ResumeOrRest();
 }
 
@@ -254,20 +260,13 @@
   mJitterNextPoll = false;
   mCaller.Call(mAdapter.mReadChanges(mTable, *mRevision, wait),
                wait + kLongPollSlack,
-               [this, wait](const http_answer& aAnswer) {
-                 const table_read_result reading = DecodeAnswer(aAnswer);
-                 // The store holds the poll that long before it states no
-                 // changes.
-                 const bool held = reading.mRows.empty() &&
-                                   mLoop.Now() - aAnswer.mSentAt >= wait;
-                 OnChanges(reading,
-                           held ? aAnswer.mSentAt + wait : aAnswer.mSentAt);
+               [this](const http_answer& aAnswer) {
+                 OnChanges(DecodeAnswer(aAnswer), aAnswer.mSentAt);
                });
 }
 
 void
-table_follower::OnChanges(const table_read_result& aReading,
-                          time_point aCurrentAt)
+table_follower::OnChanges(const table_read_result& aReading, time_point aSentAt)
 {
   if (aReading.mOutcome != table_read_result::outcome::Good) {
     RetryAfterFailure(aReading);
@@ -276,7 +275,7 @@
   RecordSuccess();
   mFailures = 0;
   mRevision = std::max(*mRevision, aReading.mRevision);
-  ConfirmCopyAsOf(aCurrentAt);
+  RecordRead(mBoard, mBelief, aReading.mStoreTime, aSentAt);
   if (aReading.mRows.empty()) {
     mListener.mOnConfirmed();
     ResumeOrRest();
@@ -314,13 +313,6 @@
   mFailing = false;
 }
 
-void
-table_follower::ConfirmCopyAsOf(time_point aTime)
-{
-  std::optional<time_point>& known = FreshnessOf(mBoard, mBelief).mConfirmedAt;
-  known = std::max(known.value_or(aTime), aTime);
-}
-
 void
 table_follower::RecordFailure(const table_read_result& aReading)
 {
--- a/Libraries/LibGossip/TableFollower.h
+++ b/Libraries/LibGossip/TableFollower.h
@@ -80,16 +80,12 @@
   /// How long the store may hold the next poll.
   duration PollWait();
   void ReadChanges();
-  /// `aCurrentAt` is a time as of which the answer is certainly complete.
-  void OnChanges(const table_read_result& aReading, time_point aCurrentAt);
+  void OnChanges(const table_read_result& aReading, time_point aSentAt);
   /// Updates state, log and metrics after a failed call.
   void RecordFailure(const table_read_result& aReading);
   /// Records the failure and schedules a retry with back-off.
   void RetryAfterFailure(const table_read_result& aReading);
   void RecordSuccess();
-  /// The copy has all rows that the table had at this time.
-  void ConfirmCopyAsOf(time_point aTime);
-
   event_loop& mLoop;
   const store_adapter& mAdapter;
   gateway_state& mBoard;
--- a/Tests/Gateway/Standin.cpp
+++ b/Tests/Gateway/Standin.cpp
@@ -232,12 +232,18 @@
 }
 
 std::string
-MakeRowsAnswer(const json& aRows, std::uint64_t aRevision, bool aTruncated)
+MakeRowsAnswer(const json& aRows,
+               std::uint64_t aRevision,
+               bool aTruncated,
+               time_point aNow)
 {
+  // The store's clock has started at another time than that of the gateways.
+  constexpr duration kLead = std::chrono::hours(3);
   const json body = { { "rows", aRows },
                       { "truncated", aTruncated },
                       { "schema_ver", aRevision },
-                      { "now_ms", 1 } };
+                      { "now_ms",
+                        Milliseconds(aNow.time_since_epoch() + kLead) } };
   return body.dump();
 }
 
@@ -260,7 +266,7 @@
       MakeRowJson(aTable, name.second, stored.mValue, stored.mRevision, false));
   }
   mRowsSentByTable[aTable] += rows.size();
-  return MakeRowsAnswer(rows, mRevision, truncated);
+  return MakeRowsAnswer(rows, mRevision, truncated, mLoop.Now());
 }
 
 std::string
@@ -289,7 +295,7 @@
     return "";
   }
   mRowsSentByTable[aTable] += rows.size();
-  return MakeRowsAnswer(rows, revision, false);
+  return MakeRowsAnswer(rows, revision, false, mLoop.Now());
 }
 
 std::shared_ptr<standin_server::connection>
--- a/Tests/Unit/ReadDutyTest.cpp
+++ b/Tests/Unit/ReadDutyTest.cpp
@@ -48,7 +48,7 @@
       }
       UpdateReaderRanks(gateway.mState, mHosts[i]);
       gateway.mState.mOperatorRowRevision = kFirstRevision;
-      FreshnessOf(gateway.mState, kTable).mConfirmedAt = kStart;
+      RecordAnswer(gateway, kStart - milliseconds(4));
       gateway.mAppliedAt = kStart;
       const duration offset =
         milliseconds(std::uniform_int_distribution<int>(0, 99)(mRandom));
@@ -79,6 +79,18 @@
     mGateways[aGateway].mCondition = aCondition;
   }
 
+  /// From now on datagrams take this long, and each gateway sends that many a
+  /// second, of any kind, to a random peer.
+  void SetTraffic(duration aTransit, int aPerSecond)
+  {
+    mTransit = aTransit;
+    for (std::size_t i = 0; i < mGateways.size(); ++i) {
+      At(milliseconds(mRandom() % 100), [this, i, aPerSecond]() {
+        SendPeriodically(i, duration(seconds(1)) / aPerSecond);
+      });
+    }
+  }
+
   /// The store turns away all gateways or none.
   void SetStoreAway(bool aAway) { mStoreAway = aAway; }
 
@@ -156,6 +168,7 @@
     bool mPolling = false;
     unsigned mPoll = 0; ///< Number of the poll in flight.
     unsigned mFailures = 0;
+    time_point mPolledAt{};
     time_point mRetryAt{};
     time_point mAppliedAt{};
     bool mFetching = false;
@@ -166,6 +179,16 @@
     mEvents.emplace(mNow + aDelay, std::move(aEvent));
   }
 
+  /// The store has answered a read just now.
+  void RecordAnswer(gateway_model& aGateway, time_point aSentAt)
+  {
+    constexpr duration kLead = std::chrono::hours(3);
+    const store_time stated = mNow.time_since_epoch() + kLead;
+    aGateway.mState.mStoreClock =
+      UpdatedClock(aGateway.mState.mStoreClock, stated, aSentAt, mNow);
+    RecordRead(aGateway.mState, kTable, stated, aSentAt);
+  }
+
   bool CanRead(std::size_t aGateway) const
   {
     const condition how = mGateways[aGateway].mCondition;
@@ -190,6 +213,7 @@
     gateway_model& gateway = mGateways[aGateway];
     ++mStoreCalls;
     gateway.mPolling = true;
+    gateway.mPolledAt = mNow;
     const unsigned poll = ++gateway.mPoll;
     const bool reads = RankOf(aGateway) < kTableReaders ||
                        gateway.mCondition == condition::EarlierBuild;
@@ -228,7 +252,7 @@
       return;
     }
     gateway.mFailures = 0;
-    FreshnessOf(gateway.mState, kTable).mConfirmedAt = mNow;
+    RecordAnswer(gateway, gateway.mPolledAt);
     if (gateway.mCondition != condition::Stale) {
       Apply(aGateway, mRevision);
     }
@@ -250,6 +274,14 @@
     Spread(aGateway, PeersPerHeartbeat(mHosts.size() - 1));
   }
 
+  void SendPeriodically(std::size_t aGateway, duration aInterval)
+  {
+    At(aInterval, [this, aGateway, aInterval]() {
+      SendPeriodically(aGateway, aInterval);
+    });
+    Spread(aGateway, 1);
+  }
+
   /// Sends this gateway's versions to some peers.
   void Spread(std::size_t aFrom, std::size_t aCount)
   {
@@ -265,12 +297,12 @@
         continue;
       }
       const std::uint64_t revision = sender.mState.mOperatorRowRevision;
-      std::optional<time_point> confirmed;
+      std::optional<store_time> current;
       if (sender.mCondition != condition::EarlierBuild) {
-        confirmed = FreshnessOf(sender.mState, kTable).mConfirmedAt;
+        current = FreshnessOf(sender.mState, kTable).mStoreTime;
       }
-      At(milliseconds(2), [this, aFrom, to, revision, confirmed]() {
-        Receive(to, aFrom, revision, confirmed);
+      At(mTransit, [this, aFrom, to, revision, current]() {
+        Receive(to, aFrom, revision, current);
       });
     }
   }
@@ -278,16 +310,16 @@
   void Receive(std::size_t aTo,
                std::size_t aFrom,
                std::uint64_t aRevision,
-               std::optional<time_point> aConfirmed)
+               const std::optional<store_time>& aCurrent)
   {
     gateway_model& gateway = mGateways[aTo];
     if (gateway.mCondition == condition::Dead ||
         gateway.mCondition == condition::EarlierBuild) {
       return;
     }
-    if (aConfirmed.has_value() &&
+    if (aCurrent.has_value() &&
         IsWorthSpreading(
-          ConfirmCopy(gateway.mState, kTable, aRevision, *aConfirmed),
+          ConfirmCopy(gateway.mState, kTable, aRevision, *aCurrent, mNow),
           kBound)) {
       Spread(aTo, kSpreadPeers);
     }
@@ -319,6 +351,7 @@
   std::size_t mStoreCalls = 0;
   std::size_t mDatagrams = 0;
   bool mStoreAway = false;
+  duration mTransit = milliseconds(2);
 };
 
 } // namespace
@@ -329,11 +362,14 @@
   CPPUNIT_TEST(StoreCallsDoNotGrowWithTheFleet);
   CPPUNIT_TEST(ChangeReachesAllGatewaysWithoutReaders);
   CPPUNIT_TEST(ReadersThatAreBehindDelayNothing);
+  CPPUNIT_TEST(PeersDoNotConfirmEachOtherForLong);
   CPPUNIT_TEST(ChangeReachesAllGatewaysWhileTheStoreServesFew);
   CPPUNIT_TEST(ChangeReachesAllGatewaysOfMixedBuilds);
   CPPUNIT_TEST(ReturnOfTheStoreIsDetected);
   CPPUNIT_TEST(LimitOfAgeGrowsWithTheRank);
   CPPUNIT_TEST(PeerThatIsBehindConfirmsNothing);
+  CPPUNIT_TEST(ShortestCallTellsTheStoresClock);
+  CPPUNIT_TEST(StoreWithNewClockIsFollowed);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -382,6 +418,29 @@
     }
   }
 
+  /// Guards against gateways that hear of no reader, and keep each other's
+  /// copies young by datagrams that wait at busy machines.
+  void PeersDoNotConfirmEachOtherForLong()
+  {
+    for (const std::size_t gateways : { 8, 30, 103 }) {
+      for (const duration transit :
+           { milliseconds(2), milliseconds(20), milliseconds(100) }) {
+        table_fleet fleet(gateways, 7);
+        fleet.SetTraffic(transit, 50);
+        fleet.Run(seconds(3));
+        for (const std::size_t reader : fleet.Readers()) {
+          fleet.Set(reader, condition::Mute);
+        }
+        fleet.Change();
+        fleet.Run(kBound);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(gateways) +
+                                 " gateways, transit " +
+                                 std::to_string(Milliseconds(transit)) + " ms",
+                               fleet.LongestDelay() <= kBound);
+      }
+    }
+  }
+
   /// Guards against readers that are shown an older table as a current one and
   /// keep the others from learning the change of the one that is not.
   void ReadersThatAreBehindDelayNothing()
@@ -471,22 +530,60 @@
   /// the store, and against one with a newer table that does.
   void PeerThatIsBehindConfirmsNothing()
   {
+    constexpr store_time kNow = std::chrono::hours(5);
     gateway_state state;
+    state.mStoreClock = UpdatedClock({}, kNow, kStart, kStart);
     state.mOperatorRowRevision = 100;
     state.mOperatorTableRevision = 120;
-    CPPUNIT_ASSERT(ConfirmCopy(state, belief::Operator, 99, kStart) ==
-                   duration::zero());
-    CPPUNIT_ASSERT(ConfirmCopy(state, belief::Operator, 121, kStart) ==
-                   duration::zero());
-    CPPUNIT_ASSERT(
-      !FreshnessOf(state, belief::Operator).mConfirmedAt.has_value());
-    CPPUNIT_ASSERT(ConfirmCopy(state, belief::Operator, 110, kStart) >
-                   duration::zero());
+    const auto confirm = [&state](std::uint64_t aRevision, store_time aTime) {
+      return ConfirmCopy(state, belief::Operator, aRevision, aTime, kStart);
+    };
+    const table_freshness& copy = FreshnessOf(state, belief::Operator);
+    CPPUNIT_ASSERT(confirm(99, kNow) == duration::zero());
+    CPPUNIT_ASSERT(confirm(121, kNow) == duration::zero());
+    CPPUNIT_ASSERT(confirm(110, kNow + seconds(1)) == duration::zero());
+    CPPUNIT_ASSERT(!copy.mConfirmedAt.has_value());
+    CPPUNIT_ASSERT(confirm(110, kNow) > duration::zero());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(110), state.mOperatorRowRevision);
-    CPPUNIT_ASSERT(
-      ConfirmCopy(state, belief::Operator, 110, kStart - seconds(1)) ==
-      duration::zero());
-    CPPUNIT_ASSERT(FreshnessOf(state, belief::Operator).mConfirmedAt == kStart);
+    CPPUNIT_ASSERT(confirm(110, kNow - seconds(1)) == duration::zero());
+    CPPUNIT_ASSERT(copy.mConfirmedAt == kStart);
+  }
+
+  /// Guards against copies that look newer than they are because an answer of
+  /// the store took long.
+  void ShortestCallTellsTheStoresClock()
+  {
+    constexpr store_time kStated = std::chrono::hours(5);
+    store_clock clock = UpdatedClock({}, kStated, kStart, kStart + seconds(3));
+    CPPUNIT_ASSERT(ToLocalTime(clock, kStated) == kStart);
+    clock = UpdatedClock(clock,
+                         kStated + seconds(10),
+                         kStart + seconds(11),
+                         kStart + seconds(11) + milliseconds(4));
+    CPPUNIT_ASSERT(ToLocalTime(clock, kStated) == kStart + seconds(1));
+    clock = UpdatedClock(
+      clock, kStated + seconds(20), kStart + seconds(20), kStart + seconds(22));
+    CPPUNIT_ASSERT(ToLocalTime(clock, kStated) == kStart + seconds(1));
+    CPPUNIT_ASSERT(!ToLocalTime({}, kStated).has_value());
+  }
+
+  /// Guards against a store that restarts with another clock, and copies that
+  /// then count as current for ever, or never.
+  void StoreWithNewClockIsFollowed()
+  {
+    for (const store_time stated : { store_time(std::chrono::hours(1)),
+                                     store_time(std::chrono::hours(50)) }) {
+      gateway_state state;
+      state.mStoreClock =
+        UpdatedClock({}, std::chrono::hours(5), kStart, kStart);
+      RecordRead(state, belief::Operator, std::chrono::hours(5), kStart);
+      const time_point later = kStart + seconds(10);
+      state.mStoreClock = UpdatedClock(state.mStoreClock, stated, later, later);
+      RecordRead(state, belief::Operator, stated, later);
+      const table_freshness& copy = FreshnessOf(state, belief::Operator);
+      CPPUNIT_ASSERT(copy.mConfirmedAt == later);
+      CPPUNIT_ASSERT(copy.mStoreTime == stated);
+    }
   }
 };
 
