--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -37,6 +37,25 @@
   return "";
 }
 
+/// Parts of one prompt that are suspects, so that a crash makes few reports.
+constexpr std::size_t kMaxSuspectParts = 64;
+
+/// The request, then the parts of its prompt that others may share.
+std::vector<request_digest>
+SuspectsOf(request_digest aRequest, const std::vector<std::string>& aParts)
+{
+  std::vector<request_digest> suspects = { aRequest };
+  for (const std::string& part : aParts) {
+    const request_digest digest = DigestOfPromptPart(part);
+    const bool known =
+      std::find(suspects.begin(), suspects.end(), digest) != suspects.end();
+    if (!known && suspects.size() <= kMaxSuspectParts) {
+      suspects.push_back(digest);
+    }
+  }
+  return suspects;
+}
+
 } // namespace
 
 exchange::exchange(const gateway_context& aContext,
@@ -140,14 +159,16 @@
   // Of a request, if only crashes that are not confirmed yet refused it.
   const request_digest decisive =
     aVerdict.mQuarantined.empty() ? mDigest : aVerdict.mQuarantined.back();
-  const std::ptrdiff_t suspect =
-    std::find(mSuspects.begin(), mSuspects.end(), decisive) - mSuspects.begin();
+  const std::vector<std::string>& parts = mRequestInfo.mSharedPromptParts;
+  const auto part =
+    std::find_if(parts.begin(), parts.end(), [decisive](const auto& aPart) {
+      return DigestOfPromptPart(aPart) == decisive;
+    });
   Log(log_level::Info,
       "request_held",
       { { "request", mRequestInfo.mId },
         { "because_of", DigestText(decisive) },
-        { "part",
-          suspect == 0 ? "" : mRequestInfo.mSharedPromptParts[suspect - 1] },
+        { "part", part == parts.end() ? "" : *part },
         { "held", aVerdict.mQuarantined.size() } });
   const duration wait =
     TimeUntilTrial(mContext.mBoard.mQuarantine, decisive, mContext.mLoop.Now());
@@ -182,10 +203,7 @@
   }
   mDigest =
     DigestOf({ mRequestInfo.mHost, mHead.mTarget, mOrganisation, mBody });
-  mSuspects = { mDigest };
-  for (const std::string& part : mRequestInfo.mSharedPromptParts) {
-    mSuspects.push_back(DigestOfPromptPart(part));
-  }
+  mSuspects = SuspectsOf(mDigest, mRequestInfo.mSharedPromptParts);
   mService = mManifest->FindService(
     ChooseService(*mRoute, Uniform(mContext.mBoard.mRandom)));
   if (mService == nullptr) {
