--- a/Libraries/LibGossip/GossipSender.cpp
+++ b/Libraries/LibGossip/GossipSender.cpp
@@ -4,6 +4,7 @@
 #include "LibGossip/LimitUpdates.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
@@ -231,7 +232,7 @@
   message.mLeaving = mLeaving;
   message.mManifest = CurrentManifestVersion(mBoard);
   message.mConnectionsPerSecond =
-    static_cast<unsigned>(mBoard.mConnectionLoad.mPerSecond + 0.5);
+    static_cast<unsigned>(std::lround(mBoard.mConnectionLoad.mPerSecond));
   message.mList = mBoard.mEndpoints.mNewestRevision;
   message.mOperatorRevision = mBoard.mOperatorRowRevision;
   message.mOperatorStoreTime = FreshnessOf(mBoard, belief::Operator).mStoreTime;
