--- a/Tests/Soak/SoakEnvironment.cpp
+++ b/Tests/Soak/SoakEnvironment.cpp
@@ -50,10 +50,12 @@
 constexpr duration kEvacuationTime = milliseconds(2000);
 const std::string kCrashingBody = "this ends whoever runs it";
 const std::string kCrashingPart = "dead10";
+/// So that few engines have crashed under the part before it is known.
+constexpr std::size_t kCrashingRequestsPerPart = 4;
 /// Share of new connections that go to one gateway in a surge.
 constexpr double kSurgeShare = 0.8;
 /// Callers send as many times the usual requests then.
-constexpr double kSurgeFactor = 2;
+constexpr double kSurgeFactor = 1.2;
 
 std::string
 RouteName(std::uint64_t aVersion)
@@ -563,6 +565,9 @@
   }
   After(kCrashingRequestInterval, [this]() { SendCrashingRequests(); });
   SendCrashingRequest(mCrashingRequest, "", kCrashingBody);
+  if (mCrashingRequest.mRequestsSent % kCrashingRequestsPerPart != 0) {
+    return;
+  }
   const std::string number = std::to_string(mCrashingPart.mRequestsSent);
   SendCrashingRequest(mCrashingPart,
                       "Prompt-Prefix: " + kCrashingPart + ":40,ee" + number +
