--- a/Libraries/LibFleet/Quarantine.cpp
+++ b/Libraries/LibFleet/Quarantine.cpp
@@ -110,6 +110,29 @@
   EvictOldestIfOver(aQuarantine.mHeld, kMaxQuarantined);
 }
 
+/// True if a part that is not among these was quarantined for the crashes of
+/// one of these. A request with only these then tells which one is to blame.
+bool
+LacksPartOfSameCrashes(const quarantine& aQuarantine,
+                       const std::vector<request_digest>& aQuarantined)
+{
+  for (const auto& [other, record] : aQuarantine.mHeld) {
+    if (!IsPromptPart(other) ||
+        std::find(aQuarantined.begin(), aQuarantined.end(), other) !=
+          aQuarantined.end()) {
+      continue;
+    }
+    for (const request_digest one : aQuarantined) {
+      const duration apart =
+        aQuarantine.mHeld.at(one).mLastCrash - record.mLastCrash;
+      if (std::chrono::abs(apart) <= kSameCrashes) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 } // namespace
 
 crash_effect
@@ -284,35 +307,6 @@
            : quarantine_verdict::Send;
 }
 
-namespace {
-
-/// True if a part that is not among these was quarantined for the crashes of
-/// one of these. A request with only these then tells which one is to blame.
-bool
-LacksPartOfSameCrashes(const quarantine& aQuarantine,
-                       const std::vector<request_digest>& aQuarantined)
-{
-  return std::any_of(
-    aQuarantine.mHeld.begin(),
-    aQuarantine.mHeld.end(),
-    [&aQuarantine, &aQuarantined](const auto& aOther) {
-      if (!IsPromptPart(aOther.first) ||
-          std::find(aQuarantined.begin(), aQuarantined.end(), aOther.first) !=
-            aQuarantined.end()) {
-        return false;
-      }
-      return std::any_of(aQuarantined.begin(),
-                         aQuarantined.end(),
-                         [&aQuarantine, &aOther](request_digest aOne) {
-                           return std::chrono::abs(
-                                    aQuarantine.mHeld.at(aOne).mLastCrash -
-                                    aOther.second.mLastCrash) <= kSameCrashes;
-                         });
-    });
-}
-
-} // namespace
-
 suspects_verdict
 SuspectsVerdictFor(const quarantine& aQuarantine,
                    const std::vector<request_digest>& aSuspects,
