--- a/Tests/Gateway/CrashFixtures.h
+++ b/Tests/Gateway/CrashFixtures.h
@@ -122,6 +122,26 @@
     mWorld.For(kGossipTime);
   }
 
+  /// From now on endpoints that get a crashing request drain and end as
+  /// planned.
+  void DrainOnCrashingRequests()
+  {
+    mPool.mOnCrashingRequest =
+      [this](endpoint_fixture& aEndpoint, connection&, const http_head&) {
+        const std::string service = mKind == "stream" ? "model" : "desk";
+        std::size_t index = 0;
+        while (mPool.mEndpoints[index].get() != &aEndpoint) {
+          ++index;
+        }
+        mWorld.List("i-" + service + std::to_string(index),
+                    service,
+                    aEndpoint.mServer.Address(),
+                    "draining");
+        mWorld.mLoop.After(std::chrono::milliseconds(1100),
+                           [&aEndpoint]() { aEndpoint.mServer.End(); });
+      };
+  }
+
   world mWorld;
   std::string mKind;
   crashing_pool mPool;
--- a/Tests/Gateway/CrashTest.cpp
+++ b/Tests/Gateway/CrashTest.cpp
@@ -210,18 +210,7 @@
   void PlannedEndpointShutdownIsNoCrash()
   {
     two_gateways gateways("unsafe", 5);
-    gateways.mPool.mOnCrashingRequest = [&gateways](endpoint_fixture& aEndpoint,
-                                                    connection&,
-                                                    const http_head&) {
-      std::size_t index = 0;
-      while (gateways.mPool.mEndpoints[index].get() != &aEndpoint) {
-        ++index;
-      }
-      const std::string id = "i-desk" + std::to_string(index);
-      gateways.mWorld.List(id, "desk", aEndpoint.mServer.Address(), "draining");
-      gateways.mWorld.mLoop.After(milliseconds(1100),
-                                  [&aEndpoint]() { aEndpoint.mServer.End(); });
-    };
+    gateways.DrainOnCrashingRequests();
     for (int i = 0; i < 4; ++i) {
       (void)gateways.SendAndWait(kCrashingBody);
     }
--- a/Tests/Gateway/PromptPartTest.cpp
+++ b/Tests/Gateway/PromptPartTest.cpp
@@ -228,19 +228,7 @@
   {
     part_setup setup(false, 5);
     two_gateways& gateways = setup.mGateways;
-    gateways.mPool.mOnCrashingRequest =
-      [&gateways](endpoint_fixture& aEndpoint, connection&, const http_head&) {
-        std::size_t index = 0;
-        while (gateways.mPool.mEndpoints[index].get() != &aEndpoint) {
-          ++index;
-        }
-        gateways.mWorld.List("i-model" + std::to_string(index),
-                             "model",
-                             aEndpoint.mServer.Address(),
-                             "draining");
-        gateways.mWorld.mLoop.After(
-          milliseconds(1100), [&aEndpoint]() { aEndpoint.mServer.End(); });
-      };
+    gateways.DrainOnCrashingRequests();
     for (int i = 0; i < 4; ++i) {
       (void)setup.Send("aa01:40,dead10:40");
     }
--- a/Tests/Soak/SoakEnvironment.cpp
+++ b/Tests/Soak/SoakEnvironment.cpp
@@ -589,9 +589,8 @@
       mLoop,
       ip_address{ mGateways[*gatewayIndex].mHost,
                   mGateways[*gatewayIndex].mPort });
-  const std::string id = std::string(&aCause == &mCrashingPart ? "p" : "c") +
-                         std::to_string(*gatewayIndex) + "-" +
-                         std::to_string(++aCause.mRequestsSent);
+  const std::string id = aCause.mIdPrefix + std::to_string(*gatewayIndex) +
+                         "-" + std::to_string(++aCause.mRequestsSent);
   caller->Send(test::RequestText(
     id, "stream", "Token-Usage: 1000,50\r\n" + aFields, aBody));
   After(std::chrono::seconds(1), [caller]() { caller->CloseConnection(); });
--- a/Tests/Soak/SoakEnvironment.h
+++ b/Tests/Soak/SoakEnvironment.h
@@ -162,6 +162,7 @@
   /// Crashes of engines by one cause, which the operators' limit is for.
   struct crash_cause
   {
+    char mIdPrefix = 0; ///< Of its requests.
     std::size_t mCrashesUntilLimit = 0;
     std::size_t mRequestsSent = 0;
     std::size_t mEndpointsCrashed = 0;
@@ -221,8 +222,8 @@
   time_point mStoreHealthySince{};
   unsigned mStoreFaults = 0;
   std::size_t mRequestsSent = 0;
-  crash_cause mCrashingRequest{ 3 };
-  crash_cause mCrashingPart{ 5 };
+  crash_cause mCrashingRequest{ 'c', 3 };
+  crash_cause mCrashingPart{ 'p', 5 };
   /// Most new connections go to this gateway.
   std::optional<std::size_t> mSurgeTarget;
   bool mLoadIsOn = false;
