--- a/Libraries/LibFleet/EngineLedger.h
+++ b/Libraries/LibFleet/EngineLedger.h
@@ -3,7 +3,7 @@
 /// The work assigned to each engine by all gateways: the prefill that is not
 /// yet done, and the requests that decode there.
 
-#include "LibCore/LibCore.h"
+#include "LibFleet/RequestClass.h"
 
 #include <optional>
 #include <string_view>
@@ -52,6 +52,7 @@
   bool mPauseExceeded = false;
   /// Estimated time when the last of its engines has prefilled its part.
   time_point mPrefillEndsAt{};
+  request_class mClass;
 
   bool operator==(const placement&) const = default;
 };
--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -3,6 +3,7 @@
 #include "LibFleet/PlacementAdmission.h"
 #include "LibFleet/PlacementCosts.h"
 #include "LibFleet/PlacementDivision.h"
+#include "LibFleet/SlotAdmission.h"
 
 #include <algorithm>
 
@@ -123,6 +124,14 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
+  const slot_refusal refusal =
+    DecideSlotAdmission(candidates, aTiming, aRequest);
+  if (refusal.mReason != admission_reason::None) {
+    engine_choice choice;
+    choice.mVerdict = placement_verdict::NoSlot;
+    choice.mSlotRefusal = refusal;
+    return choice;
+  }
   const double prefillMs = PrefillMs(aTiming, aRequest.mPromptTokens);
   if (prefillMs <= kMaxUndividedMs) {
     return PlaceUndivided(candidates, aTiming, aRequest, prefillMs);
@@ -165,6 +174,7 @@
   placed.mLongestPause = aRequest.mLongestPause;
   placed.mWorth = aRequest.mWorth;
   placed.mObjective = aRequest.mObjective;
+  placed.mClass = aRequest.mClass;
   placed.mHolderTokens = aChoice.mHolderTokens;
   for (std::size_t i = 0; i < aChoice.mHolders; ++i) {
     placed.mHolders.push_back(placed.mEngines[i + 1]);
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -32,6 +32,10 @@
   /// late or lost.
   std::uint64_t mTieBreakSeed = 0;
   duration mElapsed{}; ///< Since the gateway received the request.
+  request_class mClass;
+  /// Slots that have to stay free when the request is admitted; no value: it is
+  /// not refused for want of slots.
+  std::optional<slot_reserve> mSlotReserve;
 
   bool operator==(const placement_request&) const = default;
 };
@@ -48,6 +52,17 @@
   TurnAway,
   /// The fleet does not have the memory for it.
   NoMemory,
+  /// The free slots are too few, or reserved; see `slot_refusal`.
+  NoSlot,
+};
+
+/// The refusal of a request for want of slots.
+struct slot_refusal
+{
+  admission_reason mReason = admission_reason::None; ///< None: admitted.
+  duration mRetryAfter{}; ///< Until a request like it would be admitted.
+
+  bool operator==(const slot_refusal&) const = default;
 };
 
 /// Worth that other requests are expected to lose by a placement, by cause.
@@ -75,6 +90,7 @@
   double mPrefillSecondPrice = 0; ///< Price of a second of one engine.
   double mPrice = 0;              ///< Price of the prefill; see `mGain`.
   double mGain = 0; ///< Worth to the caller of serving the prompt.
+  slot_refusal mSlotRefusal;
 
   bool operator==(const engine_choice&) const = default;
 };
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -210,6 +210,7 @@
     Answer({ error_kind::NotFound, "no service", ran_state::No, std::nullopt });
     return false;
   }
+  Classify();
   duration limit =
     mRoute->mTimeout > duration::zero() ? mRoute->mTimeout : kDefaultTimeLimit;
   if (mRequestInfo.mTimeLeft.has_value()) {
@@ -269,6 +270,19 @@
   return false;
 }
 
+void
+exchange::Classify()
+{
+  const organisation* const owner =
+    mOrganisation.empty() ? nullptr : mManifest->OwnerOfKey(*mRequestInfo.mKey);
+  if (mContext.mSettings.mOverload.mRanks) {
+    mClass.mRank = EffectiveRank(*mManifest, *mService, *mRoute, owner);
+  }
+  if (mContext.mSettings.mOverload.mShares) {
+    mClass.mOrganisation = OrganisationKey(mOrganisation);
+  }
+}
+
 bool
 exchange::IsRetryable() const
 {
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -81,6 +81,8 @@
   void Begin();
   bool Admit();
   bool Authenticate();
+  /// Sets the rank and the organisation that decide under overload.
+  void Classify();
   /// True if the gateway is draining and a request with this time limit may not
   /// end before the drain period does.
   bool WouldExceedDrain(duration aLimit) const;
@@ -105,6 +107,10 @@
   /// Evaluates the placement again after `kReevaluationInterval`.
   void PostponePlacement(const engine_choice& aChoice);
   void RefuseOverloaded(const engine_choice& aChoice);
+  void RefuseWithoutSlot(const slot_refusal& aRefusal);
+  /// Slots that have to stay free when this request is admitted; no value if
+  /// requests are not refused for want of slots.
+  std::optional<slot_reserve> SlotReserve() const;
   void RecordPlacement(const engine_choice& aChoice,
                        const placement_request& aWork);
   void ReserveMemory(const engine_choice& aChoice);
@@ -194,6 +200,7 @@
   const route* mRoute = nullptr;
   const service* mService = nullptr;
   std::string mOrganisation;
+  request_class mClass;
   allowed_regions mRegions; ///< Of the route and the organisation.
   request_digest mDigest = 0;
   /// What may crash endpoints: the request, and the parts of its prompt that
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -86,6 +86,9 @@
     case placement_verdict::NoMemory:
       RefuseOverloaded(*choice);
       return true;
+    case placement_verdict::NoSlot:
+      RefuseWithoutSlot(choice->mSlotRefusal);
+      return true;
   }
   RecordRequestSent(*choice->mDecodeEngine, mContext.mLoop.Now());
   RecordPlacement(*choice, work);
@@ -126,9 +129,45 @@
   work.mWorth = WorthOfPrompt(work.mPromptTokens);
   work.mElapsed = mContext.mLoop.Now() - mStarted;
   work.mTieBreakSeed = mContext.mBoard.mGatewayIncarnation;
+  work.mClass = mClass;
+  work.mSlotReserve = SlotReserve();
   return work;
 }
 
+std::optional<slot_reserve>
+exchange::SlotReserve() const
+{
+  // A request that was admitted is not refused when it has to be retried on
+  // another engine.
+  if (!mContext.mSettings.mOverload.mSlots || !mAttemptedEndpoints.empty()) {
+    return std::nullopt;
+  }
+  return ShareReserve(
+    mContext.mBoard.mUsage, mClass.mOrganisation, mContext.mLoop.Now());
+}
+
+void
+exchange::RefuseWithoutSlot(const slot_refusal& aRefusal)
+{
+  const std::string_view reason = AdmissionReasonName(aRefusal.mReason);
+  mContext.mBoard.mMetrics.Count(
+    Labelled("gateway_turned_away_total", "why", reason));
+  Log(log_level::Info,
+      "not_admitted",
+      { { "request", mRequestInfo.mId },
+        { "why", reason },
+        { "organisation", mOrganisation },
+        { "rank", mClass.mRank },
+        { "prompt_tokens", mRequestInfo.mPromptTokens },
+        { "retry_after_ms", Milliseconds(aRefusal.mRetryAfter) } });
+  GiveUp(error_kind::Overloaded,
+         std::string(reason),
+         Seconds(std::clamp(
+           aRefusal.mRetryAfter,
+           kMinRetryAfter,
+           std::max(kMinRetryAfter, TimeLeft() / kMaxRetryAfterDivisor))));
+}
+
 void
 exchange::PostponePlacement(const engine_choice& aChoice)
 {
--- a/Libraries/LibGossip/GatewayState.h
+++ b/Libraries/LibGossip/GatewayState.h
@@ -29,6 +29,7 @@
   /// Time within which a change of the platform's tables has to be in force.
   duration mChangeBound = std::chrono::seconds(5);
   retry_limits mRepeats;
+  overload_features mOverload;
 
   bool operator==(const gateway_settings&) const = default;
 };
@@ -99,6 +100,7 @@
   /// none has.
   std::map<std::string, std::optional<time_point>> mPeersAheadSince;
   engine_ledger mLedger;
+  organisation_usage mUsage;
   quarantine mQuarantine;
   bool mQuarantineKnown = false; ///< The platform's table was read.
   /// Assigns each engine to the gateways that prefer it; built from the listed
--- a/Libraries/LibGossip/PeerMessage.cpp
+++ b/Libraries/LibGossip/PeerMessage.cpp
@@ -108,6 +108,8 @@
   aEncoded.setObjectiveMs(RoundToMilliseconds(aPlacement.mObjective));
   aEncoded.setElapsedMs(RoundToMilliseconds(aNow - aPlacement.mBegan));
   aEncoded.setWorthCents(RoundToUint32(aPlacement.mWorth * kCentsPerUnit));
+  aEncoded.setOrganisation(aPlacement.mClass.mOrganisation);
+  aEncoded.setRank(static_cast<std::uint8_t>(aPlacement.mClass.mRank));
   if (!aPlacement.mHolders.empty()) {
     WriteNumbers(
       aEncoded.initHolders(static_cast<unsigned>(aPlacement.mHolders.size())),
@@ -131,6 +133,8 @@
   decoded.mBegan = aNow - std::chrono::milliseconds(aEncoded.getElapsedMs());
   decoded.mWorth = aEncoded.getWorthCents() / kCentsPerUnit;
   decoded.mTokens = aEncoded.getTokens();
+  decoded.mClass = { std::min<unsigned>(aEncoded.getRank(), kMaxRank),
+                     aEncoded.getOrganisation() };
   decoded.mHolders = ReadNumbers(aEncoded.getHolders());
   decoded.mHolderTokens = aEncoded.getHolderTokens();
   decoded.mExpires = aNow + std::chrono::milliseconds(aEncoded.getLifeMs());
--- a/Libraries/LibGossip/PeerNews.capnp
+++ b/Libraries/LibGossip/PeerNews.capnp
@@ -21,6 +21,8 @@
   holderTokens @8 :UInt32;       # Memory that each of those holds.
   objectiveMs @9 :UInt32;        # Its first event is late after this.
   elapsedMs @10 :UInt32;         # Of that, when this was told.
+  organisation @11 :UInt32;      # A hash of its name; 0: none.
+  rank @12 :UInt8;               # 0 is the most urgent.
 }
 
 # An endpoint ended under a request (LibFleet/Quarantine).
--- a/Libraries/LibGossip/PeerNews.capnp.h
+++ b/Libraries/LibGossip/PeerNews.capnp.h
@@ -38,7 +38,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a3f0c399bd720b59, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a3f0c399bd720b59, 6, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -178,6 +178,10 @@
 
   inline  ::uint32_t getElapsedMs() const;
 
+  inline  ::uint32_t getOrganisation() const;
+
+  inline  ::uint8_t getRank() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -249,6 +253,12 @@
   inline  ::uint32_t getElapsedMs();
   inline void setElapsedMs( ::uint32_t value);
 
+  inline  ::uint32_t getOrganisation();
+  inline void setOrganisation( ::uint32_t value);
+
+  inline  ::uint8_t getRank();
+  inline void setRank( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1187,6 +1197,34 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t PlacedWork::Reader::getOrganisation() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PlacedWork::Builder::getOrganisation() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void PlacedWork::Builder::setOrganisation( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t PlacedWork::Reader::getRank() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<40>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t PlacedWork::Builder::getRank() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<40>() * ::capnp::ELEMENTS);
+}
+inline void PlacedWork::Builder::setRank( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<40>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t CrashReport::Reader::getDigest() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
