--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -36,6 +36,8 @@
   /// Slots that have to stay free when the request is admitted; no value: it is
   /// not refused for want of slots.
   std::optional<slot_reserve> mSlotReserve;
+  /// Factor of the price of its prefill; see `PrefillPriceFactor`.
+  double mPriceFactor = 1;
 
   bool operator==(const placement_request&) const = default;
 };
--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -16,6 +16,7 @@
 #include "LibFleet/EngineSubset.h"
 #include "LibFleet/EngineTiming.h"
 #include "LibFleet/Evacuations.h"
+#include "LibFleet/FairShares.h"
 #include "LibFleet/Manifest.h"
 #include "LibFleet/OrganisationUsage.h"
 #include "LibFleet/OverloadFeatures.h"
--- a/Libraries/LibFleet/PlacementAdmission.cpp
+++ b/Libraries/LibFleet/PlacementAdmission.cpp
@@ -107,6 +107,7 @@
   aChoice.mPrice =
     std::min(aChoice.mPrefillSecondPrice * aPrefillMs / kMsPerSecond,
              aChoice.mPrefillSecondPrice / kWorthOfBusyEngineSecond * maxGain);
+  aChoice.mPrice *= aRequest.mPriceFactor;
   if (aChoice.mVerdict != placement_verdict::Send) {
     return;
   }
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -108,6 +108,9 @@
   void PostponePlacement(const engine_choice& aChoice);
   void RefuseOverloaded(const engine_choice& aChoice);
   void RefuseWithoutSlot(const slot_refusal& aRefusal);
+  duration RetryAfterOfSlots(const slot_refusal& aRefusal) const;
+  /// Logs the use and the share of the organisation.
+  void LogShare() const;
   /// Slots that have to stay free when this request is admitted; no value if
   /// requests are not refused for want of slots.
   std::optional<slot_reserve> SlotReserve() const;
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -131,6 +131,8 @@
   work.mTieBreakSeed = mContext.mBoard.mGatewayIncarnation;
   work.mClass = mClass;
   work.mSlotReserve = SlotReserve();
+  work.mPriceFactor = PrefillPriceFactor(
+    mContext.mBoard.mUsage, mClass.mOrganisation, mContext.mLoop.Now());
   return work;
 }
 
@@ -160,14 +162,48 @@
         { "rank", mClass.mRank },
         { "prompt_tokens", mRequestInfo.mPromptTokens },
         { "retry_after_ms", Milliseconds(aRefusal.mRetryAfter) } });
+  if (aRefusal.mReason == admission_reason::OverShare) {
+    LogShare();
+  }
   GiveUp(error_kind::Overloaded,
          std::string(reason),
          Seconds(std::clamp(
-           aRefusal.mRetryAfter,
+           RetryAfterOfSlots(aRefusal),
            kMinRetryAfter,
            std::max(kMinRetryAfter, TimeLeft() / kMaxRetryAfterDivisor))));
 }
 
+duration
+exchange::RetryAfterOfSlots(const slot_refusal& aRefusal) const
+{
+  // The reserve no longer applies once the organisation is within its share,
+  // which may be sooner than enough slots are free.
+  return aRefusal.mReason == admission_reason::OverShare
+           ? std::min(aRefusal.mRetryAfter,
+                      TimeUntilWithinShare(mContext.mBoard.mUsage,
+                                           mClass.mOrganisation,
+                                           mContext.mLoop.Now()))
+           : aRefusal.mRetryAfter;
+}
+
+void
+exchange::LogShare() const
+{
+  const organisation_usage& usage = mContext.mBoard.mUsage;
+  const time_point now = mContext.mLoop.Now();
+  const organisation_share share = ShareOf(usage, mClass.mOrganisation, now);
+  Log(log_level::Info,
+      "over_share",
+      { { "request", mRequestInfo.mId },
+        { "organisation", mOrganisation },
+        { "used_ms_per_s", share.mUsedMs },
+        { "share_ms_per_s", share.mShareMs.value_or(0) },
+        { "reserve", ShareReserve(usage, mClass.mOrganisation, now).mShare },
+        { "within_share_ms",
+          Milliseconds(
+            TimeUntilWithinShare(usage, mClass.mOrganisation, now)) } });
+}
+
 void
 exchange::PostponePlacement(const engine_choice& aChoice)
 {
@@ -193,11 +229,12 @@
 exchange::RefuseOverloaded(const engine_choice& aChoice)
 {
   const bool fits = aChoice.mVerdict != placement_verdict::NoMemory;
+  const placement_request work = DescribeEngineWork();
   const duration retryAfter =
     TimeUntilAccepted(mContext.mBoard.mEndpoints,
                       mContext.mBoard.mLedger,
                       *mService->mEngine,
-                      DescribeEngineWork(),
+                      work,
                       mContext.mSettings.mDataCentre,
                       mContext.mLoop.Now(),
                       TimeLeft() / kMaxRetryAfterDivisor);
@@ -218,6 +255,7 @@
         { "harm_holding", aChoice.mHarm.mFutureRequests },
         { "price", aChoice.mPrice },
         { "price_of_second", aChoice.mPrefillSecondPrice },
+        { "price_factor", work.mPriceFactor },
         { "retry_after_ms", Milliseconds(retryAfter) } });
   GiveUp(error_kind::Overloaded,
          fits ? "costs_others_more" : "no_memory",
@@ -237,6 +275,9 @@
   placed.mBegan = mStarted;
   placed.mExpires = mDeadline;
   AddPlacement(shared.mLedger, placed, mContext.mLoop.Now());
+  if (mContext.mSettings.mOverload.mShares) {
+    AddUse(shared.mUsage, placed, mContext.mLoop.Now());
+  }
   mContext.mGossipSender.AnnouncePlacement(placed);
   mPlacement = placed.mKey;
   mExpectedFirstEventMs = aChoice.mFirstEventMs;
@@ -634,6 +675,9 @@
     if (placed != mContext.mBoard.mLedger.mPlacements.end()) {
       mContext.mGossipSender.AnnouncePlacementEnd(
         *mPlacement, end, placed->second.mEngines);
+      if (end == placement_end::Unread) {
+        ReturnUse(mContext.mBoard.mUsage, placed->second, mContext.mLoop.Now());
+      }
     }
     RemovePlacement(
       mContext.mBoard.mLedger, *mPlacement, end, mContext.mLoop.Now());
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -92,6 +92,7 @@
               mConnections, mGossipSender, mCrashDetector, mStartupGate }
 {
   mBoard.mGatewayIncarnation = FreshSeed();
+  SetOrganisationWeights(mBoard.mUsage, mSettings.mOrganisationShares);
   mBoard.mRandom.seed(mBoard.mGatewayIncarnation);
 }
 
@@ -639,6 +640,7 @@
   restart.mGrace = mSettings.mGrace;
   restart.mRepeats = mSettings.mRepeats;
   restart.mSeeds = mSettings.mSeeds;
+  restart.mOrganisationShares = mSettings.mOrganisationShares;
   Log(log_level::Info,
       "reload",
       { { "changed", static_cast<int>(aSettings != mSettings) },
@@ -646,6 +648,8 @@
   mSettings.mGrace = aSettings.mGrace;
   mSettings.mRepeats = aSettings.mRepeats;
   mSettings.mSeeds = aSettings.mSeeds;
+  mSettings.mOrganisationShares = aSettings.mOrganisationShares;
+  SetOrganisationWeights(mBoard.mUsage, mSettings.mOrganisationShares);
   mPeerGossip.AddHosts(mSettings.mSeeds);
 }
 
@@ -656,6 +660,8 @@
   UpdateConnectionLoad();
   mConnections.CloseExpired();
   RemoveExpiredPlacements(mBoard.mLedger, mLoop.Now());
+  mBoard.mUsage.mInFlight =
+    static_cast<double>(mBoard.mLedger.mPlacements.size());
   mCrashDetector.Tick();
   if (mBoard.mDraining) {
     CheckDrained();
@@ -669,12 +675,18 @@
     UpdateSubsetRing(mBoard, mSettings.mPeers.mHost);
     UpdateLimitShares(mBoard, mSettings.mPeers.mHost, mLoop.Now());
     UpdateWarmUpShares(mBoard, mSettings.mPeers.mHost, mLoop.Now());
+    mCapacityManifest = nullptr;
+  }
+  if (mCapacityManifest != mBoard.mManifest) {
+    mCapacityManifest = mBoard.mManifest;
+    UpdateEngineCapacities(mBoard);
   }
   mOperatorFollower->Tick();
   mEndpointFollower->Tick();
   if (mLoop.Now() - mStatusLoggedAt >= kStatusLogInterval) {
     mStatusLoggedAt = mLoop.Now();
     LogFleetStatus(mBoard, mStatusLoggedAt);
+    LogOrganisationUse(mBoard, mStatusLoggedAt);
   }
   if ((mBoard.mManifest == nullptr || !mBoard.mEndpointsKnown) &&
       mLoop.Now() - mBoard.mStarted > kPeerFallbackDelay) {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -93,6 +93,8 @@
   unsigned mPeerFetchesLeft = 0;
   bool mKnewPeers = false; ///< `KnowsPeers` at the last tick.
   time_point mStatusLoggedAt{};
+  /// Manifest that the capacities of the engines were computed from.
+  manifest_pointer mCapacityManifest;
   time_point mLoadUpdatedAt{};
   duration mBusyAtUpdate{};      ///< The loop's busy time then.
   std::size_t mClosedUnread = 0; ///< Connections, since the last line on them.
--- a/Libraries/LibGossip/GatewayMetrics.cpp
+++ b/Libraries/LibGossip/GatewayMetrics.cpp
@@ -1,5 +1,7 @@
 #include "LibGossip/GatewayMetrics.h"
 
+#include "LibGossip/OrganisationReports.h"
+
 #include <algorithm>
 
 namespace primrose {
@@ -199,6 +201,7 @@
             since.has_value() ? Seconds(aNow - *since) : 0);
   }
   SetEngineGauges(aState, aNow);
+  SetOrganisationGauges(aState, aNow);
   SetRestrictionGauges(aState, aNow);
 }
 
--- a/Libraries/LibGossip/GatewayState.h
+++ b/Libraries/LibGossip/GatewayState.h
@@ -30,6 +30,8 @@
   duration mChangeBound = std::chrono::seconds(5);
   retry_limits mRepeats;
   overload_features mOverload;
+  /// Weights of organisations in fair shares, by name; 1 if not stated.
+  std::map<std::string, double> mOrganisationShares;
 
   bool operator==(const gateway_settings&) const = default;
 };
--- a/Libraries/LibGossip/PeerGossip.cpp
+++ b/Libraries/LibGossip/PeerGossip.cpp
@@ -319,12 +319,20 @@
   mBoard.mMetrics.Count("gateway_placements_heard_total",
                         static_cast<double>(aUpdates.mNewPlacements.size()));
   for (const placement& placed : aUpdates.mNewPlacements) {
+    if (mSettings.mOverload.mShares &&
+        !mBoard.mLedger.mPlacements.contains(placed.mKey)) {
+      AddUse(mBoard.mUsage, placed, now);
+    }
     AddPlacement(mBoard.mLedger, placed, now);
   }
   for (const placement_key key : aUpdates.mEndedPlacements) {
     RemovePlacement(mBoard.mLedger, key, placement_end::Read, now);
   }
   for (const placement_key key : aUpdates.mEndedBeforePrefill) {
+    const auto ended = mBoard.mLedger.mPlacements.find(key);
+    if (ended != mBoard.mLedger.mPlacements.end()) {
+      ReturnUse(mBoard.mUsage, ended->second, now);
+    }
     RemovePlacement(mBoard.mLedger, key, placement_end::Unread, now);
   }
   for (const engine_key engine : aUpdates.mHelpRefused) {
--- a/Tests/Unit/RequestTimelineTest.cpp
+++ b/Tests/Unit/RequestTimelineTest.cpp
@@ -10,6 +10,7 @@
   CPPUNIT_TEST(FieldValuesAreFoundByWholeKey);
   CPPUNIT_TEST(TimelineIncludesGatewayStateAtTheTime);
   CPPUNIT_TEST(TimelineOmitsStateFromBeforeARestart);
+  CPPUNIT_TEST(TimelineIncludesUseOfItsOrganisation);
   CPPUNIT_TEST(UnknownRequestHasEmptyTimeline);
   CPPUNIT_TEST_SUITE_END();
 
@@ -69,6 +70,21 @@
     CPPUNIT_ASSERT(RequestTimeline(lines, "r1") == expected);
   }
 
+  /// Guards against a refusal by share that cannot be explained, and against
+  /// lines on all other organisations.
+  void TimelineIncludesUseOfItsOrganisation()
+  {
+    const std::vector<std::string> lines = {
+      "time=1 by=e1 event=organisation_use organisation=a used_ms_per_s=1",
+      "time=2 by=e1 event=organisation_use organisation=a used_ms_per_s=9",
+      "time=2 by=e1 event=organisation_use organisation=b used_ms_per_s=5",
+      "time=3 by=e1 event=over_share request=r1 organisation=a reserve=0.02",
+      "time=4 by=e1 event=organisation_use organisation=a used_ms_per_s=3"
+    };
+    const std::vector<std::string> expected = { lines[1], lines[3] };
+    CPPUNIT_ASSERT(RequestTimeline(lines, "r1") == expected);
+  }
+
   void UnknownRequestHasEmptyTimeline()
   {
     CPPUNIT_ASSERT(RequestTimeline({ "time=1 by=e request=r1" }, "r").empty());
--- a/Utilities/Control/RequestTimeline.cpp
+++ b/Utilities/Control/RequestTimeline.cpp
@@ -22,6 +22,8 @@
   "endpoint_asks_rest"
 };
 
+constexpr std::string_view kOrganisationStateEvent = "organisation_use";
+
 template<std::size_t N>
 bool
 ContainsName(const std::array<std::string_view, N>& aNames,
@@ -37,6 +39,7 @@
   std::vector<std::string> mLines;
   std::set<std::string> mGateways;
   std::set<std::string> mEndpoints;
+  std::set<std::string> mOrganisations;
   std::string mFirstTime; ///< Times are compared as strings.
   std::string mLastTime;
 };
@@ -64,6 +67,7 @@
     trace.mGateways.insert(LogFieldValue(line, "by"));
     AddEndpoints(trace.mEndpoints, LogFieldValue(line, "endpoint"));
     AddEndpoints(trace.mEndpoints, LogFieldValue(line, "readers"));
+    trace.mOrganisations.insert(LogFieldValue(line, "organisation"));
     const std::string time = LogFieldValue(line, "time");
     trace.mFirstTime =
       trace.mFirstTime.empty() ? time : std::min(trace.mFirstTime, time);
@@ -73,7 +77,8 @@
 }
 
 /// True if a line records a change of known state in one of the trace's
-/// gateways, of that gateway itself or of one of the trace's endpoints.
+/// gateways, of that gateway itself or of one of the trace's endpoints or
+/// organisations.
 bool
 IsStateChange(const std::string& aLine, const request_trace& aTrace)
 {
@@ -81,7 +86,9 @@
   const bool changesState =
     ContainsName(kStateEvents, event) ||
     (ContainsName(kEndpointStateEvents, event) &&
-     aTrace.mEndpoints.contains(LogFieldValue(aLine, "endpoint")));
+     aTrace.mEndpoints.contains(LogFieldValue(aLine, "endpoint"))) ||
+    (event == kOrganisationStateEvent &&
+     aTrace.mOrganisations.contains(LogFieldValue(aLine, "organisation")));
   return changesState && aTrace.mGateways.contains(LogFieldValue(aLine, "by"));
 }
 
@@ -108,7 +115,8 @@
 StateKeyOf(const std::string& aLine)
 {
   std::string stateKey;
-  for (const std::string_view key : { "by", "event", "table", "endpoint" }) {
+  for (const std::string_view key :
+       { "by", "event", "table", "endpoint", "organisation" }) {
     stateKey += LogFieldValue(aLine, key) + '\n';
   }
   return stateKey;
