--- a/Libraries/LibFleet/FairShares.cpp
+++ b/Libraries/LibFleet/FairShares.cpp
@@ -35,6 +35,9 @@
 double
 WeightOf(const organisation_usage& aUsage, organisation_key aOrganisation)
 {
+  if (aUsage.mWeights.empty()) {
+    return 1;
+  }
   const auto found = aUsage.mWeights.find(aOrganisation);
   return found == aUsage.mWeights.end() ? 1 : found->second;
 }
--- a/Tests/Gateway/OrganisationTest.cpp
+++ b/Tests/Gateway/OrganisationTest.cpp
@@ -110,11 +110,12 @@
   /// gateways.
   void OrganisationAddsFewBytesToPlacement()
   {
+    constexpr std::size_t kPlacements = 10;
     const time_point now{ std::chrono::hours(1) };
     const auto bytes = [now](const request_class& aClass) {
       peer_message message;
       message.mGatewayIncarnation = 0x1234567890abcdef;
-      for (std::uint32_t i = 0; i < 10; ++i) {
+      for (std::uint32_t i = 0; i < kPlacements; ++i) {
         placement placed;
         placed.mKey = PlacementKey(message.mGatewayIncarnation, 7001 + i);
         placed.mOwner = message.mGatewayIncarnation;
@@ -136,8 +137,8 @@
                 << organisation << ", and rank " << both;
     }
     // A placement: five bytes for the organisation, one for the rank.
-    CPPUNIT_ASSERT(organisation <= none + 10 * 5);
-    CPPUNIT_ASSERT(both <= none + 10 * 6);
+    CPPUNIT_ASSERT(organisation <= none + kPlacements * 5);
+    CPPUNIT_ASSERT(both <= none + kPlacements * 6);
   }
 };
 
--- a/Utilities/Bench/GatewayCosts.cpp
+++ b/Utilities/Bench/GatewayCosts.cpp
@@ -103,6 +103,55 @@
 }
 BENCHMARK(PlacementNotedAndEnded)->Arg(21)->Arg(1200);
 
+/// Use of organisations on 69 engines at a load that exceeds them.
+organisation_usage
+ContendedUsage(std::int64_t aOrganisations)
+{
+  constexpr engine_key kEngines = 69;
+  constexpr int kPlacements = 2000;
+  constexpr std::uint32_t kFloodOneIn = 2;
+  organisation_usage usage;
+  for (engine_key engine = 0; engine < kEngines; ++engine) {
+    AddEngineCapacity(usage, engine, CapacityOf(SampleEngine()), true);
+  }
+  placement placed;
+  placed.mBegan = kStart;
+  for (std::uint32_t i = 0; i < kPlacements; ++i) {
+    placed.mEngines = { i % kEngines };
+    placed.mClass.mOrganisation =
+      i % kFloodOneIn == 0 ? 1
+                           : 2 + i % static_cast<std::uint32_t>(aOrganisations);
+    AddUse(usage, placed, kStart);
+  }
+  return usage;
+}
+
+void
+OrganisationUseNoted(benchmark::State& aState)
+{
+  organisation_usage usage = ContendedUsage(aState.range(0));
+  placement placed;
+  placed.mBegan = kStart;
+  placed.mEngines = { 1 };
+  for (auto _ : aState) {
+    placed.mClass.mOrganisation =
+      2 + (placed.mClass.mOrganisation + 1) %
+            static_cast<std::uint32_t>(aState.range(0));
+    AddUse(usage, placed, kStart);
+  }
+}
+BENCHMARK(OrganisationUseNoted)->Arg(24)->Arg(333)->Arg(2000);
+
+void
+ShareReserveInContention(benchmark::State& aState)
+{
+  const organisation_usage usage = ContendedUsage(aState.range(0));
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(ShareReserve(usage, 1, kStart));
+  }
+}
+BENCHMARK(ShareReserveInContention)->Arg(24)->Arg(333)->Arg(2000);
+
 void
 EventPassedOn(benchmark::State& aState)
 {
