--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -53,7 +53,7 @@
     const double first =
       one.mBacklogMs + aPrefillMs + kPassesToFirstEvent * one.mDecodePassMs;
     const double cost =
-      LatenessCost(first, aRequest) + PauseHarm(one, aPrefillMs) +
+      LatenessCost(first, aRequest) + PauseHarm(one, aPrefillMs, aRequest) +
       PackingCost(one, aTiming, aRequest) +
       (HasRoom(one, aTiming, aRequest) ? 0 : aRequest.mWorth) +
       (one.mInOtherDataCentre ? kOtherDataCentrePenalty : 0);
@@ -69,10 +69,34 @@
   choice.mDecodeEngine = best->mEndpoint;
   choice.mPartPrefillMs = aPrefillMs;
   choice.mFirstEventMs = bestFirst;
-  choice.mHarm.mStreams = PauseHarm(*best, aPrefillMs);
+  choice.mHarm.mStreams = PauseHarm(*best, aPrefillMs, aRequest);
   return choice;
 }
 
+unsigned
+AdmissionRank(const placement_request& aRequest)
+{
+  return aRequest.mFloorRank.value_or(aRequest.mClass.mRank);
+}
+
+/// The harm of a division for the admission of a request whose rank is below
+/// its floor.
+placement_harm
+HarmAtFloor(const division_inputs& aInputs, const prompt_division& aDivision)
+{
+  placement_request request = aInputs.mRequest;
+  request.mClass.mRank = AdmissionRank(request);
+  const division_inputs urgent = {
+    aInputs.mCandidates,
+    aInputs.mTiming,
+    request,
+    aInputs.mPrefillMs,
+    aInputs.mSlotUtilisation,
+    UrgentRoom(aInputs.mCandidates, aInputs.mTiming, request)
+  };
+  return HarmOfDivision(urgent, aDivision);
+}
+
 engine_choice
 PlaceDivided(const division_inputs& aInputs, const engine_ledger& aLedger)
 {
@@ -90,8 +114,11 @@
   choice.mFirstEventMs =
     chosen.mPrefillEndsMs +
     kPassesToFirstEvent * chosen.mDecodeEngine->mDecodePassMs;
-  choice.mHarm = chosen.mHarm;
-  choice.mPrefillSecondPrice = PrefillSecondPrice(aInputs.mCandidates);
+  choice.mHarm = aInputs.mRequest.mFloorRank.has_value()
+                   ? HarmAtFloor(aInputs, chosen)
+                   : chosen.mHarm;
+  choice.mPrefillSecondPrice =
+    PrefillSecondPrice(aInputs.mCandidates, AdmissionRank(aInputs.mRequest));
   DecideAdmission(choice, aLedger, aInputs.mRequest, aInputs.mPrefillMs);
   return choice;
 }
@@ -101,7 +128,8 @@
 double
 TotalHarm(const placement_harm& aHarm)
 {
-  return aHarm.mStreams + (aHarm.mPrefills + aHarm.mFutureRequests);
+  return aHarm.mStreams + (aHarm.mPrefills + aHarm.mFutureRequests) +
+         aHarm.mUrgentRoom;
 }
 
 double
@@ -155,7 +183,8 @@
                         aTiming,
                         aRequest,
                         prefillMs,
-                        SlotUtilisation(candidates, aTiming) },
+                        SlotUtilisation(candidates, aTiming),
+                        UrgentRoom(candidates, aTiming, aRequest) },
                       aLedger);
 }
 
@@ -175,6 +204,7 @@
   placed.mWorth = aRequest.mWorth;
   placed.mObjective = aRequest.mObjective;
   placed.mClass = aRequest.mClass;
+  placed.mClass.mRank = AdmissionRank(aRequest);
   placed.mHolderTokens = aChoice.mHolderTokens;
   for (std::size_t i = 0; i < aChoice.mHolders; ++i) {
     placed.mHolders.push_back(placed.mEngines[i + 1]);
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -33,6 +33,10 @@
   std::uint64_t mTieBreakSeed = 0;
   duration mElapsed{}; ///< Since the gateway received the request.
   request_class mClass;
+  /// If its rank is below the floor, the most urgent rank. It is admitted and
+  /// then protected as if it had that rank. Its engines are chosen by its own
+  /// rank, so that it does as little harm to more urgent requests as possible.
+  std::optional<unsigned> mFloorRank;
   /// Slots that have to stay free when the request is admitted; no value: it is
   /// not refused for want of slots.
   std::optional<slot_reserve> mSlotReserve;
@@ -71,6 +75,9 @@
   double mStreams = 0;        ///< Streams whose pauses become too long.
   double mPrefills = 0;       ///< Prefills whose first event is delayed.
   double mFutureRequests = 0; ///< Requests that arrive during its prefill.
+  /// Requests of more urgent ranks that find too few engines without long
+  /// prefills.
+  double mUrgentRoom = 0;
 
   bool operator==(const placement_harm&) const = default;
 };
--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -21,6 +21,7 @@
 #include "LibFleet/OverloadFeatures.h"
 #include "LibFleet/PeerSendBudget.h"
 #include "LibFleet/Quarantine.h"
+#include "LibFleet/RankDemand.h"
 #include "LibFleet/ReadDuty.h"
 #include "LibFleet/RequestDigest.h"
 #include "LibFleet/RequestRank.h"
--- a/Libraries/LibFleet/Manifest.cpp
+++ b/Libraries/LibFleet/Manifest.cpp
@@ -1,6 +1,8 @@
 #include "LibFleet/Manifest.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
 
 namespace primrose {
 
@@ -27,6 +29,13 @@
 
 } // namespace
 
+unsigned
+RankOfPriority(int aPriority)
+{
+  return static_cast<unsigned>(
+    std::clamp(aPriority, 0, static_cast<int>(kMaxRank)));
+}
+
 manifest_index::manifest_index(manifest aManifest)
   : mManifest(std::move(aManifest))
 {
@@ -41,6 +50,40 @@
       mKeys.emplace(key, &item);
     }
   }
+  IndexRanks();
+}
+
+void
+manifest_index::IndexRanks()
+{
+  std::set<unsigned> ofOrganisations;
+  for (const organisation& item : mManifest.mOrganisations) {
+    if (item.mPriority.has_value()) {
+      ofOrganisations.insert(RankOfPriority(*item.mPriority));
+    }
+  }
+  std::map<std::string, std::set<unsigned>> ofServices;
+  for (const route& item : mManifest.mRoutes) {
+    for (const weighted_service& share : item.mServices) {
+      if (item.mKind == call_kind::Stream) {
+        ofServices[share.mService].insert(RankOfPriority(item.mPriority));
+      }
+    }
+  }
+  for (auto& [name, ranks] : ofServices) {
+    ranks.insert(ofOrganisations.begin(), ofOrganisations.end());
+    if (ranks.size() > 1) {
+      mRanks[name].assign(ranks.begin(), ranks.end());
+    }
+  }
+}
+
+const std::vector<unsigned>&
+manifest_index::RanksOf(std::string_view aService) const
+{
+  static const std::vector<unsigned> kNone;
+  const auto found = mRanks.find(std::string(aService));
+  return found == mRanks.end() ? kNone : found->second;
 }
 
 const route*
--- a/Libraries/LibFleet/Manifest.h
+++ b/Libraries/LibFleet/Manifest.h
@@ -6,6 +6,7 @@
 
 #include "LibFleet/AllowedRegions.h"
 #include "LibFleet/EngineTiming.h"
+#include "LibFleet/RequestClass.h"
 
 #include <memory>
 #include <optional>
@@ -85,6 +86,19 @@
   bool operator==(const organisation&) const = default;
 };
 
+/// A priority of a route or an organisation that is not applied as stated.
+struct priority_fault
+{
+  std::string mOwner; ///< Name of the route or organisation.
+  std::string mReason;
+
+  bool operator==(const priority_fault&) const = default;
+};
+
+/// Faults that are kept and logged of one manifest. The text of a fault is
+/// short, but a manifest may have thousands of routes.
+inline constexpr std::size_t kMaxPriorityFaults = 8;
+
 struct manifest
 {
   std::uint64_t mVersion = 0;
@@ -92,10 +106,16 @@
   std::vector<service> mServices;
   std::vector<organisation> mOrganisations; ///< If empty, no key is needed.
   caller_limits mLimits;
+  /// Priorities that could not be read, at most `kMaxPriorityFaults`.
+  std::vector<priority_fault> mPriorityFaults;
 
   bool operator==(const manifest&) const = default;
 };
 
+/// The rank that a priority of the manifest stands for: 0 to `kMaxRank`.
+unsigned
+RankOfPriority(int aPriority);
+
 /// A manifest with indexes for look-up.
 class manifest_index
 {
@@ -110,12 +130,19 @@
                          std::string_view aTarget) const;
   const service* FindService(std::string_view aName) const;
   const organisation* OwnerOfKey(std::string_view aKey) const;
+  /// The effective ranks of the service's stream routes and of the
+  /// organisations, most urgent first. Empty if there is only one: ranks take
+  /// no effect for the service.
+  const std::vector<unsigned>& RanksOf(std::string_view aService) const;
 
 private:
+  void IndexRanks();
+
   manifest mManifest;
   std::unordered_map<std::string, const route*> mRoutes;
   std::unordered_map<std::string, const service*> mServices;
   std::unordered_map<std::string, const organisation*> mKeys;
+  std::unordered_map<std::string, std::vector<unsigned>> mRanks;
 };
 
 using manifest_pointer = std::shared_ptr<const manifest_index>;
--- a/Libraries/LibFleet/PlacementAdmission.cpp
+++ b/Libraries/LibFleet/PlacementAdmission.cpp
@@ -67,6 +67,21 @@
   return aChoice.mGain * (aHasWaited ? factor * factor : factor);
 }
 
+/// The part of the engine's backlog that is of this rank or a more urgent one,
+/// by the share of such parts in all that the engine prefills.
+double
+BacklogOfRank(const engine_candidate& aCandidate, unsigned aRank)
+{
+  double all = 0;
+  double urgent = 0;
+  for (const prefilling_prompt& one : aCandidate.mPrefills) {
+    all += one.mPartPrefillMs;
+    urgent += one.mRank <= aRank ? one.mPartPrefillMs : 0;
+  }
+  return all > 0 ? aCandidate.mBacklogMs * (urgent / all)
+                 : aCandidate.mBacklogMs;
+}
+
 /// Time since a prompt's arrival until which it may wait for a better
 /// placement.
 duration
@@ -79,11 +94,12 @@
 } // namespace
 
 double
-PrefillSecondPrice(const std::vector<engine_candidate>& aCandidates)
+PrefillSecondPrice(const std::vector<engine_candidate>& aCandidates,
+                   unsigned aRank)
 {
   double backlog = 0;
   for (const engine_candidate& one : aCandidates) {
-    backlog += one.mBacklogMs;
+    backlog += BacklogOfRank(one, aRank);
   }
   const double mean = backlog / static_cast<double>(aCandidates.size());
   return kWorthOfBusyEngineSecond * std::clamp(mean / kFullBacklogMs, 0.0, 1.0);
--- a/Libraries/LibFleet/PlacementAdmission.h
+++ b/Libraries/LibFleet/PlacementAdmission.h
@@ -8,9 +8,11 @@
 namespace primrose {
 
 /// Worth that a second of prefill takes from requests that arrive next,
-/// estimated from the mean backlog. Requires at least one candidate.
+/// estimated from the mean backlog of requests that are at least as urgent as
+/// `aRank`. Requires at least one candidate.
 double
-PrefillSecondPrice(const std::vector<engine_candidate>& aCandidates);
+PrefillSecondPrice(const std::vector<engine_candidate>& aCandidates,
+                   unsigned aRank);
 
 /// Compares the gain of serving the prompt to its caller with the cost to other
 /// callers. Sets `mGain` and `mPrice`. Changes `Send` to `TurnAway` if the sum
--- a/Libraries/LibFleet/PlacementCandidates.cpp
+++ b/Libraries/LibFleet/PlacementCandidates.cpp
@@ -22,7 +22,8 @@
     if (placed != aLedger.mPlacements.end()) {
       streams.push_back({ ToMs(placed->second.mLongestPause),
                           placed->second.mWorth,
-                          placed->second.mPauseExceeded });
+                          placed->second.mPauseExceeded,
+                          placed->second.mClass.mRank });
     }
   }
   return streams;
@@ -46,7 +47,9 @@
                          ToMs(one.mObjective),
                          ToMs(aNow - one.mBegan),
                          ToMs(one.mPrefillEndsAt - aNow),
-                         static_cast<double>(one.mEngines.size()) });
+                         static_cast<double>(one.mEngines.size()),
+                         one.mPartPrefillMs,
+                         one.mClass.mRank });
   }
   return prefills;
 }
--- a/Libraries/LibFleet/PlacementCandidates.h
+++ b/Libraries/LibFleet/PlacementCandidates.h
@@ -13,6 +13,7 @@
   double mLongestPauseMs = 0; ///< Allowed between two events.
   double mWorth = 0;
   bool mPauseExceeded = false; ///< A pause has exceeded the limit already.
+  unsigned mRank = 0;
 
   bool operator==(const decoding_stream&) const = default;
 };
@@ -26,6 +27,8 @@
   double mElapsedMs = 0;     ///< Since the gateway received the request.
   double mPrefillLeftMs = 0; ///< Until all of its parts are prefilled.
   double mEngineCount = 1;   ///< Engines that prefill a part of it.
+  double mPartPrefillMs = 0; ///< Of the part on this engine.
+  unsigned mRank = 0;
 
   bool operator==(const prefilling_prompt&) const = default;
 };
--- a/Libraries/LibFleet/PlacementCosts.cpp
+++ b/Libraries/LibFleet/PlacementCosts.cpp
@@ -1,5 +1,7 @@
 #include "LibFleet/PlacementCosts.h"
 
+#include "LibFleet/RequestRank.h"
+
 #include <algorithm>
 
 namespace primrose {
@@ -9,17 +11,12 @@
 /// Allowance in the estimate of a pause for prefill that other gateways place
 /// at the same moment and for network latency.
 constexpr double kPauseMarginMs = 30;
-/// Share of a request's worth that is lost when it is late.
-constexpr double kLostWhenLate = 0.75;
 /// A request becomes likely to be late if its first event is expected after
 /// this share of its latency target.
 constexpr double kLateFromShare = 0.6;
 /// Cost of each further latency target of delay, as a share of the cost of
 /// being late, so that the earlier of two late placements is chosen.
 constexpr double kFurtherDelayPenalty = 0.2;
-/// Requests that are packed on one engine, as a share of its slots. The rest is
-/// left for requests that other gateways place at the same moment.
-constexpr double kPackedShare = 0.75;
 /// Costs of a stream, as shares of its worth: on an engine without streams like
 /// it, which could have prefilled long prompts, and on one that is prefilling
 /// them.
@@ -71,29 +68,36 @@
 }
 
 double
-EnginePrefillDelayHarm(const engine_candidate& aCandidate, double aPrefillMs)
+EnginePrefillDelayHarm(const engine_candidate& aCandidate,
+                       double aPrefillMs,
+                       const placement_request& aRequest)
 {
   const double ends = aCandidate.mBacklogMs + aPrefillMs;
   double harm = 0;
   for (const prefilling_prompt& one : aCandidate.mPrefills) {
-    harm += PrefillDelayHarm(one, ends) / one.mEngineCount;
+    harm += RankWeight(aRequest.mClass.mRank, one.mRank) *
+            PrefillDelayHarm(one, ends) / one.mEngineCount;
   }
   return harm;
 }
 
 double
-PauseHarm(const engine_candidate& aCandidate, double aPrefillMs)
+PauseHarm(const engine_candidate& aCandidate,
+          double aPrefillMs,
+          const placement_request& aRequest)
 {
   const double pause = aCandidate.mBacklogMs + aPrefillMs +
                        aCandidate.mDecodePassMs + kPauseMarginMs;
   double harm = 0;
   for (const decoding_stream& one : aCandidate.mStreams) {
+    const double worth =
+      RankWeight(aRequest.mClass.mRank, one.mRank) * one.mWorth;
     if (!one.mPauseExceeded && one.mLongestPauseMs < pause) {
-      harm += kLostWhenLate * one.mWorth;
+      harm += kLostWhenLate * worth;
     }
     if (pause >
         std::max(kAbandonAfterMs, kAbandonAfterPauses * one.mLongestPauseMs)) {
-      harm += (1 - kLostWhenLate) * one.mWorth;
+      harm += (1 - kLostWhenLate) * worth;
     }
   }
   return harm;
--- a/Libraries/LibFleet/PlacementCosts.h
+++ b/Libraries/LibFleet/PlacementCosts.h
@@ -17,6 +17,12 @@
 /// what short prompts earn in it.
 inline constexpr double kWorthOfBusyEngineSecond = 8;
 
+/// Share of a request's worth that is lost when it is late.
+inline constexpr double kLostWhenLate = 0.75;
+/// Requests that are packed on one engine, as a share of its slots. The rest is
+/// left for requests that other gateways place at the same moment.
+inline constexpr double kPackedShare = 0.75;
+
 /// Worth that is likely lost if the first event takes this long.
 double
 LatenessCost(double aFirstMs, double aObjectiveMs, double aWorth);
@@ -24,9 +30,12 @@
 double
 LatenessCost(double aFirstMs, const placement_request& aRequest);
 
-/// Worth of the engine's streams whose pauses this prefill would make too long.
+/// Worth of the engine's streams whose pauses the request's prefill would
+/// make too long, weighted by `RankWeight`.
 double
-PauseHarm(const engine_candidate& aCandidate, double aPrefillMs);
+PauseHarm(const engine_candidate& aCandidate,
+          double aPrefillMs,
+          const placement_request& aRequest);
 
 /// Additional worth that a prompt is likely to lose if its remaining prefill
 /// ends after `aEndsMs` instead of `mPrefillLeftMs`.
@@ -34,10 +43,12 @@
 PrefillDelayHarm(const prefilling_prompt& aPrompt, double aEndsMs);
 
 /// The sum of `PrefillDelayHarm` over all prompts that the engine prefills, if
-/// it is given this prefill as well. A prompt that is divided over several
-/// engines counts by this engine's share.
+/// it is given this prefill as well, weighted by `RankWeight`. A
+/// prompt that is divided over several engines counts by this engine's share.
 double
-EnginePrefillDelayHarm(const engine_candidate& aCandidate, double aPrefillMs);
+EnginePrefillDelayHarm(const engine_candidate& aCandidate,
+                       double aPrefillMs,
+                       const placement_request& aRequest);
 
 /// Lasting cost of decoding a stream with a short allowed pause on this engine.
 /// It makes such streams gather on engines that do not prefill long prompts.
--- a/Libraries/LibFleet/PlacementDivision.cpp
+++ b/Libraries/LibFleet/PlacementDivision.cpp
@@ -1,6 +1,7 @@
 #include "LibFleet/PlacementDivision.h"
 
 #include "LibFleet/PlacementCosts.h"
+#include "LibFleet/RequestRank.h"
 
 #include <algorithm>
 #include <map>
@@ -82,14 +83,23 @@
 {
   using priced = std::pair<double, const engine_candidate*>;
   const double objective = ToMs(aInputs.mRequest.mObjective);
+  const double parts = static_cast<double>(aParts);
   std::vector<priced> order;
   order.reserve(aInputs.mCandidates.size());
   for (const engine_candidate& one : aInputs.mCandidates) {
     const double delay = (one.mBacklogMs + one.mDecodePassMs) / objective;
-    order.emplace_back(PauseHarm(one, aPartPrefillMs) +
-                         EnginePrefillDelayHarm(one, aPartPrefillMs) +
-                         aDelayWeight * aInputs.mRequest.mWorth * delay,
-                       &one);
+    // As if the other parts were on engines with as many free slots.
+    const double roomHarm =
+      UrgentRoomHarm(
+        aInputs.mUrgentRoom,
+        parts * BlockedSlots(
+                  aInputs.mUrgentRoom, one, aInputs.mTiming, aPartPrefillMs)) /
+      parts;
+    order.emplace_back(
+      PauseHarm(one, aPartPrefillMs, aInputs.mRequest) +
+        EnginePrefillDelayHarm(one, aPartPrefillMs, aInputs.mRequest) +
+        aDelayWeight * aInputs.mRequest.mWorth * delay + roomHarm,
+      &one);
   }
   std::partial_sort(order.begin(),
                     order.begin() + static_cast<std::ptrdiff_t>(aParts),
@@ -105,18 +115,21 @@
 }
 
 /// Worth that the prompts which these engines are prefilling lose if each of
-/// the engines is given another part. A prompt is as late as the last of its
-/// engines, so it counts once, with its largest harm.
+/// the engines is given another part of the request. A prompt is as late as the
+/// last of its engines, so it counts once, with its largest harm.
 double
 TotalPrefillDelayHarm(const std::vector<const engine_candidate*>& aEngines,
-                      double aPartPrefillMs)
+                      double aPartPrefillMs,
+                      const placement_request& aRequest)
 {
   std::map<placement_key, double> largest;
   for (const engine_candidate* const one : aEngines) {
     for (const prefilling_prompt& prompt : one->mPrefills) {
       double& harm = largest[prompt.mKey];
-      harm = std::max(
-        harm, PrefillDelayHarm(prompt, one->mBacklogMs + aPartPrefillMs));
+      harm =
+        std::max(harm,
+                 RankWeight(aRequest.mClass.mRank, prompt.mRank) *
+                   PrefillDelayHarm(prompt, one->mBacklogMs + aPartPrefillMs));
     }
   }
   double sum = 0;
@@ -137,17 +150,21 @@
   result.mPartPrefillMs = aInputs.mPrefillMs / parts;
   result.mDecodeEngine = ChooseDecodeEngine(aEngines, aInputs);
   double wait = 0;
+  double blocked = 0;
   for (const engine_candidate* const one : aEngines) {
-    result.mHarm.mStreams += PauseHarm(*one, result.mPartPrefillMs);
+    result.mHarm.mStreams += PauseHarm(*one, result.mPartPrefillMs, request);
     wait = std::max(wait, one->mBacklogMs);
+    blocked += BlockedSlots(
+      aInputs.mUrgentRoom, *one, aInputs.mTiming, result.mPartPrefillMs);
     if (one != result.mDecodeEngine) {
       result.mPrefillHelpers.push_back(one);
     }
   }
   result.mHarm.mPrefills =
-    TotalPrefillDelayHarm(aEngines, result.mPartPrefillMs);
+    TotalPrefillDelayHarm(aEngines, result.mPartPrefillMs, request);
   result.mHarm.mFutureRequests = FutureRequestHarm(
     aInputs.mSlotUtilisation, result.mPartPrefillMs, aEngines.size());
+  result.mHarm.mUrgentRoom = UrgentRoomHarm(aInputs.mUrgentRoom, blocked);
   result.mPrefillEndsMs = wait + result.mPartPrefillMs;
   AddHolders(result, request);
   const double first = result.mPrefillEndsMs +
@@ -219,4 +236,12 @@
   return best;
 }
 
+placement_harm
+HarmOfDivision(const division_inputs& aInputs, const prompt_division& aDivision)
+{
+  std::vector<const engine_candidate*> engines = aDivision.mPrefillHelpers;
+  engines.push_back(aDivision.mDecodeEngine);
+  return DivideOver(aInputs, engines).mHarm;
+}
+
 } // namespace primrose
--- a/Libraries/LibFleet/PlacementDivision.h
+++ b/Libraries/LibFleet/PlacementDivision.h
@@ -3,7 +3,7 @@
 /// Divides a long prompt into equal parts: into how many, and on which engines.
 /// Internal to LibFleet.
 
-#include "LibFleet/PlacementCandidates.h"
+#include "LibFleet/UrgentRoom.h"
 
 #include <limits>
 
@@ -32,6 +32,7 @@
   const placement_request& mRequest;
   double mPrefillMs = 0;       ///< Of the whole prompt on one engine.
   double mSlotUtilisation = 0; ///< The share of all engines' slots in use.
+  urgent_room mUrgentRoom;
 };
 
 /// The division with the lowest cost over all numbers of parts. Divisions that
@@ -39,4 +40,9 @@
 prompt_division
 CheapestDivision(const division_inputs& aInputs);
 
+/// The harm of a division of the prompt if it is placed with these inputs.
+placement_harm
+HarmOfDivision(const division_inputs& aInputs,
+               const prompt_division& aDivision);
+
 } // namespace primrose
--- /dev/null
+++ b/Libraries/LibFleet/RankDemand.h
@@ -0,0 +1,77 @@
+#pragma once
+
+/// How often the requests of each rank are admitted: the floor below which a
+/// rank is not refused, and the slots that less urgent requests leave to more
+/// urgent ones.
+
+#include "LibFleet/Endpoints.h"
+#include "LibFleet/EngineLedger.h"
+#include "LibFleet/EnginePlacement.h"
+
+#include <array>
+
+namespace primrose {
+
+/// Time constant of the averages, and the time for which the requests of a rank
+/// are taken to continue. A surge of a few seconds counts in full, and one that
+/// ended half a minute ago for a twentieth.
+inline constexpr duration kRankWindow = std::chrono::seconds(10);
+
+/// A rank is below its floor if less than this share of the engine time that it
+/// requests is admitted, compared with the rank that is admitted most often.
+/// Requirement: its served share is not below 0.25 of that of all requests. The
+/// rest is a margin: a gateway with few requests of a rank, which are all
+/// refused but for the floor, admits 0.37 of them, and some of the admitted
+/// fail.
+inline constexpr double kRankFloor = 0.45;
+
+/// Engine time of one rank, as sums that decay exponentially.
+struct rank_demand
+{
+  double mRequestedMs = 0;
+  double mAdmittedMs = 0;
+  double mRequests = 0;
+  time_point mAt{}; ///< Of the last request.
+
+  bool operator==(const rank_demand&) const = default;
+};
+
+/// The requests of this gateway's own callers to one service.
+struct service_demand
+{
+  std::array<rank_demand, kMaxRank + 1> mRanks{};
+  unsigned mDecisions = 0; ///< Of all ranks, up to the number that is needed.
+
+  bool operator==(const service_demand&) const = default;
+};
+
+/// Engine time that a request takes: its prefill, and its decode time divided
+/// by the slots that share it.
+double
+EngineTimeMs(const engine_timing& aTiming, const placement_request& aRequest);
+
+/// Counts the decision on a request.
+void
+RecordDecision(service_demand& aDemand,
+               unsigned aRank,
+               double aEngineTimeMs,
+               bool aAdmitted,
+               time_point aNow);
+
+/// True if a request of this rank is to be treated as of the most urgent rank.
+/// False until a few requests have been decided.
+bool
+IsBelowFloor(const service_demand& aDemand, unsigned aRank, time_point aNow);
+
+/// The slots that a request of this rank leaves free. None unless more urgent
+/// requests are on the service's engines or were sent here in the last
+/// `kRankWindow`.
+slot_reserve
+RankReserve(const service_demand& aDemand,
+            const endpoint_registry& aRegistry,
+            const engine_ledger& aLedger,
+            const endpoint_scope& aScope,
+            unsigned aRank,
+            time_point aNow);
+
+} // namespace primrose
--- a/Libraries/LibGateway/Adapter.h
+++ b/Libraries/LibGateway/Adapter.h
@@ -43,6 +43,8 @@
   std::string mOrganisation; ///< Empty if the route requires no key.
   std::vector<prefill_helper> mHelpers;
   std::optional<std::uint64_t> mLastEvent;
+  /// Where ranks take effect: 0 is the most urgent; see `request_class`.
+  std::optional<unsigned> mRank;
 
   bool operator==(const forwarding_info&) const = default;
 };
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -276,7 +276,9 @@
   const organisation* const owner =
     mOrganisation.empty() ? nullptr : mManifest->OwnerOfKey(*mRequestInfo.mKey);
   if (mContext.mSettings.mOverload.mRanks) {
+    mRanked = !mManifest->RanksOf(mService->mName).empty();
     mClass.mRank = EffectiveRank(*mManifest, *mService, *mRoute, owner);
+    mRankForwarded = mClass.mRank;
   }
   if (mContext.mSettings.mOverload.mShares) {
     mClass.mOrganisation = OrganisationKey(mOrganisation);
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -108,6 +108,14 @@
   void PostponePlacement(const engine_choice& aChoice);
   void RefuseOverloaded(const engine_choice& aChoice);
   void RefuseWithoutSlot(const slot_refusal& aRefusal);
+  /// The rank by which the request is placed now: its own, or the most urgent
+  /// one of the service while its own is below the floor.
+  unsigned PlacementRank() const;
+  /// Counts the first decision on the request in the floor of its rank and in
+  /// the metrics.
+  void CountRankDecision(bool aAdmitted);
+  /// The rank as it is logged: empty where ranks take no effect.
+  std::string RankText(unsigned aRank) const;
   /// Slots that have to stay free when this request is admitted; no value if
   /// requests are not refused for want of slots.
   std::optional<slot_reserve> SlotReserve() const;
@@ -201,7 +209,10 @@
   const service* mService = nullptr;
   std::string mOrganisation;
   request_class mClass;
-  allowed_regions mRegions; ///< Of the route and the organisation.
+  bool mRanked = false;        ///< Ranks take effect for the service.
+  bool mRankCounted = false;   ///< See `CountRankDecision`.
+  unsigned mRankForwarded = 0; ///< Of the current attempt, if ranked.
+  allowed_regions mRegions;    ///< Of the route and the organisation.
   request_digest mDigest = 0;
   /// What may crash endpoints: the request, and the parts of its prompt that
   /// others may share.
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -130,6 +130,10 @@
   work.mElapsed = mContext.mLoop.Now() - mStarted;
   work.mTieBreakSeed = mContext.mBoard.mGatewayIncarnation;
   work.mClass = mClass;
+  const unsigned rank = PlacementRank();
+  if (rank != mClass.mRank) {
+    work.mFloorRank = rank;
+  }
   work.mSlotReserve = SlotReserve();
   return work;
 }
@@ -142,8 +146,58 @@
   if (!mContext.mSettings.mOverload.mSlots || !mAttemptedEndpoints.empty()) {
     return std::nullopt;
   }
-  return ShareReserve(
-    mContext.mBoard.mUsage, mClass.mOrganisation, mContext.mLoop.Now());
+  const time_point now = mContext.mLoop.Now();
+  const slot_reserve share =
+    ShareReserve(mContext.mBoard.mUsage, mClass.mOrganisation, now);
+  if (!mRanked) {
+    return share;
+  }
+  return LargerReserve(share,
+                       RankReserve(mContext.mBoard.mDemand[mService->mName],
+                                   mContext.mBoard.mEndpoints,
+                                   mContext.mBoard.mLedger,
+                                   Scope(),
+                                   PlacementRank(),
+                                   now));
+}
+
+unsigned
+exchange::PlacementRank() const
+{
+  return mRanked && IsBelowFloor(mContext.mBoard.mDemand[mService->mName],
+                                 mClass.mRank,
+                                 mContext.mLoop.Now())
+           ? mManifest->RanksOf(mService->mName).front()
+           : mClass.mRank;
+}
+
+void
+exchange::CountRankDecision(bool aAdmitted)
+{
+  if (!mRanked || mRankCounted) {
+    return;
+  }
+  mRankCounted = true;
+  const std::string rank = std::to_string(mClass.mRank);
+  metrics& counters = mContext.mBoard.mMetrics;
+  counters.Count(Labelled(aAdmitted ? "gateway_rank_admitted_total"
+                                    : "gateway_rank_refused_total",
+                          "rank",
+                          rank));
+  if (PlacementRank() != mClass.mRank) {
+    counters.Count(Labelled("gateway_rank_floor_total", "rank", rank));
+  }
+  RecordDecision(mContext.mBoard.mDemand[mService->mName],
+                 mClass.mRank,
+                 EngineTimeMs(*mService->mEngine, DescribeEngineWork()),
+                 aAdmitted,
+                 mContext.mLoop.Now());
+}
+
+std::string
+exchange::RankText(unsigned aRank) const
+{
+  return mRanked ? std::to_string(aRank) : "";
 }
 
 void
@@ -157,9 +211,11 @@
       { { "request", mRequestInfo.mId },
         { "why", reason },
         { "organisation", mOrganisation },
-        { "rank", mClass.mRank },
+        { "rank", RankText(mClass.mRank) },
+        { "placed_as_rank", RankText(PlacementRank()) },
         { "prompt_tokens", mRequestInfo.mPromptTokens },
         { "retry_after_ms", Milliseconds(aRefusal.mRetryAfter) } });
+  CountRankDecision(false);
   GiveUp(error_kind::Overloaded,
          std::string(reason),
          Seconds(std::clamp(
@@ -206,6 +262,8 @@
   Log(log_level::Info,
       "turned_away",
       { { "request", mRequestInfo.mId },
+        { "rank", RankText(mClass.mRank) },
+        { "placed_as_rank", RankText(PlacementRank()) },
         { "prompt_tokens", mRequestInfo.mPromptTokens },
         { "fits", static_cast<int>(fits) },
         { "helpers", aChoice.mPrefillHelpers.size() },
@@ -216,9 +274,15 @@
         { "harm_streams", aChoice.mHarm.mStreams },
         { "harm_readings", aChoice.mHarm.mPrefills },
         { "harm_holding", aChoice.mHarm.mFutureRequests },
+        { "harm_urgent_room", aChoice.mHarm.mUrgentRoom },
         { "price", aChoice.mPrice },
         { "price_of_second", aChoice.mPrefillSecondPrice },
         { "retry_after_ms", Milliseconds(retryAfter) } });
+  // Refusals for want of memory are not counted: they do not depend on the
+  // rank, so the floor could not prevent them.
+  if (fits) {
+    CountRankDecision(false);
+  }
   GiveUp(error_kind::Overloaded,
          fits ? "costs_others_more" : "no_memory",
          Seconds(retryAfter));
@@ -240,11 +304,14 @@
   mContext.mGossipSender.AnnouncePlacement(placed);
   mPlacement = placed.mKey;
   mExpectedFirstEventMs = aChoice.mFirstEventMs;
+  mRankForwarded = placed.mClass.mRank;
   Log(log_level::Info,
       "placed",
       { { "request", mRequestInfo.mId },
         { "route", mRoute->mName },
         { "organisation", mOrganisation },
+        { "rank", RankText(mClass.mRank) },
+        { "placed_as_rank", RankText(placed.mClass.mRank) },
         { "endpoint", aChoice.mDecodeEngine->mListed.mId },
         { "helpers", aChoice.mPrefillHelpers.size() },
         { "holders", aChoice.mHolders },
@@ -256,6 +323,7 @@
         { "harm", TotalHarm(aChoice.mHarm) },
         { "attempt", mAttemptedEndpoints.size() + 1 },
         { "manifest", mManifest->Manifest().mVersion } });
+  CountRankDecision(true);
 }
 
 void
@@ -348,6 +416,7 @@
       { { "request", mRequestInfo.mId },
         { "route", mRoute->mName },
         { "organisation", mOrganisation },
+        { "rank", RankText(mClass.mRank) },
         { "endpoint", chosen->mListed.mId },
         { "outstanding", chosen->mOutstanding },
         { "attempt", mAttemptedEndpoints.size() + 1 },
@@ -430,6 +499,9 @@
   forwarded.mHelpers = aHelpers;
   forwarded.mLastEvent =
     mCursor.LastId().has_value() ? mCursor.LastId() : mRequestInfo.mLastEvent;
+  if (mRanked) {
+    forwarded.mRank = mRankForwarded;
+  }
   mHelperCount = aHelpers.size();
   mAttemptHasEvents = false;
   mAttemptedEndpoints.push_back(aEndpoint.mId);
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -40,6 +40,44 @@
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusUnavailable = 503;
 
+/// Services whose ranks are logged when a manifest is applied.
+constexpr std::size_t kMaxLoggedServices = 8;
+
+void
+LogPriorityFaults(const manifest& aManifest)
+{
+  for (const priority_fault& one : PriorityFaults(aManifest)) {
+    Log(log_level::Warning,
+        "priority_not_applied",
+        { { "version", aManifest.mVersion },
+          { "owner", one.mOwner },
+          { "why", one.mReason } });
+  }
+}
+
+/// Logs the services in which ranks take effect, and their ranks.
+void
+LogRanks(const manifest_index& aManifest)
+{
+  std::size_t logged = 0;
+  for (const service& one : aManifest.Manifest().mServices) {
+    const std::vector<unsigned>& ranks = aManifest.RanksOf(one.mName);
+    if (ranks.empty() || logged == kMaxLoggedServices) {
+      continue;
+    }
+    ++logged;
+    std::string list;
+    for (const unsigned rank : ranks) {
+      list += (list.empty() ? "" : ",") + std::to_string(rank);
+    }
+    Log(log_level::Info,
+        "ranks_in_force",
+        { { "version", aManifest.Manifest().mVersion },
+          { "service", one.mName },
+          { "ranks", list } });
+  }
+}
+
 std::string_view
 ListingName(membership_change aListing)
 {
@@ -397,6 +435,10 @@
   }
   mManifestRow = aRow;
   mBoard.mManifest = std::make_shared<const manifest_index>(*decoded.mValue);
+  LogPriorityFaults(mBoard.mManifest->Manifest());
+  if (mSettings.mOverload.mRanks) {
+    LogRanks(*mBoard.mManifest);
+  }
   mBoard.mManifestAppliedAt = mLoop.Now();
   UpdateWarmUpShares(mBoard, mSettings.mPeers.mHost, mLoop.Now());
   OpenStartupGateIfReady();
