--- a/Libraries/LibFleet/EngineLedger.cpp
+++ b/Libraries/LibFleet/EngineLedger.cpp
@@ -36,7 +36,7 @@
     const auto found = aLedger.mPlacements.find(key);
     if (found != aLedger.mPlacements.end() &&
         Seconds(found->second.mLongestPause) * kMsPerSecond <
-          aLoad.mBacklogMs + kTypicalDecodePassMs) {
+          aLoad.mPace * (aLoad.mBacklogMs + kTypicalDecodePassMs)) {
       found->second.mPauseExceeded = true;
     }
   }
@@ -70,7 +70,8 @@
            found->second.mPrefillEndsAt <= aNow;
   });
   aLoad.mPrefilling.push_back(aNew);
-  const time_point end = aNow + FromSeconds(aLoad.mBacklogMs / kMsPerSecond);
+  const time_point end =
+    aNow + FromSeconds(aLoad.mPace * aLoad.mBacklogMs / kMsPerSecond);
   for (const placement_key key : aLoad.mPrefilling) {
     placement& prefill = aLedger.mPlacements.at(key);
     prefill.mPrefillEndsAt = std::max(prefill.mPrefillEndsAt, end);
@@ -126,7 +127,8 @@
 double
 PrefillRate(const engine_load& aLoad)
 {
-  return aLoad.mDecoding.empty() ? 1 : kPrefillShareWhileDecoding;
+  return (aLoad.mDecoding.empty() ? 1 : kPrefillShareWhileDecoding) /
+         aLoad.mPace;
 }
 
 double
@@ -145,6 +147,19 @@
                     PrefillRate(aLoad) * ElapsedMs(aLoad.mBacklogAt, aNow));
 }
 
+bool
+UpdatePace(engine_load& aLoad, time_point aNow)
+{
+  const double pace = PaceInForce(aLoad.mSpeed, aNow);
+  if (pace == aLoad.mPace) {
+    return false;
+  }
+  aLoad.mBacklogMs = BacklogMs(aLoad, aNow);
+  aLoad.mBacklogAt = aNow;
+  aLoad.mPace = pace;
+  return true;
+}
+
 void
 SetReportedRequests(engine_ledger& aLedger,
                     engine_key aEngine,
--- a/Libraries/LibFleet/EngineLedger.h
+++ b/Libraries/LibFleet/EngineLedger.h
@@ -3,6 +3,7 @@
 /// The work assigned to each engine by all gateways: the prefill that is not
 /// yet done, and the requests that decode there.
 
+#include "LibFleet/EngineSpeed.h"
 #include "LibFleet/RequestClass.h"
 
 #include <optional>
@@ -59,7 +60,8 @@
 
 struct engine_load
 {
-  double mBacklogMs = 0; ///< Remaining prefill time as of `mBacklogAt`.
+  /// Remaining prefill as of `mBacklogAt`, in declared time.
+  double mBacklogMs = 0;
   time_point mBacklogAt{};
   /// Prefill time of recent placements, which decays exponentially; see
   /// `PrefillInflow`.
@@ -72,6 +74,9 @@
   /// Number of requests that the engine reported at `mReportedAt`.
   std::size_t mReportedRequestCount = 0;
   time_point mReportedAt{};
+  engine_speed mSpeed;
+  double mPace =
+    1; ///< In force since `mBacklogAt` or longer; see `UpdatePace`.
 
   bool operator==(const engine_load&) const = default;
 };
@@ -129,7 +134,7 @@
 std::size_t
 RequestsOn(const engine_load& aLoad, time_point aNow);
 
-/// Prefill time that the engine works off per unit of time.
+/// Declared prefill time that the engine works off per unit of time.
 double
 PrefillRate(const engine_load& aLoad);
 
@@ -141,8 +146,14 @@
 double
 PrefillInflow(const engine_load& aLoad, time_point aNow);
 
-/// Prefill time that remains at `aNow`, in milliseconds.
+/// Declared prefill time that remains at `aNow`, in milliseconds. The engine
+/// needs `mPace` times as long for it.
 double
 BacklogMs(const engine_load& aLoad, time_point aNow);
 
+/// Puts the current pace of the engine in force. The backlog has decayed at the
+/// previous pace until now. True if the pace changed.
+bool
+UpdatePace(engine_load& aLoad, time_point aNow);
+
 } // namespace primrose
--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -3,6 +3,7 @@
 #include "LibFleet/PlacementAdmission.h"
 #include "LibFleet/PlacementCosts.h"
 #include "LibFleet/PlacementDivision.h"
+#include "LibFleet/PlacementPace.h"
 #include "LibFleet/SlotAdmission.h"
 
 #include <algorithm>
@@ -50,11 +51,12 @@
   std::pair<double, std::uint64_t> bestCost;
   double bestFirst = 0;
   for (const engine_candidate& one : aCandidates) {
+    const double prefillMs = one.mPace * aPrefillMs;
     const double first =
-      one.mBacklogMs + aPrefillMs + kPassesToFirstEvent * one.mDecodePassMs;
+      one.mBacklogMs + prefillMs + kPassesToFirstEvent * one.mDecodePassMs;
     const double cost =
-      LatenessCost(first, aRequest) + PauseHarm(one, aPrefillMs) +
-      PackingCost(one, aTiming, aRequest) +
+      LatenessCost(first, aRequest) + PauseHarm(one, prefillMs) +
+      PackingCost(one, aTiming, aRequest) + SlowEngineCost(one, aRequest) +
       (HasRoom(one, aTiming, aRequest) ? 0 : aRequest.mWorth) +
       (one.mInOtherDataCentre ? kOtherDataCentrePenalty : 0);
     const std::pair<double, std::uint64_t> ranked(
@@ -69,7 +71,7 @@
   choice.mDecodeEngine = best->mEndpoint;
   choice.mPartPrefillMs = aPrefillMs;
   choice.mFirstEventMs = bestFirst;
-  choice.mHarm.mStreams = PauseHarm(*best, aPrefillMs);
+  choice.mHarm.mStreams = PauseHarm(*best, best->mPace * aPrefillMs);
   return choice;
 }
 
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -84,7 +84,7 @@
   /// The first so many helpers also hold memory for the prompt.
   std::size_t mHolders = 0;
   double mHolderTokens = 0;  ///< Memory of each holder, in tokens.
-  double mPartPrefillMs = 0; ///< Prefill time of each part.
+  double mPartPrefillMs = 0; ///< Declared prefill time of each part.
   double mFirstEventMs = 0;  ///< Expected time to the first event.
   placement_harm mHarm;
   double mPrefillSecondPrice = 0; ///< Price of a second of one engine.
--- a/Libraries/LibFleet/PlacementCandidates.cpp
+++ b/Libraries/LibFleet/PlacementCandidates.cpp
@@ -95,14 +95,16 @@
     const engine_load& load = LoadOf(aLedger, EngineKey(id));
     engine_candidate one;
     one.mEndpoint = &known;
-    one.mBacklogMs = BacklogMs(load, aNow);
+    one.mPace = load.mPace;
+    one.mBacklogMs = one.mPace * BacklogMs(load, aNow);
     one.mFreeTokens = FreeTokens(aTiming, load);
     one.mStreams = StreamsOn(aLedger, load);
     one.mPrefills = PrefillsOn(aLedger, load, aNow);
     one.mRequests = RequestsOn(load, aNow);
-    one.mDecodePassMs = DecodePassMs(aTiming,
-                                     static_cast<double>(one.mRequests + 1),
-                                     load.mTokens + aRequest.mPromptTokens);
+    one.mDecodePassMs =
+      one.mPace * DecodePassMs(aTiming,
+                               static_cast<double>(one.mRequests + 1),
+                               load.mTokens + aRequest.mPromptTokens);
     one.mAvoided = IsAvoided(known, aNow);
     one.mInOtherDataCentre = known.mListed.mDataCentre != aDataCentre;
     candidates.push_back(std::move(one));
--- a/Libraries/LibFleet/PlacementCandidates.h
+++ b/Libraries/LibFleet/PlacementCandidates.h
@@ -33,6 +33,9 @@
 struct engine_candidate
 {
   known_endpoint* mEndpoint = nullptr;
+  /// Actual over declared times of the engine; see LibFleet/EngineSpeed. It is
+  /// part of `mBacklogMs` and `mDecodePassMs`.
+  double mPace = 1;
   double mBacklogMs = 0; ///< Queued prefill time.
   double mFreeTokens = 0;
   double mDecodePassMs = 0; ///< Of a pass that also decodes this request.
--- a/Libraries/LibFleet/PlacementDivision.cpp
+++ b/Libraries/LibFleet/PlacementDivision.cpp
@@ -1,6 +1,7 @@
 #include "LibFleet/PlacementDivision.h"
 
 #include "LibFleet/PlacementCosts.h"
+#include "LibFleet/PlacementPace.h"
 
 #include <algorithm>
 #include <map>
@@ -17,14 +18,14 @@
 constexpr double kTimePenalty = 0.05;
 
 /// Chooses the engine that holds the prompt in memory and decodes the answer:
-/// one with room, then with the fewest streams whose allowed pauses are
-/// shorter, then with the most free memory.
+/// one with room, then one that is not slow, then with the fewest streams whose
+/// allowed pauses are shorter, then with the most free memory.
 const engine_candidate*
 ChooseDecodeEngine(const std::vector<const engine_candidate*>& aEngines,
                    const division_inputs& aInputs)
 {
   const engine_candidate* best = nullptr;
-  std::tuple<bool, std::size_t, double> bestRank;
+  std::tuple<bool, bool, std::size_t, double> bestRank;
   const double own = ToMs(aInputs.mRequest.mLongestPause);
   for (const engine_candidate* const one : aEngines) {
     const std::size_t shorterPauses = static_cast<std::size_t>(
@@ -33,8 +34,9 @@
                     [own](const decoding_stream& aOne) {
                       return aOne.mLongestPauseMs < own;
                     }));
-    const std::tuple<bool, std::size_t, double> rank(
+    const std::tuple<bool, bool, std::size_t, double> rank(
       !HasRoom(*one, aInputs.mTiming, aInputs.mRequest),
+      one->mPace >= kNotablePaceRatio,
       shorterPauses,
       -one->mFreeTokens);
     if (best == nullptr || rank < bestRank) {
@@ -73,7 +75,8 @@
 }
 
 /// The engines with the lowest costs of prefilling a part each. `aDelayWeight`
-/// is the weight of their backlogs in the cost.
+/// is the weight of their backlogs in the cost, and of the time by which a slow
+/// engine delays the prompt.
 std::vector<const engine_candidate*>
 CheapestEngines(const division_inputs& aInputs,
                 double aPartPrefillMs,
@@ -85,9 +88,12 @@
   std::vector<priced> order;
   order.reserve(aInputs.mCandidates.size());
   for (const engine_candidate& one : aInputs.mCandidates) {
-    const double delay = (one.mBacklogMs + one.mDecodePassMs) / objective;
-    order.emplace_back(PauseHarm(one, aPartPrefillMs) +
-                         EnginePrefillDelayHarm(one, aPartPrefillMs) +
+    const double partMs = one.mPace * aPartPrefillMs;
+    const double delay =
+      (one.mBacklogMs + one.mDecodePassMs + (partMs - aPartPrefillMs)) /
+      objective;
+    order.emplace_back(PauseHarm(one, partMs) +
+                         EnginePrefillDelayHarm(one, partMs) +
                          aDelayWeight * aInputs.mRequest.mWorth * delay,
                        &one);
   }
@@ -115,8 +121,9 @@
   for (const engine_candidate* const one : aEngines) {
     for (const prefilling_prompt& prompt : one->mPrefills) {
       double& harm = largest[prompt.mKey];
-      harm = std::max(
-        harm, PrefillDelayHarm(prompt, one->mBacklogMs + aPartPrefillMs));
+      harm = std::max(harm,
+                      PrefillDelayHarm(
+                        prompt, one->mBacklogMs + one->mPace * aPartPrefillMs));
     }
   }
   double sum = 0;
@@ -126,6 +133,17 @@
   return sum;
 }
 
+/// Duration of a pass for the cost of a division: as on the cheapest engine,
+/// unless that or the decode engine is not as fast as declared.
+double
+PassMsForFirstEvent(const prompt_division& aDivision,
+                    const engine_candidate& aCheapest)
+{
+  const engine_candidate& decodes = *aDivision.mDecodeEngine;
+  const bool asDeclared = aCheapest.mPace == 1 && decodes.mPace == 1;
+  return asDeclared ? aCheapest.mDecodePassMs : decodes.mDecodePassMs;
+}
+
 /// Divides the prompt over these engines.
 prompt_division
 DivideOver(const division_inputs& aInputs,
@@ -136,27 +154,33 @@
   prompt_division result;
   result.mPartPrefillMs = aInputs.mPrefillMs / parts;
   result.mDecodeEngine = ChooseDecodeEngine(aEngines, aInputs);
-  double wait = 0;
+  double paces = 0;
   for (const engine_candidate* const one : aEngines) {
-    result.mHarm.mStreams += PauseHarm(*one, result.mPartPrefillMs);
-    wait = std::max(wait, one->mBacklogMs);
+    const double partMs = one->mPace * result.mPartPrefillMs;
+    result.mHarm.mStreams += PauseHarm(*one, partMs);
+    result.mPrefillEndsMs =
+      std::max(result.mPrefillEndsMs, one->mBacklogMs + partMs);
+    paces += one->mPace;
     if (one != result.mDecodeEngine) {
       result.mPrefillHelpers.push_back(one);
     }
   }
   result.mHarm.mPrefills =
     TotalPrefillDelayHarm(aEngines, result.mPartPrefillMs);
-  result.mHarm.mFutureRequests = FutureRequestHarm(
-    aInputs.mSlotUtilisation, result.mPartPrefillMs, aEngines.size());
-  result.mPrefillEndsMs = wait + result.mPartPrefillMs;
+  result.mHarm.mFutureRequests =
+    FutureRequestHarm(aInputs.mSlotUtilisation,
+                      paces / parts * result.mPartPrefillMs,
+                      aEngines.size());
   AddHolders(result, request);
-  const double first = result.mPrefillEndsMs +
-                       kPassesToFirstEvent * aEngines.front()->mDecodePassMs;
-  result.mCost = TotalHarm(result.mHarm) +
-                 LatenessCost(ToMs(request.mElapsed) + first, request) +
-                 request.mWorth * (kTimePenalty * result.mPrefillEndsMs /
-                                     ToMs(request.mObjective) +
-                                   kPartPenalty * parts);
+  const double first =
+    result.mPrefillEndsMs +
+    kPassesToFirstEvent * PassMsForFirstEvent(result, *aEngines.front());
+  result.mCost =
+    TotalHarm(result.mHarm) + SlowEngineCost(*result.mDecodeEngine, request) +
+    LatenessCost(ToMs(request.mElapsed) + first, request) +
+    request.mWorth *
+      (kTimePenalty * result.mPrefillEndsMs / ToMs(request.mObjective) +
+       kPartPenalty * parts);
   return result;
 }
 
--- a/Libraries/LibFleet/StreamTimeouts.cpp
+++ b/Libraries/LibFleet/StreamTimeouts.cpp
@@ -27,12 +27,20 @@
 
 constexpr double kMsPerSecond = 1e3;
 
+/// This time on an engine of this pace. A fast engine gets no less time.
+duration
+Slowed(duration aTime, double aPace)
+{
+  return aPace <= 1 ? aTime : FromSeconds(aPace * Seconds(aTime));
+}
+
 } // namespace
 
 duration
 FirstEventTimeout(const placement_request& aWork,
                   double aExpectedMs,
-                  bool aDivided)
+                  bool aDivided,
+                  double aPace)
 {
   if (aDivided) {
     return FromSeconds(kDividedTimeoutFactor * aExpectedMs / kMsPerSecond) +
@@ -44,15 +52,24 @@
                kCallerPauseFactor * aWork.mLongestPause });
   return std::min(
     FromSeconds(kUndividedTimeoutFactor * aExpectedMs / kMsPerSecond) +
-      kMinStallTimeout,
+      Slowed(kMinStallTimeout, aPace),
     FromSeconds(kCallerTimeoutShare * Seconds(callerTimeout)));
 }
 
 duration
-StallTimeout(duration aAllowedPause)
+StallTimeout(duration aAllowedPause, double aPace)
 {
-  return std::max(FromSeconds(kStallFactor * Seconds(aAllowedPause)),
-                  kMinStallTimeout);
+  const duration asDeclared = std::max(
+    FromSeconds(kStallFactor * Seconds(aAllowedPause)), kMinStallTimeout);
+  if (aPace <= 1) {
+    return asDeclared;
+  }
+  const duration callerTimeout =
+    std::max(kCallerMinTimeout, kCallerPauseFactor * aAllowedPause);
+  return std::max(
+    asDeclared,
+    std::min(Slowed(asDeclared, aPace),
+             FromSeconds(kCallerTimeoutShare * Seconds(callerTimeout))));
 }
 
 } // namespace primrose
--- a/Libraries/LibFleet/StreamTimeouts.h
+++ b/Libraries/LibFleet/StreamTimeouts.h
@@ -6,6 +6,9 @@
 /// When an engine's machine loses power or network, its connections are not
 /// reset, so only a timeout detects it. The caller adds the time for prefill
 /// that the engine is known to have been given.
+///
+/// `aPace` is that of the engine (LibFleet/EngineSpeed): an engine that is
+/// known to be slow is given more time, as far as the caller's patience allows.
 
 #include "LibFleet/EnginePlacement.h"
 
@@ -16,10 +19,11 @@
 duration
 FirstEventTimeout(const placement_request& aWork,
                   double aExpectedMs,
-                  bool aDivided);
+                  bool aDivided,
+                  double aPace = 1);
 
 /// Timeout between two events of a stream that may pause for `aAllowedPause`.
 duration
-StallTimeout(duration aAllowedPause);
+StallTimeout(duration aAllowedPause, double aPace = 1);
 
 } // namespace primrose
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -161,6 +161,14 @@
   /// the caller left or the deadline passed.
   void ReportUnfinishedAttempt(const attempt& aAttempt, bool aEndpointAtFault);
   void RecordReportedLoad(const attempt& aAttempt);
+  /// Measures the pace of the engine by the events that were read at once, and
+  /// announces it to the peers if they know another.
+  void RecordEnginePace(const attempt& aAttempt, std::uint64_t aEvents);
+  /// The pace of the attempt's engine; 1 if it is as declared or not known.
+  double EnginePace(const attempt& aAttempt) const;
+  /// True if the attempt's engine is known to be slower than when the response
+  /// timer was started. Starts the timer again for the additional time.
+  bool ExtendForSlowEngine();
   /// Applies the rate limit that the endpoint's answer reports and broadcasts
   /// it to the peers.
   void ApplyReportedLimit(const attempt& aAttempt);
@@ -233,6 +241,11 @@
   /// Bytes after the last whole event of the stream, at its end.
   std::size_t mTrailingBytes = 0;
   event_cursor mCursor;
+  stream_events mEvents; ///< Of the current attempt.
+  /// Pace of the engine that the response timer allows for, and the time that
+  /// it allows.
+  double mTimeoutPace = 1;
+  duration mResponseTimeout{};
   /// Head of the first attempt that streamed.
   std::optional<http_head> mStreamHead;
   time_point mFirstEventAt{};
--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -135,6 +135,29 @@
   }
 }
 
+void
+exchange::RecordEnginePace(const attempt& aAttempt, std::uint64_t aEvents)
+{
+  if (!mContext.mSettings.mOverload.mSpeeds || !mService->mEngine.has_value()) {
+    return;
+  }
+  events_read read{ aEvents, std::nullopt };
+  if (!mAttemptHasEvents && mHelperCount == 0) {
+    read.mFirstAfter = mContext.mLoop.Now() - aAttempt.SentAt();
+  }
+  const std::optional<speed_report> due =
+    RecordStreamEvents(mContext.mBoard,
+                       mContext.mSettings.mPeers.mHost,
+                       aAttempt.Endpoint().mId,
+                       *mService->mEngine,
+                       mEvents,
+                       read,
+                       mContext.mLoop.Now());
+  if (due.has_value()) {
+    mContext.mGossipSender.AnnounceSpeed(*due);
+  }
+}
+
 void
 exchange::ApplyReportedLimit(const attempt& aAttempt)
 {
@@ -254,12 +277,14 @@
 void
 exchange::ForwardEvents(attempt& aAttempt)
 {
+  const std::uint64_t countBefore = mCursor.Count();
   const std::string events = mCursor.TakeWholeEvents(aAttempt.Body());
   if (events.empty()) {
     return;
   }
   const time_point now = mContext.mLoop.Now();
   RecordEndpointActivity(aAttempt);
+  RecordEnginePace(aAttempt, mCursor.Count() - countBefore);
   mAttemptHasEvents = true;
   if (!mHeadWritten) {
     mFirstEventAt = now;
@@ -273,6 +298,7 @@
   mResponse->Write(chunk);
   if (mResponse->Pending() > kMaxPendingBytes) {
     mReadingPaused = true;
+    mEvents = {};
     aAttempt.PauseReading(true);
     mContext.mLoop.Cancel(mResponseTimer);
     return;
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -1,6 +1,7 @@
 #include "LibGateway/Exchange.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace primrose {
 
@@ -26,6 +27,13 @@
 
 constexpr double kMsPerSecond = 1e3;
 
+duration
+ResponsiveWindow(double aPace)
+{
+  return aPace <= 1 ? kResponsiveWindow
+                    : FromSeconds(aPace * Seconds(kResponsiveWindow));
+}
+
 std::string
 JoinIds(const std::vector<known_endpoint*>& aEndpoints)
 {
@@ -324,8 +332,11 @@
                         i < aReservedCount ? mMemory->Reservation() : "" });
   }
   StartAttempt(aDecodeEngine, helpers);
-  StartResponseTimer(FirstEventTimeout(
-    DescribeEngineWork(), mExpectedFirstEventMs, !aHelpers.empty()));
+  mTimeoutPace = EnginePace(*mAttempt);
+  StartResponseTimer(FirstEventTimeout(DescribeEngineWork(),
+                                       mExpectedFirstEventMs,
+                                       !aHelpers.empty(),
+                                       mTimeoutPace));
 }
 
 bool
@@ -432,6 +443,7 @@
     mCursor.LastId().has_value() ? mCursor.LastId() : mRequestInfo.mLastEvent;
   mHelperCount = aHelpers.size();
   mAttemptHasEvents = false;
+  mEvents = {};
   mAttemptedEndpoints.push_back(aEndpoint.mId);
   mExcludedEndpoints.push_back(aEndpoint.mId);
   const auto known = mContext.mBoard.mEndpoints.mEndpoints.find(aEndpoint.mId);
@@ -461,6 +473,7 @@
 exchange::StartResponseTimer(duration aLimit)
 {
   mContext.mLoop.Cancel(mResponseTimer);
+  mResponseTimeout = aLimit;
   mResponseTimer = mContext.mLoop.After(aLimit, [this]() {
     mResponseTimer = 0;
     OnResponseTimeout();
@@ -471,7 +484,8 @@
 exchange::StartStallTimer(const attempt& aAttempt)
 {
   if (mRoute->mLongestPause > duration::zero()) {
-    StartResponseTimer(StallTimeout(mRoute->mLongestPause) +
+    mTimeoutPace = EnginePace(aAttempt);
+    StartResponseTimer(StallTimeout(mRoute->mLongestPause, mTimeoutPace) +
                        PrefillBacklog(aAttempt));
   }
 }
@@ -490,11 +504,14 @@
     StartResponseTimer(backlog + kMinPrefillBacklog);
     return;
   }
+  if (ExtendForSlowEngine()) {
+    return;
+  }
   if (IsFullButResponsive(*mAttempt)) {
     // The request waits for a slot. Avoiding the engine, or prefilling the
     // prompt again elsewhere, would add load to the other engines until they
     // time out as well.
-    StartResponseTimer(kResponsiveWindow);
+    StartResponseTimer(ResponsiveWindow(EnginePace(*mAttempt)));
     return;
   }
   LogResponseTimeout();
@@ -505,6 +522,25 @@
   Retry("silent");
 }
 
+double
+exchange::EnginePace(const attempt& aAttempt) const
+{
+  const engine_load* const load = FindEngineLoad(aAttempt);
+  return load == nullptr ? 1 : load->mPace;
+}
+
+bool
+exchange::ExtendForSlowEngine()
+{
+  const double pace = EnginePace(*mAttempt);
+  if (pace <= mTimeoutPace || !DiffersNotably(pace, mTimeoutPace)) {
+    return false;
+  }
+  const double more = pace / std::exchange(mTimeoutPace, pace) - 1;
+  StartResponseTimer(FromSeconds(more * Seconds(mResponseTimeout)));
+  return true;
+}
+
 known_endpoint*
 exchange::FindEndpoint(const attempt& aAttempt) const
 {
@@ -529,7 +565,8 @@
   const engine_load* const load = FindEngineLoad(aAttempt);
   return mService->mEngine.has_value() && known != nullptr && load != nullptr &&
          load->mDecoding.size() >= mService->mEngine->mSlots &&
-         mContext.mLoop.Now() - known->mLastReceivedAt < kResponsiveWindow;
+         mContext.mLoop.Now() - known->mLastReceivedAt <
+           ResponsiveWindow(load->mPace);
 }
 
 void
@@ -550,6 +587,7 @@
         { "helpers", mHelperCount },
         { "reading_left_ms", load == nullptr ? 0 : BacklogMs(*load, now) },
         { "writing", load == nullptr ? 0 : load->mDecoding.size() },
+        { "pace", load == nullptr ? 1 : load->mPace },
         { "own_attempts", known == nullptr ? 0 : known->mOutstanding },
         { "heard_ms",
           hasBeenHeard ? Milliseconds(now - known->mLastReceivedAt) : -1 } });
@@ -561,7 +599,8 @@
   const engine_load* const load = FindEngineLoad(aAttempt);
   return load == nullptr
            ? duration::zero()
-           : FromSeconds(BacklogMs(*load, mContext.mLoop.Now()) / kMsPerSecond);
+           : FromSeconds(load->mPace * BacklogMs(*load, mContext.mLoop.Now()) /
+                         kMsPerSecond);
 }
 
 bool
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -414,6 +414,9 @@
   if (aListing != membership_change::Joined) {
     mConnections.CloseIdle(aId);
   }
+  if (aListing != membership_change::Leaving) {
+    ForgetSpeed(mBoard, aId, mLoop.Now());
+  }
   if (aListing == membership_change::Restarted) {
     mCrashDetector.OnEndpointRestarted(aId);
   }
@@ -656,6 +659,7 @@
   UpdateConnectionLoad();
   mConnections.CloseExpired();
   RemoveExpiredPlacements(mBoard.mLedger, mLoop.Now());
+  UpdatePaces(mBoard, mLoop.Now());
   mCrashDetector.Tick();
   if (mBoard.mDraining) {
     CheckDrained();
--- a/Libraries/LibGossip/GatewayMetrics.cpp
+++ b/Libraries/LibGossip/GatewayMetrics.cpp
@@ -58,7 +58,11 @@
   double memory = 0;
   double mostMemory = 0;
   double writing = 0;
+  double slow = 0;
+  double slowest = 1;
   for (const auto& [key, load] : aState.mLedger.mEngines) {
+    slow += load.mPace > 1 ? 1 : 0;
+    slowest = std::max(slowest, load.mPace);
     const double seconds = BacklogMs(load, aNow) / kMsPerSecond;
     reading += seconds;
     mostReading = std::max(mostReading, seconds);
@@ -72,6 +76,8 @@
   out.Set("gateway_engine_memory_tokens", memory);
   out.Set("gateway_engine_memory_tokens_most", mostMemory);
   out.Set("gateway_engine_requests", writing);
+  out.Set("gateway_engines_slow", slow);
+  out.Set("gateway_engine_pace_most", slowest);
 }
 
 std::string_view
--- a/Libraries/LibGossip/GossipSender.cpp
+++ b/Libraries/LibGossip/GossipSender.cpp
@@ -2,6 +2,7 @@
 
 #include "LibGossip/GatewayMetrics.h"
 #include "LibGossip/LimitUpdates.h"
+#include "LibGossip/SpeedUpdates.h"
 
 #include <algorithm>
 #include <cmath>
@@ -110,6 +111,16 @@
   ScheduleFlush(kBatchDelay);
 }
 
+void
+gossip_sender::AnnounceSpeed(const speed_report& aSpeed)
+{
+  mBatch.mSpeeds.push_back(aSpeed);
+  AddBatchEngines({ aSpeed.mEngine });
+  // A pace is measured over several passes, so it may wait for the datagram of
+  // a placement.
+  ScheduleFlush(kEndBatchDelay);
+}
+
 void
 gossip_sender::BroadcastCrash(const crash_report& aReport)
 {
@@ -354,10 +365,14 @@
 void
 gossip_sender::SendInitialState(const std::string& aHost)
 {
-  // Without this gateway's placements and known limits, a new peer would treat
-  // busy engines as idle and limited endpoints as unlimited.
+  // Without this gateway's placements, known limits and measured paces, a new
+  // peer would treat busy engines as idle, limited endpoints as unlimited and
+  // slow engines as fast.
   peer_message message = NewMessage();
   message.mUpdates.mLimits = KnownLimits(mBoard);
+  if (mSettings.mOverload.mSpeeds) {
+    message.mUpdates.mSpeeds = OwnSpeedReports(mBoard, mLoop.Now());
+  }
   std::vector<placement>& ownPlacements = message.mUpdates.mNewPlacements;
   for (const auto& [key, placed] : mBoard.mLedger.mPlacements) {
     if (placed.mOwner != mBoard.mGatewayIncarnation) {
@@ -370,9 +385,10 @@
       Send(EncodePeerMessage(message, mLoop.Now()), aHost);
       ownPlacements.clear();
       message.mUpdates.mLimits.clear();
+      message.mUpdates.mSpeeds.clear();
     }
   }
-  if (ownPlacements.empty() && message.mUpdates.mLimits.empty()) {
+  if (message.mUpdates == peer_updates{}) {
     SendHeartbeat(aHost);
   } else {
     Send(EncodePeerMessage(message, mLoop.Now()), aHost);
--- a/Libraries/LibGossip/GossipSender.h
+++ b/Libraries/LibGossip/GossipSender.h
@@ -34,6 +34,8 @@
   void AnnounceEndpointFailure(engine_key aEndpoint);
   /// An endpoint's limit started, changed, was confirmed or ended.
   void AnnounceLimit(const limit_report& aLimit);
+  /// This gateway measured that an engine's pace is not what its peers know.
+  void AnnounceSpeed(const speed_report& aSpeed);
   /// An endpoint crashed while it ran a request. All gateways need the report,
   /// since any of them may receive the request next.
   void BroadcastCrash(const crash_report& aReport);
@@ -52,7 +54,8 @@
   /// Tells some peers, chosen at random, which versions of the platform's
   /// tables this gateway has and as of when they are current.
   void SpreadVersions();
-  /// Sends this gateway's placements and known limits to a new peer.
+  /// Sends this gateway's placements, known limits and measured paces to a new
+  /// peer.
   void SendInitialState(const std::string& aHost);
 
 private:
--- a/Libraries/LibGossip/LibGossip.h
+++ b/Libraries/LibGossip/LibGossip.h
@@ -12,5 +12,6 @@
 #include "LibGossip/PeerGossip.h"
 #include "LibGossip/PeerMessage.h"
 #include "LibGossip/PeerSnapshot.h"
+#include "LibGossip/SpeedUpdates.h"
 #include "LibGossip/StoreAdapter.h"
 #include "LibGossip/TableFollower.h"
--- a/Libraries/LibGossip/PeerGossip.cpp
+++ b/Libraries/LibGossip/PeerGossip.cpp
@@ -2,6 +2,7 @@
 
 #include "LibGossip/GatewayMetrics.h"
 #include "LibGossip/LimitUpdates.h"
+#include "LibGossip/SpeedUpdates.h"
 
 #include <algorithm>
 #include <utility>
@@ -346,6 +347,9 @@
         mBoard, mSettings.mPeers.mHost, *known, limit, now, aHost);
     }
   }
+  if (mSettings.mOverload.mSpeeds) {
+    ApplyPeerSpeeds(mBoard, aUpdates.mSpeeds, aHost, now);
+  }
 }
 
 void
--- a/Libraries/LibGossip/PeerMessage.cpp
+++ b/Libraries/LibGossip/PeerMessage.cpp
@@ -7,6 +7,7 @@
 #include <capnp/serialize-packed.h>
 #include <cmath>
 #include <kj/io.h>
+#include <limits>
 
 namespace primrose {
 
@@ -226,6 +227,38 @@
   }
 }
 
+void
+WriteSpeeds(wire::PeerNews::Builder aEncoded,
+            const std::vector<speed_report>& aSpeeds,
+            time_point aNow)
+{
+  if (aSpeeds.empty()) {
+    return;
+  }
+  capnp::List<wire::EnginePace>::Builder speeds =
+    aEncoded.initSpeeds(static_cast<unsigned>(aSpeeds.size()));
+  for (unsigned i = 0; i < aSpeeds.size(); ++i) {
+    speeds[i].setEngine(aSpeeds[i].mEngine);
+    speeds[i].setHundredths(static_cast<std::uint16_t>(
+      std::min<std::uint32_t>(RoundToUint32(aSpeeds[i].mPace * kCentsPerUnit),
+                              std::numeric_limits<std::uint16_t>::max())));
+    speeds[i].setAgeMs(RoundToMilliseconds(aNow - aSpeeds[i].mObserved));
+  }
+}
+
+void
+ReadSpeeds(wire::PeerNews::Reader aEncoded,
+           peer_updates& aUpdates,
+           time_point aNow)
+{
+  for (const wire::EnginePace::Reader speed : aEncoded.getSpeeds()) {
+    aUpdates.mSpeeds.push_back(
+      { speed.getEngine(),
+        speed.getHundredths() / kCentsPerUnit,
+        aNow - std::chrono::milliseconds(speed.getAgeMs()) });
+  }
+}
+
 void
 WriteNews(wire::PeerNews::Builder aEncoded,
           const peer_updates& aUpdates,
@@ -259,6 +292,7 @@
                  aUpdates.mFailedEndpoints);
   }
   WriteLimits(aEncoded, aUpdates.mLimits, aNow);
+  WriteSpeeds(aEncoded, aUpdates.mSpeeds, aNow);
   WriteCrashes(aEncoded, aUpdates);
 }
 
@@ -287,6 +321,7 @@
   message.mUpdates.mHelpRefused = ReadNumbers(aEncoded.getUnwilling());
   message.mUpdates.mFailedEndpoints = ReadNumbers(aEncoded.getTroubled());
   ReadLimits(aEncoded, message.mUpdates, aNow);
+  ReadSpeeds(aEncoded, message.mUpdates, aNow);
   ReadCrashes(aEncoded, message.mUpdates);
   for (const capnp::Text::Reader host : aEncoded.getPeers()) {
     message.mHosts.emplace_back(host.cStr());
--- a/Libraries/LibGossip/PeerMessage.h
+++ b/Libraries/LibGossip/PeerMessage.h
@@ -20,6 +20,16 @@
   bool operator==(const limit_report&) const = default;
 };
 
+/// The pace of an engine as measured by the sender; see LibFleet/EngineSpeed.
+struct speed_report
+{
+  engine_key mEngine = 0;
+  double mPace = 1;
+  time_point mObserved{};
+
+  bool operator==(const speed_report&) const = default;
+};
+
 /// The updates in one datagram. A heartbeat has none.
 struct peer_updates
 {
@@ -30,6 +40,7 @@
   std::vector<engine_key> mHelpRefused; ///< Engines that refuse prefill help.
   std::vector<engine_key> mFailedEndpoints; ///< Endpoints that failed.
   std::vector<limit_report> mLimits;
+  std::vector<speed_report> mSpeeds;
   std::vector<crash_report> mCrashes;
   std::vector<quarantined_request> mQuarantined;
   std::vector<request_digest> mCleared; ///< Requests that were answered.
--- a/Libraries/LibGossip/PeerNews.capnp
+++ b/Libraries/LibGossip/PeerNews.capnp
@@ -46,6 +46,13 @@
   ageMs @2 :UInt32;              # Time since the answer was received.
 }
 
+# How much longer an engine takes than its declared timing implies.
+struct EnginePace {
+  engine @0 :UInt32;
+  hundredths @1 :UInt16;         # 100: as declared, 300: three times slower.
+  ageMs @2 :UInt32;              # Time since it was measured.
+}
+
 # What an entry believes, as the platform's rows had it: asked for by an entry
 # that cannot reach the platform.
 struct BelievedRow {
@@ -79,6 +86,7 @@
   held @11 :List(HeldRequest);
   cleared @12 :List(UInt64);     # Digests of requests that were answered.
   limits @14 :List(EndpointLimit);
+  speeds @21 :List(EnginePace);  # Measured by the entry that tells.
   operatorRow @15 :UInt64;       # Newest revision of the operators' rows there.
   unusedOperatorAgeMs @16 :UInt32; # Earlier builds stated ages.
   unusedListAgeMs @17 :UInt32;
--- a/Libraries/LibGossip/PeerNews.capnp.h
+++ b/Libraries/LibGossip/PeerNews.capnp.h
@@ -20,6 +20,7 @@
 CAPNP_DECLARE_SCHEMA(c2e48caa68207c42);
 CAPNP_DECLARE_SCHEMA(fe9c9056baf99467);
 CAPNP_DECLARE_SCHEMA(8564a4a43f813b27);
+CAPNP_DECLARE_SCHEMA(b14151dfa4102d71);
 CAPNP_DECLARE_SCHEMA(ebcd3d31b18b9707);
 CAPNP_DECLARE_SCHEMA(cb56f5f636ed2e7f);
 CAPNP_DECLARE_SCHEMA(866e2b3eef8a5cbd);
@@ -90,6 +91,21 @@
   };
 };
 
+struct EnginePace {
+  EnginePace() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b14151dfa4102d71, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct BelievedRow {
   BelievedRow() = delete;
 
@@ -128,7 +144,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(866e2b3eef8a5cbd, 9, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(866e2b3eef8a5cbd, 9, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -543,6 +559,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class EnginePace::Reader {
+public:
+  typedef EnginePace Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getEngine() const;
+
+  inline  ::uint16_t getHundredths() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EnginePace::Builder {
+public:
+  typedef EnginePace Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getEngine();
+  inline void setEngine( ::uint32_t value);
+
+  inline  ::uint16_t getHundredths();
+  inline void setHundredths( ::uint16_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EnginePace::Pipeline {
+public:
+  typedef EnginePace Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class BelievedRow::Reader {
 public:
   typedef BelievedRow Reads;
@@ -830,6 +932,9 @@
 
   inline  ::uint64_t getListStoreTimeMs() const;
 
+  inline bool hasSpeeds() const;
+  inline  ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>::Reader getSpeeds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -967,6 +1072,13 @@
   inline  ::uint64_t getListStoreTimeMs();
   inline void setListStoreTimeMs( ::uint64_t value);
 
+  inline bool hasSpeeds();
+  inline  ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>::Builder getSpeeds();
+  inline void setSpeeds( ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>::Builder initSpeeds(unsigned int size);
+  inline void adoptSpeeds(::capnp::Orphan< ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>> disownSpeeds();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1351,6 +1463,48 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t EnginePace::Reader::getEngine() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EnginePace::Builder::getEngine() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EnginePace::Builder::setEngine( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t EnginePace::Reader::getHundredths() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t EnginePace::Builder::getHundredths() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EnginePace::Builder::setHundredths( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EnginePace::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EnginePace::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EnginePace::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool BelievedRow::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2114,6 +2268,40 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerNews::Reader::hasSpeeds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerNews::Builder::hasSpeeds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>::Reader PeerNews::Reader::getSpeeds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>::Builder PeerNews::Builder::getSpeeds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void PeerNews::Builder::setSpeeds( ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>::Builder PeerNews::Builder::initSpeeds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void PeerNews::Builder::adoptSpeeds(
+    ::capnp::Orphan< ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>> PeerNews::Builder::disownSpeeds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Tests/Unit/PeerMessageTest.cpp
+++ b/Tests/Unit/PeerMessageTest.cpp
@@ -56,6 +56,8 @@
   CPPUNIT_TEST(BurstIsSentToAllPeers);
   CPPUNIT_TEST(LongOverloadStaysWithinByteBudget);
   CPPUNIT_TEST(LimitReportsStayWithinByteBudget);
+  CPPUNIT_TEST(SpeedReportsStayWithinByteBudget);
+  CPPUNIT_TEST(SpeedReportsCostNothingWithoutSlowEngines);
   CPPUNIT_TEST(LowTrafficIsSentToAllPeers);
   CPPUNIT_TEST(GossipStaysWithinByteBudgetAtAllFleetSizes);
   CPPUNIT_TEST(CrashReportsStayWithinByteBudget);
@@ -315,6 +317,52 @@
     }
   }
 
+  /// Guards against speed reports that exceed the byte budget while three in
+  /// ten engines are slow. Each of them is reported by two gateways every two
+  /// seconds, since two may measure it at the same time.
+  void SpeedReportsStayWithinByteBudget()
+  {
+    constexpr double kMostBytesPerSecond = 15e3;
+    constexpr double kReportsPerSecond = 1;
+    constexpr double kSlowShare = 0.3;
+    constexpr std::size_t kBytes = 48;
+    peer_message message = EmptyMessage();
+    message.mUpdates.mSpeeds = { { 0xfedcba98, 3.07, kStart } };
+    const std::size_t bytes = EncodePeerMessage(message, kStart).size();
+    CPPUNIT_ASSERT(bytes <= kBytes);
+    struct size
+    {
+      std::size_t mGateways;
+      std::size_t mEngines;
+      double mPerSecond; ///< Requests that one gateway receives.
+    };
+    for (const size& one : { size{ 15, 23, 3.0 },
+                             size{ 103, 172, 3.1 },
+                             size{ 350, 1200, 4.0 } }) {
+      const double recipients = static_cast<double>(std::min(
+        one.mGateways - 1, static_cast<std::size_t>(kFullBroadcastPeers)));
+      const double perGateway = kSlowShare * kReportsPerSecond *
+                                static_cast<double>(one.mEngines) /
+                                static_cast<double>(one.mGateways);
+      CPPUNIT_ASSERT(
+        BytesPerSecond(one.mGateways, one.mEngines, one.mPerSecond) +
+          perGateway * recipients * static_cast<double>(bytes) <
+        kMostBytesPerSecond);
+    }
+  }
+
+  void SpeedReportsCostNothingWithoutSlowEngines()
+  {
+    peer_message message = EmptyMessage();
+    message.mUpdates.mEndedPlacements = { ShortPlacement().mKey };
+    const std::string without = EncodePeerMessage(message, kStart);
+    message.mUpdates.mSpeeds = { { 7, 3, kStart } };
+    const std::string with = EncodePeerMessage(message, kStart);
+    CPPUNIT_ASSERT(without.size() <= kShortMessageBytes / 2);
+    CPPUNIT_ASSERT(with.size() > without.size() &&
+                   with.size() <= without.size() + 16);
+  }
+
   void LowTrafficIsSentToAllPeers()
   {
     const std::vector<std::size_t> recipients =
@@ -363,6 +411,10 @@
         { EngineKey(aHost), 1.6, kStart - std::chrono::milliseconds(340) },
         { 7, std::nullopt, kStart }
       };
+      message.mUpdates.mSpeeds = {
+        { EngineKey(aHost), 3.07, kStart - std::chrono::milliseconds(340) },
+        { 7, 0.5, kStart }
+      };
       message.mUpdates.mCrashes = { { aBoot, EngineKey(aHost), true },
                                     { 7, 8, false } };
       message.mUpdates.mQuarantined = {
