--- a/Libraries/LibFleet/PlacementDivision.cpp
+++ b/Libraries/LibFleet/PlacementDivision.cpp
@@ -1,6 +1,7 @@
 #include "LibFleet/PlacementDivision.h"
 
 #include "LibFleet/PlacementCosts.h"
+#include "LibFleet/PlacementPace.h"
 #include "LibFleet/RequestRank.h"
 
 #include <algorithm>
@@ -18,14 +19,14 @@
 constexpr double kTimePenalty = 0.05;
 
 /// Chooses the engine that holds the prompt in memory and decodes the answer:
-/// one with room, then with the fewest streams whose allowed pauses are
-/// shorter, then with the most free memory.
+/// one with room, then one that is not slow, then with the fewest streams whose
+/// allowed pauses are shorter, then with the most free memory.
 const engine_candidate*
 ChooseDecodeEngine(const std::vector<const engine_candidate*>& aEngines,
                    const division_inputs& aInputs)
 {
   const engine_candidate* best = nullptr;
-  std::tuple<bool, std::size_t, double> bestRank;
+  std::tuple<bool, bool, std::size_t, double> bestRank;
   const double own = ToMs(aInputs.mRequest.mLongestPause);
   for (const engine_candidate* const one : aEngines) {
     const std::size_t shorterPauses = static_cast<std::size_t>(
@@ -34,8 +35,9 @@
                     [own](const decoding_stream& aOne) {
                       return aOne.mLongestPauseMs < own;
                     }));
-    const std::tuple<bool, std::size_t, double> rank(
+    const std::tuple<bool, bool, std::size_t, double> rank(
       !HasRoom(*one, aInputs.mTiming, aInputs.mRequest),
+      one->mPace >= kNotablePaceRatio,
       shorterPauses,
       -one->mFreeTokens);
     if (best == nullptr || rank < bestRank) {
@@ -74,7 +76,8 @@
 }
 
 /// The engines with the lowest costs of prefilling a part each. `aDelayWeight`
-/// is the weight of their backlogs in the cost.
+/// is the weight of their backlogs in the cost, and of the time by which a slow
+/// engine delays the prompt.
 std::vector<const engine_candidate*>
 CheapestEngines(const division_inputs& aInputs,
                 double aPartPrefillMs,
@@ -87,19 +90,22 @@
   std::vector<priced> order;
   order.reserve(aInputs.mCandidates.size());
   for (const engine_candidate& one : aInputs.mCandidates) {
-    const double delay = (one.mBacklogMs + one.mDecodePassMs) / objective;
+    const double partMs = one.mPace * aPartPrefillMs;
+    const double delay =
+      (one.mBacklogMs + one.mDecodePassMs + (partMs - aPartPrefillMs)) /
+      objective;
     // As if the other parts were on engines with as many free slots.
     const double roomHarm =
       UrgentRoomHarm(
         aInputs.mUrgentRoom,
-        parts * BlockedSlots(
-                  aInputs.mUrgentRoom, one, aInputs.mTiming, aPartPrefillMs)) /
+        parts *
+          BlockedSlots(aInputs.mUrgentRoom, one, aInputs.mTiming, partMs)) /
       parts;
-    order.emplace_back(
-      PauseHarm(one, aPartPrefillMs, aInputs.mRequest) +
-        EnginePrefillDelayHarm(one, aPartPrefillMs, aInputs.mRequest) +
-        aDelayWeight * aInputs.mRequest.mWorth * delay + roomHarm,
-      &one);
+    order.emplace_back(PauseHarm(one, partMs, aInputs.mRequest) +
+                         EnginePrefillDelayHarm(one, partMs, aInputs.mRequest) +
+                         aDelayWeight * aInputs.mRequest.mWorth * delay +
+                         roomHarm,
+                       &one);
   }
   std::partial_sort(order.begin(),
                     order.begin() + static_cast<std::ptrdiff_t>(aParts),
@@ -126,10 +132,10 @@
   for (const engine_candidate* const one : aEngines) {
     for (const prefilling_prompt& prompt : one->mPrefills) {
       double& harm = largest[prompt.mKey];
-      harm =
-        std::max(harm,
-                 RankWeight(aRequest.mClass.mRank, prompt.mRank) *
-                   PrefillDelayHarm(prompt, one->mBacklogMs + aPartPrefillMs));
+      const double endsMs = one->mBacklogMs + one->mPace * aPartPrefillMs;
+      harm = std::max(harm,
+                      RankWeight(aRequest.mClass.mRank, prompt.mRank) *
+                        PrefillDelayHarm(prompt, endsMs));
     }
   }
   double sum = 0;
@@ -139,6 +145,17 @@
   return sum;
 }
 
+/// Duration of a pass for the cost of a division: as on the cheapest engine,
+/// unless that or the decode engine is not as fast as declared.
+double
+PassMsForFirstEvent(const prompt_division& aDivision,
+                    const engine_candidate& aCheapest)
+{
+  const engine_candidate& decodes = *aDivision.mDecodeEngine;
+  const bool asDeclared = aCheapest.mPace == 1 && decodes.mPace == 1;
+  return asDeclared ? aCheapest.mDecodePassMs : decodes.mDecodePassMs;
+}
+
 /// Divides the prompt over these engines.
 prompt_division
 DivideOver(const division_inputs& aInputs,
@@ -149,31 +166,36 @@
   prompt_division result;
   result.mPartPrefillMs = aInputs.mPrefillMs / parts;
   result.mDecodeEngine = ChooseDecodeEngine(aEngines, aInputs);
-  double wait = 0;
+  double paces = 0;
   double blocked = 0;
   for (const engine_candidate* const one : aEngines) {
-    result.mHarm.mStreams += PauseHarm(*one, result.mPartPrefillMs, request);
-    wait = std::max(wait, one->mBacklogMs);
-    blocked += BlockedSlots(
-      aInputs.mUrgentRoom, *one, aInputs.mTiming, result.mPartPrefillMs);
+    const double partMs = one->mPace * result.mPartPrefillMs;
+    result.mHarm.mStreams += PauseHarm(*one, partMs, request);
+    result.mPrefillEndsMs =
+      std::max(result.mPrefillEndsMs, one->mBacklogMs + partMs);
+    paces += one->mPace;
+    blocked += BlockedSlots(aInputs.mUrgentRoom, *one, aInputs.mTiming, partMs);
     if (one != result.mDecodeEngine) {
       result.mPrefillHelpers.push_back(one);
     }
   }
   result.mHarm.mPrefills =
     TotalPrefillDelayHarm(aEngines, result.mPartPrefillMs, request);
-  result.mHarm.mFutureRequests = FutureRequestHarm(
-    aInputs.mSlotUtilisation, result.mPartPrefillMs, aEngines.size());
+  result.mHarm.mFutureRequests =
+    FutureRequestHarm(aInputs.mSlotUtilisation,
+                      paces / parts * result.mPartPrefillMs,
+                      aEngines.size());
   result.mHarm.mUrgentRoom = UrgentRoomHarm(aInputs.mUrgentRoom, blocked);
-  result.mPrefillEndsMs = wait + result.mPartPrefillMs;
   AddHolders(result, request);
-  const double first = result.mPrefillEndsMs +
-                       kPassesToFirstEvent * aEngines.front()->mDecodePassMs;
-  result.mCost = TotalHarm(result.mHarm) +
-                 LatenessCost(ToMs(request.mElapsed) + first, request) +
-                 request.mWorth * (kTimePenalty * result.mPrefillEndsMs /
-                                     ToMs(request.mObjective) +
-                                   kPartPenalty * parts);
+  const double first =
+    result.mPrefillEndsMs +
+    kPassesToFirstEvent * PassMsForFirstEvent(result, *aEngines.front());
+  result.mCost =
+    TotalHarm(result.mHarm) + SlowEngineCost(*result.mDecodeEngine, request) +
+    LatenessCost(ToMs(request.mElapsed) + first, request) +
+    request.mWorth *
+      (kTimePenalty * result.mPrefillEndsMs / ToMs(request.mObjective) +
+       kPartPenalty * parts);
   return result;
 }
 
