--- a/Libraries/LibFleet/FairShares.cpp
+++ b/Libraries/LibFleet/FairShares.cpp
@@ -14,8 +14,8 @@
 /// found while slots are still free.
 constexpr double kContendedShare = 0.6;
 /// An organisation is over its share from this multiple of it. The use of an
-/// organisation that sends 10 requests a second deviates by about 0.16 from its
-/// mean (20 requests in both halves of the window).
+/// organisation that sends 10 requests a second has a standard deviation of
+/// 0.16 of its mean.
 constexpr double kOverShareMargin = 1.25;
 /// Standard deviations of the demand of others that a reserve covers: 0.9 of
 /// the cases of a normal distribution if no slot of the organisation itself
--- a/Libraries/LibFleet/OrganisationUsage.h
+++ b/Libraries/LibFleet/OrganisationUsage.h
@@ -32,7 +32,7 @@
 inline constexpr duration kUsageWindow = std::chrono::seconds(2);
 
 /// With 2,000 organisations whose use falls with their place as 1/k^1.2, the
-/// first 128 make up four fifths of the use. Tracking takes 6 KB.
+/// first 128 make up four fifths of the use. Tracking takes 5 KB.
 inline constexpr std::size_t kMaxTrackedOrganisations = 128;
 
 /// Amounts of work that has been placed, or the same for each second.
--- a/Tests/Unit/FairShareTest.cpp
+++ b/Tests/Unit/FairShareTest.cpp
@@ -614,6 +614,11 @@
     CPPUNIT_ASSERT(ShareOf(usage, 2, now).mOver);
     CPPUNIT_ASSERT(ShareReserve(usage, 2, now).mReason ==
                    admission_reason::OverShare);
+    // A caller that is told to come back then is not refused by share again.
+    const duration wait = TimeUntilWithinShare(usage, 2, now);
+    CPPUNIT_ASSERT(wait > duration::zero() && wait < 2 * kUsageWindow);
+    CPPUNIT_ASSERT(!ShareOf(usage, 2, now + wait + milliseconds(1)).mOver);
+    CPPUNIT_ASSERT(TimeUntilWithinShare(usage, 1, now) == duration::zero());
   }
 
   void WeightRaisesShare()
