--- a/Libraries/LibFleet/Manifest.cpp
+++ b/Libraries/LibFleet/Manifest.cpp
@@ -1,8 +1,6 @@
 #include "LibFleet/Manifest.h"
 
 #include <algorithm>
-#include <map>
-#include <set>
 
 namespace primrose {
 
@@ -27,6 +25,33 @@
   return aHost.substr(0, aHost.find(':'));
 }
 
+/// The rank that the organisation states; none if it states none. May be null.
+std::optional<unsigned>
+OwnRank(const organisation* aOrganisation)
+{
+  if (aOrganisation == nullptr || !aOrganisation->mPriority.has_value()) {
+    return std::nullopt;
+  }
+  return RankOfPriority(*aOrganisation->mPriority);
+}
+
+request_urgency
+UrgencyOf(const route& aRoute, const std::optional<unsigned>& aOwnRank)
+{
+  const unsigned ofRoute = RankOfPriority(aRoute.mPriority);
+  return { aOwnRank.value_or(ofRoute), ofRoute };
+}
+
+/// The number of more urgent ones, at most `kMaxRank`.
+unsigned
+RankWithin(const std::set<request_urgency>& aUrgencies,
+           const request_urgency& aUrgency)
+{
+  const std::ptrdiff_t before =
+    std::distance(aUrgencies.begin(), aUrgencies.lower_bound(aUrgency));
+  return std::min(kMaxRank, static_cast<unsigned>(before));
+}
+
 } // namespace
 
 unsigned
@@ -56,28 +81,43 @@
 void
 manifest_index::IndexRanks()
 {
-  std::set<unsigned> ofOrganisations;
+  std::set<std::optional<unsigned>> ofOrganisations = { std::nullopt };
   for (const organisation& item : mManifest.mOrganisations) {
-    if (item.mPriority.has_value()) {
-      ofOrganisations.insert(RankOfPriority(*item.mPriority));
-    }
+    ofOrganisations.insert(OwnRank(&item));
   }
-  std::map<std::string, std::set<unsigned>> ofServices;
   for (const route& item : mManifest.mRoutes) {
     for (const weighted_service& share : item.mServices) {
-      if (item.mKind == call_kind::Stream) {
-        ofServices[share.mService].insert(RankOfPriority(item.mPriority));
+      if (item.mKind != call_kind::Stream) {
+        continue;
+      }
+      for (const std::optional<unsigned>& own : ofOrganisations) {
+        mUrgencies[share.mService].insert(UrgencyOf(item, own));
       }
     }
   }
-  for (auto& [name, ranks] : ofServices) {
-    ranks.insert(ofOrganisations.begin(), ofOrganisations.end());
-    if (ranks.size() > 1) {
+  for (const auto& [name, urgencies] : mUrgencies) {
+    if (urgencies.size() > 1) {
+      std::set<unsigned> ranks;
+      for (const request_urgency& one : urgencies) {
+        ranks.insert(RankWithin(urgencies, one));
+      }
       mRanks[name].assign(ranks.begin(), ranks.end());
     }
   }
 }
 
+unsigned
+manifest_index::RankOf(std::string_view aService,
+                       const route& aRoute,
+                       const organisation* aOrganisation) const
+{
+  const auto found = mUrgencies.find(std::string(aService));
+  return found == mUrgencies.end()
+           ? 0
+           : RankWithin(found->second,
+                        UrgencyOf(aRoute, OwnRank(aOrganisation)));
+}
+
 const std::vector<unsigned>&
 manifest_index::RanksOf(std::string_view aService) const
 {
--- a/Libraries/LibFleet/Manifest.h
+++ b/Libraries/LibFleet/Manifest.h
@@ -10,6 +10,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -116,6 +117,18 @@
 unsigned
 RankOfPriority(int aPriority);
 
+/// How urgent a request is: first by its organisation's rank, or by its route's
+/// if the organisation has none, then by its route's rank. Thus an
+/// organisation's rank takes precedence, and routes still differ among
+/// organisations of one rank.
+struct request_urgency
+{
+  unsigned mRank = 0;
+  unsigned mRouteRank = 0;
+
+  auto operator<=>(const request_urgency&) const = default;
+};
+
 /// A manifest with indexes for look-up.
 class manifest_index
 {
@@ -130,10 +143,14 @@
                          std::string_view aTarget) const;
   const service* FindService(std::string_view aName) const;
   const organisation* OwnerOfKey(std::string_view aKey) const;
-  /// The effective ranks of the service's stream routes and of the
-  /// organisations, most urgent first. Empty if there is only one: ranks take
-  /// no effect for the service.
+  /// The ranks of requests to the service's stream routes, most urgent first: 0
+  /// and up. Empty if there is only one: ranks take no effect for the service.
   const std::vector<unsigned>& RanksOf(std::string_view aService) const;
+  /// The rank of a request: the number of `request_urgency` of the service that
+  /// are more urgent, at most `kMaxRank`. `aOrganisation` may be null.
+  unsigned RankOf(std::string_view aService,
+                  const route& aRoute,
+                  const organisation* aOrganisation) const;
 
 private:
   void IndexRanks();
@@ -142,6 +159,8 @@
   std::unordered_map<std::string, const route*> mRoutes;
   std::unordered_map<std::string, const service*> mServices;
   std::unordered_map<std::string, const organisation*> mKeys;
+  /// By service.
+  std::unordered_map<std::string, std::set<request_urgency>> mUrgencies;
   std::unordered_map<std::string, std::vector<unsigned>> mRanks;
 };
 
--- a/Libraries/LibFleet/RequestRank.cpp
+++ b/Libraries/LibFleet/RequestRank.cpp
@@ -40,19 +40,14 @@
   if (aManifest.RanksOf(aService.mName).empty()) {
     return 0;
   }
-  return RankOfPriority(aOrganisation != nullptr &&
-                            aOrganisation->mPriority.has_value()
-                          ? *aOrganisation->mPriority
-                          : aRoute.mPriority);
+  return aManifest.RankOf(aService.mName, aRoute, aOrganisation);
 }
 
 double
 RankWeight(unsigned aOwn, unsigned aOther)
 {
-  const int difference =
-    std::clamp(static_cast<int>(aOwn) - static_cast<int>(aOther),
-               -kMaxWeighedRanks,
-               kMaxWeighedRanks);
+  const int difference = std::clamp(
+    static_cast<int>(aOwn) - static_cast<int>(aOther), 0, kMaxWeighedRanks);
   return std::ldexp(1.0, kWeightBitsPerRank * difference);
 }
 
--- a/Libraries/LibFleet/RequestRank.h
+++ b/Libraries/LibFleet/RequestRank.h
@@ -8,9 +8,9 @@
 
 namespace primrose {
 
-/// The rank of a request to this service: its organisation's, or else its
-/// route's, within 0 to `kMaxRank`. Returns 0 for all requests of a service
-/// whose streams have one rank. `aOrganisation` may be null.
+/// The rank of a request to this service within 0 to `kMaxRank`, by
+/// `request_urgency`. Returns 0 for all requests of a service whose streams
+/// have one rank. `aOrganisation` may be null.
 unsigned
 EffectiveRank(const manifest_index& aManifest,
               const service& aService,
@@ -18,8 +18,8 @@
               const organisation* aOrganisation);
 
 /// Weight of the harm that a request of rank `aOwn` does to one of rank
-/// `aOther`: exactly 1 for equal ranks, more if the other is more urgent, less
-/// if it is less urgent.
+/// `aOther`: more than 1 if the other is more urgent, otherwise exactly 1. An
+/// urgent request is not placed where less urgent ones lose more by it.
 double
 RankWeight(unsigned aOwn, unsigned aOther);
 
