--- a/Libraries/LibFleet/EngineLedger.cpp
+++ b/Libraries/LibFleet/EngineLedger.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/// Share of an engine's time that is spent on prefill while requests decode
-/// there: a pass prefills all queued prompts and then decodes for about 50 ms.
-constexpr double kPrefillShareWhileDecoding = 0.75;
-
 double
 ElapsedMs(time_point aFrom, time_point aTo)
 {
@@ -77,6 +73,26 @@
   }
 }
 
+/// Keeps the reported number of requests current. Otherwise a full engine would
+/// look full until its last report is out of date, although each end frees a
+/// slot. The end of a request that was not prefilled is not subtracted, because
+/// the engine may have rejected it without counting it.
+void
+CountPlaced(engine_load& aLoad, time_point aNow)
+{
+  if (aLoad.mReportedRequestCount > 0 && aNow > aLoad.mReportedAt) {
+    ++aLoad.mReportedRequestCount;
+  }
+}
+
+void
+CountEnded(engine_load& aLoad, placement_end aEnd)
+{
+  if (aLoad.mReportedRequestCount > 0 && aEnd == placement_end::Read) {
+    --aLoad.mReportedRequestCount;
+  }
+}
+
 template<typename Condition>
 void
 RemovePlacementsIf(engine_ledger& aLedger,
@@ -179,6 +195,7 @@
   }
   engine_load& decodeLoad = aLedger.mEngines[aPlaced.mEngines.front()];
   decodeLoad.mDecoding.push_back(aPlaced.mKey);
+  CountPlaced(decodeLoad, aNow);
   decodeLoad.mTokens += aPlaced.mTokens;
   for (const engine_key holder : aPlaced.mHolders) {
     aLedger.mEngines[holder].mTokens += aPlaced.mHolderTokens;
@@ -207,6 +224,7 @@
   engine_load& load = aLedger.mEngines[ended.mEngines.front()];
   load.mTokens = std::max(0.0, load.mTokens - ended.mTokens);
   std::erase(load.mDecoding, aKey);
+  CountEnded(load, aEnd);
   for (const engine_key holder : ended.mHolders) {
     double& tokens = aLedger.mEngines[holder].mTokens;
     tokens = std::max(0.0, tokens - ended.mHolderTokens);
--- a/Libraries/LibFleet/EngineLedger.h
+++ b/Libraries/LibFleet/EngineLedger.h
@@ -69,7 +69,8 @@
   std::vector<placement_key> mDecoding; ///< Placements that decode here.
   /// Placements that prefill here or have done so recently.
   std::vector<placement_key> mPrefilling;
-  /// Number of requests that the engine reported at `mReportedAt`.
+  /// Number of requests that the engine reported at `mReportedAt`, adjusted by
+  /// the placements that began or ended since.
   std::size_t mReportedRequestCount = 0;
   time_point mReportedAt{};
 
@@ -129,6 +130,10 @@
 std::size_t
 RequestsOn(const engine_load& aLoad, time_point aNow);
 
+/// Share of an engine's time that is spent on prefill while requests decode
+/// there: a pass prefills all queued prompts and then decodes for about 50 ms.
+inline constexpr double kPrefillShareWhileDecoding = 0.75;
+
 /// Prefill time that the engine works off per unit of time.
 double
 PrefillRate(const engine_load& aLoad);
--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-/// A prompt that one engine prefills within this time is not divided. Each part
-/// would wait for the pass in progress on its engine, so that the prefill would
-/// not end sooner.
-constexpr double kMaxUndividedMs = 100;
 /// Cost of an engine in another data centre. It is so small that it only
 /// decides between engines of equal cost.
 constexpr double kOtherDataCentrePenalty = 0.002;
@@ -185,6 +181,21 @@
   return placed;
 }
 
+slot_refusal
+RefusalByFullEngine(endpoint_registry& aRegistry,
+                    const engine_ledger& aLedger,
+                    const engine_timing& aTiming,
+                    const placement_request& aRequest,
+                    std::string_view aDataCentre,
+                    time_point aNow)
+{
+  return RefuseForSlots(
+    EngineCandidates(
+      aRegistry, aLedger, aTiming, aRequest, {}, aDataCentre, aNow),
+    aTiming,
+    aRequest);
+}
+
 duration
 TimeUntilAccepted(endpoint_registry& aRegistry,
                   const engine_ledger& aLedger,
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -36,6 +36,17 @@
   /// Slots that have to stay free when the request is admitted; no value: it is
   /// not refused for want of slots.
   std::optional<slot_reserve> mSlotReserve;
+  /// Differs between requests, so that refused callers return at different
+  /// times.
+  std::uint64_t mRequestNumber = 0;
+  /// Gateways that place requests on the same engines, this one included. With
+  /// 1, no slots are left for the placements of others.
+  std::size_t mGateways = 1;
+  /// Callers that this gateway has refused and that have yet to return.
+  std::size_t mAwaitedReturns = 0;
+  /// An engine whose slots are all in use has rejected it. It is only placed
+  /// on a slot that is free.
+  bool mRejectedByFullEngine = false;
 
   bool operator==(const placement_request&) const = default;
 };
@@ -60,7 +71,12 @@
 struct slot_refusal
 {
   admission_reason mReason = admission_reason::None; ///< None: admitted.
-  duration mRetryAfter{}; ///< Until a request like it would be admitted.
+  duration mRetryAfter{};     ///< Until a request like it would be admitted.
+  std::size_t mFreeSlots = 0; ///< Of the candidates.
+  std::size_t mSlots = 0;     ///< Of the candidates, in use or not.
+  /// Slots that have to stay free: the larger of the request's reserve and the
+  /// slots left for concurrent placements of other gateways.
+  double mReservedSlots = 0;
 
   bool operator==(const slot_refusal&) const = default;
 };
@@ -141,4 +157,15 @@
                   time_point aNow,
                   duration aMaximum);
 
+/// The refusal of a request that an engine with all slots in use has rejected
+/// and that is not sent to another one. Estimates when a request like it would
+/// be admitted.
+slot_refusal
+RefusalByFullEngine(endpoint_registry& aRegistry,
+                    const engine_ledger& aLedger,
+                    const engine_timing& aTiming,
+                    const placement_request& aRequest,
+                    std::string_view aDataCentre,
+                    time_point aNow);
+
 } // namespace primrose
--- a/Libraries/LibFleet/EngineTiming.cpp
+++ b/Libraries/LibFleet/EngineTiming.cpp
@@ -1,5 +1,7 @@
 #include "LibFleet/EngineTiming.h"
 
+#include <algorithm>
+
 namespace primrose {
 
 double
@@ -23,4 +25,11 @@
   return step * aEngine.mStepsPerPass;
 }
 
+double
+AnswerMs(const engine_timing& aEngine, double aAnswerTokens, double aPassMs)
+{
+  return aPassMs *
+         std::max(1.0, aAnswerTokens / std::max(1.0, aEngine.mStepsPerPass));
+}
+
 } // namespace primrose
--- a/Libraries/LibFleet/EngineTiming.h
+++ b/Libraries/LibFleet/EngineTiming.h
@@ -37,4 +37,9 @@
              double aRequests,
              double aContextTokens);
 
+/// Milliseconds that an engine takes to decode an answer of this many tokens in
+/// passes of `aPassMs`. At least one pass.
+double
+AnswerMs(const engine_timing& aEngine, double aAnswerTokens, double aPassMs);
+
 } // namespace primrose
--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -7,6 +7,7 @@
 /// no threads.
 
 #include "LibFleet/AllowedRegions.h"
+#include "LibFleet/AwaitedReturns.h"
 #include "LibFleet/ConnectionAdmission.h"
 #include "LibFleet/EndpointLimits.h"
 #include "LibFleet/EndpointNotices.h"
--- a/Libraries/LibFleet/PlacementCandidates.h
+++ b/Libraries/LibFleet/PlacementCandidates.h
@@ -7,6 +7,11 @@
 
 namespace primrose {
 
+/// A prompt that one engine prefills within this time is not divided. Each part
+/// would wait for the pass in progress on its engine, so that the prefill would
+/// not end sooner.
+inline constexpr double kMaxUndividedMs = 100;
+
 /// A stream that an engine decodes.
 struct decoding_stream
 {
--- a/Libraries/LibFleet/SlotAdmission.h
+++ b/Libraries/LibFleet/SlotAdmission.h
@@ -15,4 +15,11 @@
                     const engine_timing& aTiming,
                     const placement_request& aRequest);
 
+/// The refusal of a request because no slot is free, whatever the candidates'
+/// loads are known to be.
+slot_refusal
+RefuseForSlots(const std::vector<engine_candidate>& aCandidates,
+               const engine_timing& aTiming,
+               const placement_request& aRequest);
+
 } // namespace primrose
--- a/Libraries/LibFleet/StreamTimeouts.cpp
+++ b/Libraries/LibFleet/StreamTimeouts.cpp
@@ -16,19 +16,25 @@
 /// engine costs little, but a long one costs as much again, so an engine that
 /// is merely slower than expected must not be given up.
 constexpr double kDividedTimeoutFactor = 2;
-/// A caller abandons a stream without events after two seconds, four times the
-/// latency target or eight times the allowed pause, whichever is longest. The
-/// attempt may take this share of that time; another engine needs the remaining
-/// third for the prefill and the first event.
 constexpr duration kCallerMinTimeout = std::chrono::seconds(2);
 constexpr int kCallerObjectiveFactor = 4;
 constexpr int kCallerPauseFactor = 8;
+/// The attempt may take this share of `CallerTimeout`; another engine needs the
+/// remaining third for the prefill and the first event.
 constexpr double kCallerTimeoutShare = 0.65;
 
 constexpr double kMsPerSecond = 1e3;
 
 } // namespace
 
+duration
+CallerTimeout(const placement_request& aWork)
+{
+  return std::max({ kCallerMinTimeout,
+                    kCallerObjectiveFactor * aWork.mObjective,
+                    kCallerPauseFactor * aWork.mLongestPause });
+}
+
 duration
 FirstEventTimeout(const placement_request& aWork,
                   double aExpectedMs,
@@ -38,14 +44,10 @@
     return FromSeconds(kDividedTimeoutFactor * aExpectedMs / kMsPerSecond) +
            aWork.mObjective;
   }
-  const duration callerTimeout =
-    std::max({ kCallerMinTimeout,
-               kCallerObjectiveFactor * aWork.mObjective,
-               kCallerPauseFactor * aWork.mLongestPause });
   return std::min(
     FromSeconds(kUndividedTimeoutFactor * aExpectedMs / kMsPerSecond) +
       kMinStallTimeout,
-    FromSeconds(kCallerTimeoutShare * Seconds(callerTimeout)));
+    FromSeconds(kCallerTimeoutShare * Seconds(CallerTimeout(aWork))));
 }
 
 duration
--- a/Libraries/LibFleet/StreamTimeouts.h
+++ b/Libraries/LibFleet/StreamTimeouts.h
@@ -11,6 +11,12 @@
 
 namespace primrose {
 
+/// Time after which a caller abandons a stream without events: two seconds,
+/// four times the latency target or eight times the allowed pause, whichever is
+/// longest.
+duration
+CallerTimeout(const placement_request& aWork);
+
 /// Timeout for the first event of a prompt that is expected after
 /// `aExpectedMs`. `aDivided`: the prefill is divided over several engines.
 duration
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -108,6 +108,9 @@
   void PostponePlacement(const engine_choice& aChoice);
   void RefuseOverloaded(const engine_choice& aChoice);
   void RefuseWithoutSlot(const slot_refusal& aRefusal);
+  /// Refuses a request that a full engine has rejected and that cannot be sent
+  /// to another one.
+  void RefuseAfterRejection();
   /// Slots that have to stay free when this request is admitted; no value if
   /// requests are not refused for want of slots.
   std::optional<slot_reserve> SlotReserve() const;
@@ -161,6 +164,11 @@
   /// the caller left or the deadline passed.
   void ReportUnfinishedAttempt(const attempt& aAttempt, bool aEndpointAtFault);
   void RecordReportedLoad(const attempt& aAttempt);
+  /// True if the engine rejected the request because all its slots, and its
+  /// queue, are in use.
+  bool IsRejectedByFullEngine(const attempt& aAttempt) const;
+  /// Records that the engine is full, whatever the ledger knows of it.
+  void RecordFullEngine(const attempt& aAttempt);
   /// Applies the rate limit that the endpoint's answer reports and broadcasts
   /// it to the peers.
   void ApplyReportedLimit(const attempt& aAttempt);
@@ -222,6 +230,8 @@
   bool mMayHaveRun = false; ///< Sent, and not known to be refused.
   bool mNeedsNewConnection = false;
   bool mPostponed = false; ///< See `PostponePlacement`.
+  /// A full engine has rejected the request, and no engine may have run it.
+  bool mRejectedByFullEngine = false;
   /// What this request is a quarantine trial of. A trial is sent only once.
   std::vector<request_digest> mTrialOf;
   bool mReachedEndpoint = false;
--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -21,6 +21,7 @@
 constexpr unsigned kFirstError = 400;
 constexpr unsigned kFirstServerError = 500;
 constexpr unsigned kFirstRedirect = 300;
+constexpr unsigned kServiceUnavailable = 503;
 
 bool
 IsSuccess(unsigned aStatus)
@@ -135,6 +136,42 @@
   }
 }
 
+bool
+exchange::IsRejectedByFullEngine(const attempt& aAttempt) const
+{
+  const answer_info& info = aAttempt.Info();
+  // A refusal for another reason names it, and is handled as such.
+  return mService->mEngine.has_value() &&
+         aAttempt.Head().mStatus == kServiceUnavailable && info.mNotRun &&
+         !info.mWrongEndpoint && !info.mLeaving &&
+         !info.mRetryAfter.has_value() && !info.mLimitPerSecond.has_value() &&
+         !info.mColdTime.has_value() && info.mFaultyHelperAddress.empty();
+}
+
+void
+exchange::RecordFullEngine(const attempt& aAttempt)
+{
+  const engine_key engine = EngineKey(aAttempt.Endpoint().mId);
+  const time_point now = mContext.mLoop.Now();
+  // One request more than there are slots: its queue is full as well.
+  const std::size_t least = mService->mEngine->mSlots + 1;
+  const std::size_t known =
+    RequestsOn(LoadOf(mContext.mBoard.mLedger, engine), now);
+  mContext.mBoard.mMetrics.Count("gateway_full_engine_rejections_total");
+  Log(log_level::Info,
+      "rejected_by_full_engine",
+      { { "request", mRequestInfo.mId },
+        { "endpoint", aAttempt.Endpoint().mId },
+        { "known_requests", known },
+        { "reported_requests", aAttempt.Info().mReportedRequests.value_or(0) },
+        { "slots", mService->mEngine->mSlots } });
+  SetReportedRequests(
+    mContext.mBoard.mLedger,
+    engine,
+    std::max<std::size_t>(least, aAttempt.Info().mReportedRequests.value_or(0)),
+    now);
+}
+
 void
 exchange::ApplyReportedLimit(const attempt& aAttempt)
 {
@@ -450,12 +487,21 @@
         RetryWithoutHelper(*helper, "helper_refused");
         return;
       }
+      if (mContext.mSettings.mOverload.mSlots &&
+          IsRejectedByFullEngine(aAttempt)) {
+        RecordFullEngine(aAttempt);
+        mRejectedByFullEngine = !mMayHaveRun;
+      }
       ReleaseAttempt();
       if (mAttemptedEndpoints.size() < mRoute->mMaxAttempts &&
           ConsumeRetryBudget()) {
         Retry(aWhy);
         return;
       }
+      if (mRejectedByFullEngine) {
+        RefuseAfterRejection();
+        return;
+      }
       GiveUp(error_kind::Overloaded, aWhy);
       return;
     case attempt_end::ConnectionLost:
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -64,7 +64,10 @@
                    mContext.mSettings.mDataCentre,
                    mContext.mLoop.Now());
   if (!choice.has_value()) {
-    return false;
+    if (work.mRejectedByFullEngine) {
+      RefuseAfterRejection();
+    }
+    return work.mRejectedByFullEngine;
   }
   // A request that was accepted before is not refused when it has to be retried
   // on another engine.
@@ -131,24 +134,54 @@
   work.mTieBreakSeed = mContext.mBoard.mGatewayIncarnation;
   work.mClass = mClass;
   work.mSlotReserve = SlotReserve();
+  work.mRequestNumber = Hash(mRequestInfo.mId);
+  work.mGateways = std::min(EntryCount(mContext.mBoard), kFullBroadcastPeers);
+  work.mAwaitedReturns = CountReturns(
+    mContext.mBoard.mAwaitedReturns[mService->mName], mContext.mLoop.Now());
+  work.mRejectedByFullEngine = mRejectedByFullEngine && !mMayHaveRun;
   return work;
 }
 
 std::optional<slot_reserve>
 exchange::SlotReserve() const
 {
+  if (!mContext.mSettings.mOverload.mSlots) {
+    return std::nullopt;
+  }
+  if (mRejectedByFullEngine && !mMayHaveRun) {
+    // The request did not run, so that it may still be refused. Without this,
+    // it would be tried on full engines in turn.
+    return slot_reserve{};
+  }
   // A request that was admitted is not refused when it has to be retried on
   // another engine.
-  if (!mContext.mSettings.mOverload.mSlots || !mAttemptedEndpoints.empty()) {
+  if (!mAttemptedEndpoints.empty()) {
     return std::nullopt;
   }
   return ShareReserve(
     mContext.mBoard.mUsage, mClass.mOrganisation, mContext.mLoop.Now());
 }
 
+void
+exchange::RefuseAfterRejection()
+{
+  RefuseWithoutSlot(RefusalByFullEngine(mContext.mBoard.mEndpoints,
+                                        mContext.mBoard.mLedger,
+                                        *mService->mEngine,
+                                        DescribeEngineWork(),
+                                        mContext.mSettings.mDataCentre,
+                                        mContext.mLoop.Now()));
+}
+
 void
 exchange::RefuseWithoutSlot(const slot_refusal& aRefusal)
 {
+  const time_point now = mContext.mLoop.Now();
+  const duration retryAfter = BoundedRetryAfter(
+    std::max(kMinRetryAfter, aRefusal.mRetryAfter),
+    std::max(kMinRetryAfter, TimeLeft() / kMaxRetryAfterDivisor),
+    Hash(mRequestInfo.mId));
+  AddReturn(mContext.mBoard.mAwaitedReturns[mService->mName], now + retryAfter);
   const std::string_view reason = AdmissionReasonName(aRefusal.mReason);
   mContext.mBoard.mMetrics.Count(
     Labelled("gateway_turned_away_total", "why", reason));
@@ -159,13 +192,15 @@
         { "organisation", mOrganisation },
         { "rank", mClass.mRank },
         { "prompt_tokens", mRequestInfo.mPromptTokens },
-        { "retry_after_ms", Milliseconds(aRefusal.mRetryAfter) } });
-  GiveUp(error_kind::Overloaded,
-         std::string(reason),
-         Seconds(std::clamp(
-           aRefusal.mRetryAfter,
-           kMinRetryAfter,
-           std::max(kMinRetryAfter, TimeLeft() / kMaxRetryAfterDivisor))));
+        { "free_slots", aRefusal.mFreeSlots },
+        { "slots", aRefusal.mSlots },
+        { "reserved_slots", aRefusal.mReservedSlots },
+        { "sent_to", mAttemptedEndpoints.size() },
+        { "awaited_returns",
+          mContext.mBoard.mAwaitedReturns[mService->mName].mTimes.size() },
+        { "estimated_ms", Milliseconds(aRefusal.mRetryAfter) },
+        { "retry_after_ms", Milliseconds(retryAfter) } });
+  GiveUp(error_kind::Overloaded, std::string(reason), Seconds(retryAfter));
 }
 
 void
--- a/Libraries/LibGossip/GatewayState.h
+++ b/Libraries/LibGossip/GatewayState.h
@@ -107,7 +107,9 @@
   /// engines and the known gateways.
   subset_ring mSubsetRing;
   bool mSubsetRingStale = false; ///< Engines or gateways changed.
-  std::map<std::string, retry_history> mRepeats;    ///< By service.
+  std::map<std::string, retry_history> mRepeats; ///< By service.
+  /// Callers of requests that were refused for want of slots, by service.
+  std::map<std::string, awaited_returns> mAwaitedReturns;
   std::map<std::string, peer_state> mPeers;         ///< By host.
   std::array<table_freshness, kBeliefs> mFreshness; ///< By `belief`.
   bool mGatewaysLoaded = false; ///< The table of gateways was read.
