--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -119,6 +119,9 @@
   void CountRankDecision(bool aAdmitted);
   /// The rank as it is logged: empty where ranks take no effect.
   std::string RankText(unsigned aRank) const;
+  /// Refuses a request that a full engine has rejected and that cannot be sent
+  /// to another one.
+  void RefuseAfterRejection();
   /// Slots that have to stay free when this request is admitted; no value if
   /// requests are not refused for want of slots.
   std::optional<slot_reserve> SlotReserve() const;
@@ -180,6 +183,11 @@
   /// True if the attempt's engine is known to be slower than when the response
   /// timer was started. Starts the timer again for the additional time.
   bool ExtendForSlowEngine();
+  /// True if the engine rejected the request because all its slots, and its
+  /// queue, are in use.
+  bool IsRejectedByFullEngine(const attempt& aAttempt) const;
+  /// Records that the engine is full, whatever the ledger knows of it.
+  void RecordFullEngine(const attempt& aAttempt);
   /// Applies the rate limit that the endpoint's answer reports and broadcasts
   /// it to the peers.
   void ApplyReportedLimit(const attempt& aAttempt);
@@ -244,6 +252,9 @@
   bool mMayHaveRun = false; ///< Sent, and not known to be refused.
   bool mNeedsNewConnection = false;
   bool mPostponed = false; ///< See `PostponePlacement`.
+  /// A full engine has rejected the request, and no engine may have run it.
+  bool mRejectedByFullEngine = false;
+  duration mWaitedBefore{}; ///< See `placement_request`.
   /// What this request is a quarantine trial of. A trial is sent only once.
   std::vector<request_digest> mTrialOf;
   bool mReachedEndpoint = false;
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -72,7 +72,10 @@
                    mContext.mSettings.mDataCentre,
                    mContext.mLoop.Now());
   if (!choice.has_value()) {
-    return false;
+    if (work.mRejectedByFullEngine) {
+      RefuseAfterRejection();
+    }
+    return work.mRejectedByFullEngine;
   }
   // A request that was accepted before is not refused when it has to be retried
   // on another engine.
@@ -145,15 +148,29 @@
   work.mSlotReserve = SlotReserve();
   work.mPriceFactor = PrefillPriceFactor(
     mContext.mBoard.mUsage, mClass.mOrganisation, mContext.mLoop.Now());
+  work.mWaitedBefore = mWaitedBefore;
+  work.mRequestNumber = Hash(mRequestInfo.mId);
+  work.mGateways = std::min(EntryCount(mContext.mBoard), kFullBroadcastPeers);
+  work.mAwaitedReturns = CountReturns(
+    mContext.mBoard.mAwaitedReturns[mService->mName], mContext.mLoop.Now());
+  work.mRejectedByFullEngine = mRejectedByFullEngine && !mMayHaveRun;
   return work;
 }
 
 std::optional<slot_reserve>
 exchange::SlotReserve() const
 {
+  if (!mContext.mSettings.mOverload.mSlots) {
+    return std::nullopt;
+  }
+  if (mRejectedByFullEngine && !mMayHaveRun) {
+    // The request did not run, so that it may still be refused. Without this,
+    // it would be tried on full engines in turn.
+    return slot_reserve{};
+  }
   // A request that was admitted is not refused when it has to be retried on
   // another engine.
-  if (!mContext.mSettings.mOverload.mSlots || !mAttemptedEndpoints.empty()) {
+  if (!mAttemptedEndpoints.empty()) {
     return std::nullopt;
   }
   const time_point now = mContext.mLoop.Now();
@@ -210,9 +227,27 @@
   return mRanked ? std::to_string(aRank) : "";
 }
 
+void
+exchange::RefuseAfterRejection()
+{
+  RefuseWithoutSlot(RefusalByFullEngine(mContext.mBoard.mEndpoints,
+                                        mContext.mBoard.mLedger,
+                                        *mService->mEngine,
+                                        DescribeEngineWork(),
+                                        mContext.mSettings.mDataCentre,
+                                        mContext.mLoop.Now()));
+}
+
 void
 exchange::RefuseWithoutSlot(const slot_refusal& aRefusal)
 {
+  const time_point now = mContext.mLoop.Now();
+  const duration estimate = RetryAfterOfSlots(aRefusal);
+  const duration retryAfter = BoundedRetryAfter(
+    std::max(kMinRetryAfter, estimate),
+    std::max(kMinRetryAfter, TimeLeft() / kMaxRetryAfterDivisor),
+    Hash(mRequestInfo.mId));
+  AddReturn(mContext.mBoard.mAwaitedReturns[mService->mName], now + retryAfter);
   const std::string_view reason = AdmissionReasonName(aRefusal.mReason);
   mContext.mBoard.mMetrics.Count(
     Labelled("gateway_turned_away_total", "why", reason));
@@ -224,26 +259,28 @@
         { "rank", RankText(mClass.mRank) },
         { "placed_as_rank", RankText(PlacementRank()) },
         { "prompt_tokens", mRequestInfo.mPromptTokens },
-        { "retry_after_ms", Milliseconds(aRefusal.mRetryAfter) } });
+        { "waited_before_ms", Milliseconds(mWaitedBefore) },
+        { "free_slots", aRefusal.mFreeSlots },
+        { "slots", aRefusal.mSlots },
+        { "reserved_slots", aRefusal.mReservedSlots },
+        { "sent_to", mAttemptedEndpoints.size() },
+        { "awaited_returns",
+          mContext.mBoard.mAwaitedReturns[mService->mName].mTimes.size() },
+        { "estimated_ms", Milliseconds(estimate) },
+        { "retry_after_ms", Milliseconds(retryAfter) } });
   if (aRefusal.mReason == admission_reason::OverShare) {
     LogShare();
   }
   CountRankDecision(false);
-  GiveUp(error_kind::Overloaded,
-         std::string(reason),
-         Seconds(std::clamp(
-           RetryAfterOfSlots(aRefusal),
-           kMinRetryAfter,
-           std::max(kMinRetryAfter, TimeLeft() / kMaxRetryAfterDivisor))));
+  GiveUp(error_kind::Overloaded, std::string(reason), Seconds(retryAfter));
 }
 
 duration
 exchange::RetryAfterOfSlots(const slot_refusal& aRefusal) const
 {
-  // The reserve no longer applies once the organisation is within its share,
-  // which may be sooner than enough slots are free.
+  // The reserve applies until the organisation is within its share.
   return aRefusal.mReason == admission_reason::OverShare
-           ? std::min(aRefusal.mRetryAfter,
+           ? std::max(aRefusal.mRetryAfter,
                       TimeUntilWithinShare(mContext.mBoard.mUsage,
                                            mClass.mOrganisation,
                                            mContext.mLoop.Now()))
