--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -98,6 +98,14 @@
 
 } // namespace
 
+size_kind
+SizeKind(const placement_request& aRequest)
+{
+  return { aRequest.mScope.mService,
+           aRequest.mObjective,
+           aRequest.mLongestPause };
+}
+
 double
 TotalHarm(const placement_harm& aHarm)
 {
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -15,6 +15,7 @@
 #include "LibFleet/Endpoints.h"
 #include "LibFleet/EngineLedger.h"
 #include "LibFleet/EngineTiming.h"
+#include "LibFleet/SizeShares.h"
 
 namespace primrose {
 
@@ -36,10 +37,15 @@
   /// Slots that have to stay free when the request is admitted; no value: it is
   /// not refused for want of slots.
   std::optional<slot_reserve> mSlotReserve;
+  size_preference mSize; ///< See `SizePreference`.
 
   bool operator==(const placement_request&) const = default;
 };
 
+/// The kind of a prompt for `SizePreference`.
+size_kind
+SizeKind(const placement_request& aRequest);
+
 /// The admission decision for a request.
 enum class placement_verdict : std::uint8_t
 {
--- a/Libraries/LibFleet/PlacementAdmission.cpp
+++ b/Libraries/LibFleet/PlacementAdmission.cpp
@@ -30,6 +30,10 @@
 /// less harm. The rest is left for its prefill.
 constexpr double kMaxWaitShare = 0.6;
 constexpr duration kMaxWait = std::chrono::milliseconds(2500);
+/// A preferred prompt waits while its first event is expected within this share
+/// of its latency target. With more, most of the largest are late; with less,
+/// too few of them are served where engines are fewest.
+constexpr double kMaxFirstEventShare = 0.7;
 
 constexpr double kMsPerSecond = 1e3;
 
@@ -76,6 +80,21 @@
                   FromSeconds(kMaxWaitShare * Seconds(aRequest.mObjective)));
 }
 
+/// True if the prompt may be evaluated again later. One that is preferred by
+/// its size may not wait so long that it is likely to be late, since a late
+/// answer would be worth little of what others lose by it.
+bool
+MayWait(const engine_choice& aChoice, const placement_request& aRequest)
+{
+  if (aRequest.mElapsed >= MaxWait(aRequest)) {
+    return false;
+  }
+  const double firstEventMs =
+    ToMs(aRequest.mElapsed + kReevaluationInterval) + aChoice.mFirstEventMs;
+  return !aRequest.mSize.mPreferred ||
+         firstEventMs < kMaxFirstEventShare * ToMs(aRequest.mObjective);
+}
+
 } // namespace
 
 double
@@ -107,6 +126,11 @@
   aChoice.mPrice =
     std::min(aChoice.mPrefillSecondPrice * aPrefillMs / kMsPerSecond,
              aChoice.mPrefillSecondPrice / kWorthOfBusyEngineSecond * maxGain);
+  const bool mayWait = MayWait(aChoice, aRequest);
+  const bool mayWaitForItsSize = aRequest.mSize.mPreferred && mayWait;
+  if (aChoice.mVerdict == placement_verdict::NoMemory && mayWaitForItsSize) {
+    aChoice.mVerdict = placement_verdict::Wait;
+  }
   if (aChoice.mVerdict != placement_verdict::Send) {
     return;
   }
@@ -114,13 +138,15 @@
   const double harm = TotalHarm(aChoice.mHarm);
   const double cost = harm + aChoice.mPrice;
   const bool covered =
-    cost <= aChoice.mGain ||
-    cost <= ScaledGain(aChoice, aLedger, aRequest, hasWaited);
+    cost <= aRequest.mSize.mGainFactor *
+              std::max(aChoice.mGain,
+                       ScaledGain(aChoice, aLedger, aRequest, hasWaited));
   if (harm > aChoice.mGain * kMaxHarmWithoutWait && (covered || hasWaited) &&
-      aRequest.mElapsed < MaxWait(aRequest)) {
+      mayWait) {
     aChoice.mVerdict = placement_verdict::Wait;
   } else if (!covered) {
-    aChoice.mVerdict = placement_verdict::TurnAway;
+    aChoice.mVerdict =
+      mayWaitForItsSize ? placement_verdict::Wait : placement_verdict::TurnAway;
   }
 }
 
--- a/Libraries/LibFleet/PlacementAdmission.h
+++ b/Libraries/LibFleet/PlacementAdmission.h
@@ -17,7 +17,8 @@
 /// of harm and price exceeds the gain; for this comparison, the gain is scaled
 /// up for prompts whose worth is above the mean of their kind in `aLedger`.
 /// Changes `Send` to `Wait` if the harm comes close to the gain and the request
-/// has not waited for long.
+/// has not waited for long. Scales the gain by the size preference of the
+/// request; a preferred one waits before it is refused.
 void
 DecideAdmission(engine_choice& aChoice,
                 const engine_ledger& aLedger,
--- /dev/null
+++ b/Libraries/LibFleet/SizeShares.cpp
@@ -0,0 +1,223 @@
+#include "LibFleet/SizeShares.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace primrose {
+
+namespace {
+
+/// Time constant of the counts. It covers several bursts of a few seconds, so
+/// that a class which is starved in one burst is preferred in the next.
+constexpr double kWindowSeconds = 20;
+/// A kind is forgotten if it is not offered for three windows: 0.05 of its
+/// counts would be left.
+constexpr duration kForgetKindAfter = std::chrono::seconds(60);
+/// Kinds to count. The latency target of a route that states none depends on
+/// the caller's deadline, so the number of kinds has no other bound.
+constexpr std::size_t kMaxKinds = 32;
+/// Prompts whose sizes are kept: the largest tenth are six of them.
+constexpr std::size_t kMaxSizes = 64;
+/// Minimum number of sizes to tell classes apart. A gateway among a hundred is
+/// offered a long prompt every few seconds, so a larger number would leave it
+/// without classes for a minute after its start.
+constexpr std::size_t kMinSizes = 5;
+constexpr double kLargestShare = 0.1;
+constexpr double kLargestAndNextShare = 0.3;
+
+/// Refusals below this do not count as overload: one refusal counts for 24 s.
+constexpr double kMinRefused = 0.3;
+/// Sizes are preferred only while this share of the kind or less is admitted.
+/// In milder overload, the largest are served often enough without it, and
+/// holding the rest back would lose more worth than it gains.
+constexpr double kMaxKindShare = 0.6;
+/// A class is preferred if it is admitted less often than its kind by this
+/// factor. Callers return after a refusal, which brings the shares of requests
+/// that are served in the end closer together than those of attempts.
+constexpr double kMinRelativeShare = 0.6;
+/// Weight of the kind's share in the share of a class of which few prompts were
+/// offered: a single refusal already makes the class preferred.
+constexpr double kPriorOffers = 0.3;
+
+/// Scales the gain of preferred prompts. Higher factors cut more short streams
+/// and serve hardly more of the largest.
+constexpr double kPreferredFactor = 1.5;
+/// Scales the gain of the rest of the kind while a class is far below its
+/// share; holding back less leaves the engines too busy for large prompts.
+constexpr double kHeldBackFactor = 0.5;
+/// The rest is held back fully if the relative share of the lowest class is
+/// below `kMinRelativeShare` by this part of it.
+constexpr double kFullShortfall = 0.2;
+
+double
+DecayFactor(const kind_shares& aKind, time_point aNow)
+{
+  const double age = std::max(0.0, Seconds(aNow - aKind.mCountedAt));
+  return std::exp(-age / kWindowSeconds);
+}
+
+void
+Decay(kind_shares& aKind, time_point aNow)
+{
+  const double factor = DecayFactor(aKind, aNow);
+  for (size_counts& counts : aKind.mCounts) {
+    counts.mOffered *= factor;
+    counts.mAdmitted *= factor;
+  }
+  aKind.mRefused *= factor;
+  aKind.mCountedAt = std::max(aKind.mCountedAt, aNow);
+}
+
+size_class
+ClassOf(const kind_shares& aKind, double aTokens)
+{
+  if (aKind.mSizes.size() < kMinSizes) {
+    return size_class::Rest;
+  }
+  const std::ptrdiff_t larger =
+    std::count_if(aKind.mSizes.begin(),
+                  aKind.mSizes.end(),
+                  [aTokens](double aOther) { return aOther > aTokens; });
+  const double share =
+    static_cast<double>(larger) / static_cast<double>(aKind.mSizes.size());
+  return share < kLargestShare          ? size_class::LargestTenth
+         : share < kLargestAndNextShare ? size_class::NextFifth
+                                        : size_class::Rest;
+}
+
+size_counts&
+CountsOf(kind_shares& aKind, double aTokens)
+{
+  return aKind.mCounts.at(static_cast<std::size_t>(ClassOf(aKind, aTokens)));
+}
+
+double
+KindShare(const kind_shares& aKind)
+{
+  size_counts sum;
+  for (const size_counts& counts : aKind.mCounts) {
+    sum.mOffered += counts.mOffered;
+    sum.mAdmitted += counts.mAdmitted;
+  }
+  return sum.mOffered > 0 ? std::min(1.0, sum.mAdmitted / sum.mOffered) : 1;
+}
+
+double
+ClassShare(const size_counts& aCounts, double aKindShare)
+{
+  return std::min(1.0,
+                  (aCounts.mAdmitted + kPriorOffers * aKindShare) /
+                    (aCounts.mOffered + kPriorOffers));
+}
+
+double
+LowestClassShare(const kind_shares& aKind, double aKindShare)
+{
+  double lowest = 1;
+  for (const size_counts& counts : aKind.mCounts) {
+    lowest = std::min(lowest, ClassShare(counts, aKindShare));
+  }
+  return lowest;
+}
+
+/// The factor on the gain of prompts whose class is not preferred.
+double
+HeldBackFactor(double aLowestClassShare, double aMinShare)
+{
+  const double shortfall = (aMinShare - aLowestClassShare) / aMinShare;
+  return 1 - (1 - kHeldBackFactor) *
+               std::clamp(shortfall / kFullShortfall, 0.0, 1.0);
+}
+
+} // namespace
+
+std::string_view
+SizeClassName(size_class aClass)
+{
+  switch (aClass) {
+    case size_class::Rest:
+      return "rest";
+    case size_class::NextFifth:
+      return "next_fifth";
+    case size_class::LargestTenth:
+      return "largest_tenth";
+  }
+  return "";
+}
+
+void
+RecordOffer(size_shares& aShares,
+            const size_kind& aKind,
+            double aTokens,
+            time_point aNow)
+{
+  std::erase_if(aShares.mKinds, [aNow](const auto& aOne) {
+    return aNow - aOne.second.mCountedAt >= kForgetKindAfter;
+  });
+  if (aShares.mKinds.size() >= kMaxKinds && !aShares.mKinds.contains(aKind)) {
+    return;
+  }
+  kind_shares& kind = aShares.mKinds[aKind];
+  Decay(kind, aNow);
+  kind.mSizes.push_back(aTokens);
+  if (kind.mSizes.size() > kMaxSizes) {
+    kind.mSizes.pop_front();
+  }
+  CountsOf(kind, aTokens).mOffered += 1;
+}
+
+void
+RecordAdmission(size_shares& aShares,
+                const size_kind& aKind,
+                double aTokens,
+                time_point aNow)
+{
+  const auto found = aShares.mKinds.find(aKind);
+  if (found != aShares.mKinds.end()) {
+    Decay(found->second, aNow);
+    CountsOf(found->second, aTokens).mAdmitted += 1;
+  }
+}
+
+void
+RecordRefusal(size_shares& aShares, const size_kind& aKind, time_point aNow)
+{
+  const auto found = aShares.mKinds.find(aKind);
+  if (found != aShares.mKinds.end()) {
+    Decay(found->second, aNow);
+    found->second.mRefused += 1;
+  }
+}
+
+size_preference
+SizePreference(const size_shares& aShares,
+               const size_kind& aKind,
+               double aTokens,
+               time_point aNow)
+{
+  size_preference preference;
+  const auto found = aShares.mKinds.find(aKind);
+  if (found == aShares.mKinds.end()) {
+    return preference;
+  }
+  kind_shares kind = found->second;
+  Decay(kind, aNow);
+  preference.mClass = ClassOf(kind, aTokens);
+  preference.mKindShare = KindShare(kind);
+  preference.mClassShare =
+    ClassShare(CountsOf(kind, aTokens), preference.mKindShare);
+  if (kind.mRefused < kMinRefused || preference.mKindShare > kMaxKindShare) {
+    return preference;
+  }
+  const double minShare = kMinRelativeShare * preference.mKindShare;
+  if (preference.mClassShare < minShare) {
+    preference.mPreferred = true;
+    preference.mGainFactor = kPreferredFactor;
+  } else if (minShare > 0) {
+    preference.mGainFactor =
+      HeldBackFactor(LowestClassShare(kind, preference.mKindShare), minShare);
+  }
+  return preference;
+}
+
+} // namespace primrose
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -111,6 +111,12 @@
   /// Slots that have to stay free when this request is admitted; no value if
   /// requests are not refused for want of slots.
   std::optional<slot_reserve> SlotReserve() const;
+  /// True if the size of the request affects its admission: unless disabled,
+  /// and until it is sent to an engine.
+  bool IsDecidedBySize() const;
+  /// Counts the request once among those that were offered by size.
+  void RecordSizeOffer();
+  void RecordSizeOutcome(const placement_request& aWork, bool aAdmitted);
   void RecordPlacement(const engine_choice& aChoice,
                        const placement_request& aWork);
   void ReserveMemory(const engine_choice& aChoice);
@@ -221,7 +227,9 @@
   std::size_t mHelperCount = 0;
   bool mMayHaveRun = false; ///< Sent, and not known to be refused.
   bool mNeedsNewConnection = false;
-  bool mPostponed = false; ///< See `PostponePlacement`.
+  bool mPostponed = false;   ///< See `PostponePlacement`.
+  bool mSizeOffered = false; ///< See `RecordSizeOffer`.
+  bool mSizeDecided = false; ///< See `RecordSizeOutcome`.
   /// What this request is a quarantine trial of. A trial is sent only once.
   std::vector<request_digest> mTrialOf;
   bool mReachedEndpoint = false;
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -54,6 +54,7 @@
 exchange::TrySendToEngines()
 {
   gateway_state& shared = mContext.mBoard;
+  RecordSizeOffer();
   const placement_request work = DescribeEngineWork();
   const std::optional<engine_choice> choice =
     PlaceOnEngines(shared.mEndpoints,
@@ -87,6 +88,7 @@
       RefuseOverloaded(*choice);
       return true;
     case placement_verdict::NoSlot:
+      RecordSizeOutcome(work, false);
       RefuseWithoutSlot(choice->mSlotRefusal);
       return true;
   }
@@ -131,9 +133,61 @@
   work.mTieBreakSeed = mContext.mBoard.mGatewayIncarnation;
   work.mClass = mClass;
   work.mSlotReserve = SlotReserve();
+  // A gateway that drains sends what should wait, so nothing may be told to
+  // wait for memory.
+  if (IsDecidedBySize() && !mContext.mBoard.mDraining) {
+    work.mSize = SizePreference(mContext.mBoard.mSizeShares,
+                                SizeKind(work),
+                                work.mPromptTokens,
+                                mContext.mLoop.Now());
+  }
   return work;
 }
 
+bool
+exchange::IsDecidedBySize() const
+{
+  return mContext.mSettings.mOverload.mSizes && mAttemptedEndpoints.empty();
+}
+
+void
+exchange::RecordSizeOffer()
+{
+  if (!IsDecidedBySize() || mSizeOffered) {
+    return;
+  }
+  mSizeOffered = true;
+  const placement_request work = DescribeEngineWork();
+  RecordOffer(mContext.mBoard.mSizeShares,
+              SizeKind(work),
+              work.mPromptTokens,
+              mContext.mLoop.Now());
+}
+
+void
+exchange::RecordSizeOutcome(const placement_request& aWork, bool aAdmitted)
+{
+  if (!IsDecidedBySize() || mSizeDecided) {
+    return;
+  }
+  mSizeDecided = true;
+  size_shares& shares = mContext.mBoard.mSizeShares;
+  const time_point now = mContext.mLoop.Now();
+  if (aAdmitted) {
+    RecordAdmission(shares, SizeKind(aWork), aWork.mPromptTokens, now);
+  } else {
+    RecordRefusal(shares, SizeKind(aWork), now);
+  }
+  const std::string_view outcome = aAdmitted ? "placed" : "refused";
+  if (aWork.mSize.mPreferred) {
+    mContext.mBoard.mMetrics.Count(
+      Labelled("gateway_size_preferred_total", "outcome", outcome));
+  } else if (aWork.mSize.mGainFactor < 1) {
+    mContext.mBoard.mMetrics.Count(
+      Labelled("gateway_size_held_back_total", "outcome", outcome));
+  }
+}
+
 std::optional<slot_reserve>
 exchange::SlotReserve() const
 {
@@ -193,11 +247,13 @@
 exchange::RefuseOverloaded(const engine_choice& aChoice)
 {
   const bool fits = aChoice.mVerdict != placement_verdict::NoMemory;
+  const placement_request work = DescribeEngineWork();
+  RecordSizeOutcome(work, false);
   const duration retryAfter =
     TimeUntilAccepted(mContext.mBoard.mEndpoints,
                       mContext.mBoard.mLedger,
                       *mService->mEngine,
-                      DescribeEngineWork(),
+                      work,
                       mContext.mSettings.mDataCentre,
                       mContext.mLoop.Now(),
                       TimeLeft() / kMaxRetryAfterDivisor);
@@ -218,6 +274,10 @@
         { "harm_holding", aChoice.mHarm.mFutureRequests },
         { "price", aChoice.mPrice },
         { "price_of_second", aChoice.mPrefillSecondPrice },
+        { "size_class", SizeClassName(work.mSize.mClass) },
+        { "size_share", work.mSize.mClassShare },
+        { "kind_share", work.mSize.mKindShare },
+        { "size_factor", work.mSize.mGainFactor },
         { "retry_after_ms", Milliseconds(retryAfter) } });
   GiveUp(error_kind::Overloaded,
          fits ? "costs_others_more" : "no_memory",
@@ -229,6 +289,7 @@
                           const placement_request& aWork)
 {
   gateway_state& shared = mContext.mBoard;
+  RecordSizeOutcome(aWork, true);
   placement placed = MakePlacement(
     aChoice,
     aWork,
@@ -254,6 +315,10 @@
         { "expected_ms", aChoice.mFirstEventMs },
         { "waited_ms", mPostponed ? Milliseconds(aWork.mElapsed) : 0 },
         { "harm", TotalHarm(aChoice.mHarm) },
+        { "size_class", SizeClassName(aWork.mSize.mClass) },
+        { "size_share", aWork.mSize.mClassShare },
+        { "kind_share", aWork.mSize.mKindShare },
+        { "size_factor", aWork.mSize.mGainFactor },
         { "attempt", mAttemptedEndpoints.size() + 1 },
         { "manifest", mManifest->Manifest().mVersion } });
 }
--- a/Libraries/LibGossip/GatewayState.h
+++ b/Libraries/LibGossip/GatewayState.h
@@ -101,6 +101,7 @@
   std::map<std::string, std::optional<time_point>> mPeersAheadSince;
   engine_ledger mLedger;
   organisation_usage mUsage;
+  size_shares mSizeShares; ///< Of the prompts of this gateway's callers.
   quarantine mQuarantine;
   bool mQuarantineKnown = false; ///< The platform's table was read.
   /// Assigns each engine to the gateways that prefer it; built from the listed
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -290,19 +290,33 @@
         mLongRequests.push_back({ request.mPromptTokens });
       }
       mEvents.emplace(kStart + FromSeconds(at), [this, request, longIndex]() {
-        Submit(request, longIndex, true);
+        Offer(request, longIndex, true);
       });
     }
   }
 
+  /// A gateway counts each request that it receives, also a repeated one.
+  void Offer(const placement_request& aRequest,
+             std::optional<std::size_t> aLongIndex,
+             bool aMayRetry)
+  {
+    RecordOffer(mSizeShares, SizeKind(aRequest), aRequest.mPromptTokens, mNow);
+    Submit(aRequest, aLongIndex, aMayRetry);
+  }
+
   void Submit(const placement_request& aRequest,
               std::optional<std::size_t> aLongIndex,
               bool aMayRetry)
   {
+    placement_request request = aRequest;
+    request.mSize = SizePreference(
+      mSizeShares, SizeKind(request), request.mPromptTokens, mNow);
     const std::optional<engine_choice> choice =
-      PlaceOnEngines(mRegistry, mLedger, mTiming, aRequest, {}, "", mNow);
+      PlaceOnEngines(mRegistry, mLedger, mTiming, request, {}, "", mNow);
     CPPUNIT_ASSERT(choice.has_value());
     if (choice->mVerdict == placement_verdict::Send) {
+      RecordAdmission(
+        mSizeShares, SizeKind(request), request.mPromptTokens, mNow);
       Place(*choice, aRequest);
       if (aLongIndex.has_value()) {
         long_request& longRequest = mLongRequests[*aLongIndex];
@@ -318,19 +332,23 @@
                       [this, waiting, aLongIndex, aMayRetry]() {
                         Submit(waiting, aLongIndex, aMayRetry);
                       });
-    } else if (aMayRetry) {
+    } else {
+      RecordRefusal(mSizeShares, SizeKind(request), mNow);
+      if (!aMayRetry) {
+        return;
+      }
       if (aLongIndex.has_value()) {
         mLongRequests[*aLongIndex].mRefused = true;
       }
       const duration retryAfter = TimeUntilAccepted(mRegistry,
                                                     mLedger,
                                                     mTiming,
-                                                    aRequest,
+                                                    request,
                                                     "",
                                                     mNow,
                                                     std::chrono::seconds(5));
       mEvents.emplace(mNow + retryAfter, [this, aRequest, aLongIndex]() {
-        Submit(aRequest, aLongIndex, false);
+        Offer(aRequest, aLongIndex, false);
       });
     }
   }
@@ -372,6 +390,7 @@
   engine_timing mTiming = SampleEngine();
   endpoint_registry mRegistry;
   engine_ledger mLedger;
+  size_shares mSizeShares;
   std::mt19937_64 mRandom;
   placement_key mLastKey = 0;
   time_point mNow{};
