--- a/Tests/Gateway/StreamTest.cpp
+++ b/Tests/Gateway/StreamTest.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(PromptWaitsForTheStreamItWouldInterrupt);
   CPPUNIT_TEST(DisconnectedCallerOfPostponedPromptIsNotServed);
   CPPUNIT_TEST(LateStreamsAndStoreCallsAreCounted);
+  CPPUNIT_TEST(PromptIsCountedOnceBySize);
   CPPUNIT_TEST_SUITE_END();
 
   static std::string Event(int aId)
@@ -541,6 +542,39 @@
     CPPUNIT_ASSERT(w.mGateway->Board().mLedger.mPlacements.empty());
   }
 
+  /// Guards against a prompt that counts several times among those of its size
+  /// because its placement is evaluated again, and against counts that are kept
+  /// although the feature is disabled.
+  void PromptIsCountedOnceBySize()
+  {
+    for (const bool enabled : { true, false }) {
+      world w;
+      w.mSettings.mOverload.mSizes = enabled;
+      std::vector<std::unique_ptr<endpoint_fixture>> engines;
+      for (int i = 0; i < 4; ++i) {
+        engines.push_back(std::make_unique<endpoint_fixture>(w.mLoop));
+        AnswerAsEngine(*engines.back(), 409);
+        w.List(
+          "i-" + std::to_string(i), "model", engines.back()->mServer.Address());
+      }
+      w.Start();
+      // It is placed again after each refusal of memory.
+      w.Answered(w.Request("r1", "stream", "Token-Usage: 400000,50\r\n"));
+      double offered = 0;
+      double admitted = 0;
+      for (const auto& [kind, shares] :
+           w.mGateway->Board().mSizeShares.mKinds) {
+        for (const size_counts& counts : shares.mCounts) {
+          offered += counts.mOffered;
+          admitted += counts.mAdmitted;
+        }
+      }
+      // The counts decay slightly while the test runs.
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(enabled ? 1 : 0, offered, 0.3);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(enabled ? 1 : 0, admitted, 0.3);
+    }
+  }
+
   /// Engines of which some refuse to be prefill helpers. An engine that
   /// receives a prompt with a refusing helper refuses the prompt and names that
   /// helper.
