--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -15,6 +15,7 @@
 #include "LibFleet/Endpoints.h"
 #include "LibFleet/EngineLedger.h"
 #include "LibFleet/EngineTiming.h"
+#include "LibFleet/SizeShares.h"
 
 namespace primrose {
 
@@ -56,10 +57,15 @@
   /// An engine whose slots are all in use has rejected it. It is only placed
   /// on a slot that is free.
   bool mRejectedByFullEngine = false;
+  size_preference mSize; ///< See `SizePreference`.
 
   bool operator==(const placement_request&) const = default;
 };
 
+/// The kind of a prompt for `SizePreference`.
+size_kind
+SizeKind(const placement_request& aRequest);
+
 /// The admission decision for a request.
 enum class placement_verdict : std::uint8_t
 {
--- a/Libraries/LibGossip/GatewayState.h
+++ b/Libraries/LibGossip/GatewayState.h
@@ -105,6 +105,7 @@
   organisation_usage mUsage;
   std::map<std::string, stated_limits> mStatedLimits; ///< By route.
   std::map<std::string, service_demand> mDemand; ///< By service with ranks.
+  size_shares mSizeShares; ///< Of the prompts of this gateway's callers.
   quarantine mQuarantine;
   bool mQuarantineKnown = false; ///< The platform's table was read.
   /// Assigns each engine to the gateways that prefer it; built from the listed
