--- a/Tests/Unit/PeerMessageTest.cpp
+++ b/Tests/Unit/PeerMessageTest.cpp
@@ -58,6 +58,8 @@
   CPPUNIT_TEST(LimitReportsStayWithinByteBudget);
   CPPUNIT_TEST(SpeedReportsStayWithinByteBudget);
   CPPUNIT_TEST(SpeedReportsCostNothingWithoutSlowEngines);
+  CPPUNIT_TEST(InvalidSpeedReportsAreIgnored);
+  CPPUNIT_TEST(NewPeerIsToldOfMeasuredSpeeds);
   CPPUNIT_TEST(LowTrafficIsSentToAllPeers);
   CPPUNIT_TEST(GossipStaysWithinByteBudgetAtAllFleetSizes);
   CPPUNIT_TEST(CrashReportsStayWithinByteBudget);
@@ -363,6 +365,48 @@
                    with.size() <= without.size() + 16);
   }
 
+  /// Guards against a malicious or wrong peer that makes an engine unusable, or
+  /// fills the state with engines that do not exist.
+  void InvalidSpeedReportsAreIgnored()
+  {
+    gateway_state state;
+    const engine_key engine = EngineKey("engine-0");
+    state.mLedger.mEngines[engine] = {};
+    peer_message message = EmptyMessage();
+    message.mUpdates.mSpeeds = {
+      { engine, 0, kStart },     { engine, 0.49, kStart },
+      { engine, 10.01, kStart }, { engine, 655.35, kStart },
+      { engine, 1e9, kStart },   { engine, 3, kStart - std::chrono::hours(9) },
+      { 7, 3, kStart }
+    };
+    const std::string bytes = EncodePeerMessage(message, kStart);
+    const outcome<peer_message> read = Capture<peer_message>(
+      [&bytes]() { return DecodePeerMessage(bytes, kStart); });
+    ApplyPeerSpeeds(state, read.mValue->mUpdates.mSpeeds, "10.1.0.9", kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, state.mLedger.mEngines.size());
+    CPPUNIT_ASSERT_EQUAL(1.0, state.mLedger.mEngines[engine].mPace);
+    ApplyPeerSpeeds(state, { { engine, 3, kStart } }, "10.1.0.9", kStart);
+    CPPUNIT_ASSERT_EQUAL(1.5, state.mLedger.mEngines[engine].mPace);
+  }
+
+  /// A new peer is told what this gateway measured, not what it heard.
+  void NewPeerIsToldOfMeasuredSpeeds()
+  {
+    gateway_state state;
+    for (int i = 0; i < 8; ++i) {
+      AddPaceSample(state.mLedger.mEngines[1].mSpeed, 3, kStart);
+      AddPaceSample(state.mLedger.mEngines[2].mSpeed, 1.1, kStart);
+    }
+    for (const char* const host : { "10.1.0.8", "10.1.0.9" }) {
+      state.mLedger.mEngines[3] = {};
+      ApplyPeerSpeeds(state, { { 3, 4, kStart } }, host, kStart);
+    }
+    CPPUNIT_ASSERT(OwnSpeedReports(state, kStart + milliseconds(500)) ==
+                   (std::vector<speed_report>{ { 1, 3, kStart } }));
+    CPPUNIT_ASSERT(
+      OwnSpeedReports(state, kStart + std::chrono::seconds(9)).empty());
+  }
+
   void LowTrafficIsSentToAllPeers()
   {
     const std::vector<std::size_t> recipients =
