--- a/Libraries/LibFleet/EngineLedger.cpp
+++ b/Libraries/LibFleet/EngineLedger.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/// Share of an engine's time that is spent on prefill while requests decode
-/// there: a pass prefills all queued prompts and then decodes for about 50 ms.
-constexpr double kPrefillShareWhileDecoding = 0.75;
-
 double
 ElapsedMs(time_point aFrom, time_point aTo)
 {
@@ -36,7 +32,7 @@
     const auto found = aLedger.mPlacements.find(key);
     if (found != aLedger.mPlacements.end() &&
         Seconds(found->second.mLongestPause) * kMsPerSecond <
-          aLoad.mBacklogMs + kTypicalDecodePassMs) {
+          aLoad.mPace * (aLoad.mBacklogMs + kTypicalDecodePassMs)) {
       found->second.mPauseExceeded = true;
     }
   }
@@ -70,13 +66,34 @@
            found->second.mPrefillEndsAt <= aNow;
   });
   aLoad.mPrefilling.push_back(aNew);
-  const time_point end = aNow + FromSeconds(aLoad.mBacklogMs / kMsPerSecond);
+  const time_point end =
+    aNow + FromSeconds(aLoad.mPace * aLoad.mBacklogMs / kMsPerSecond);
   for (const placement_key key : aLoad.mPrefilling) {
     placement& prefill = aLedger.mPlacements.at(key);
     prefill.mPrefillEndsAt = std::max(prefill.mPrefillEndsAt, end);
   }
 }
 
+/// Keeps the reported number of requests current. Otherwise a full engine would
+/// look full until its last report is out of date, although each end frees a
+/// slot. The end of a request that was not prefilled is not subtracted, because
+/// the engine may have rejected it without counting it.
+void
+CountPlaced(engine_load& aLoad, time_point aNow)
+{
+  if (aLoad.mReportedRequestCount > 0 && aNow > aLoad.mReportedAt) {
+    ++aLoad.mReportedRequestCount;
+  }
+}
+
+void
+CountEnded(engine_load& aLoad, placement_end aEnd)
+{
+  if (aLoad.mReportedRequestCount > 0 && aEnd == placement_end::Read) {
+    --aLoad.mReportedRequestCount;
+  }
+}
+
 template<typename Condition>
 void
 RemovePlacementsIf(engine_ledger& aLedger,
@@ -126,7 +143,8 @@
 double
 PrefillRate(const engine_load& aLoad)
 {
-  return aLoad.mDecoding.empty() ? 1 : kPrefillShareWhileDecoding;
+  return (aLoad.mDecoding.empty() ? 1 : kPrefillShareWhileDecoding) /
+         aLoad.mPace;
 }
 
 double
@@ -145,6 +163,19 @@
                     PrefillRate(aLoad) * ElapsedMs(aLoad.mBacklogAt, aNow));
 }
 
+bool
+UpdatePace(engine_load& aLoad, time_point aNow)
+{
+  const double pace = PaceInForce(aLoad.mSpeed, aNow);
+  if (pace == aLoad.mPace) {
+    return false;
+  }
+  aLoad.mBacklogMs = BacklogMs(aLoad, aNow);
+  aLoad.mBacklogAt = aNow;
+  aLoad.mPace = pace;
+  return true;
+}
+
 void
 SetReportedRequests(engine_ledger& aLedger,
                     engine_key aEngine,
@@ -179,6 +210,7 @@
   }
   engine_load& decodeLoad = aLedger.mEngines[aPlaced.mEngines.front()];
   decodeLoad.mDecoding.push_back(aPlaced.mKey);
+  CountPlaced(decodeLoad, aNow);
   decodeLoad.mTokens += aPlaced.mTokens;
   for (const engine_key holder : aPlaced.mHolders) {
     aLedger.mEngines[holder].mTokens += aPlaced.mHolderTokens;
@@ -207,6 +239,7 @@
   engine_load& load = aLedger.mEngines[ended.mEngines.front()];
   load.mTokens = std::max(0.0, load.mTokens - ended.mTokens);
   std::erase(load.mDecoding, aKey);
+  CountEnded(load, aEnd);
   for (const engine_key holder : ended.mHolders) {
     double& tokens = aLedger.mEngines[holder].mTokens;
     tokens = std::max(0.0, tokens - ended.mHolderTokens);
--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -3,6 +3,7 @@
 #include "LibFleet/PlacementAdmission.h"
 #include "LibFleet/PlacementCosts.h"
 #include "LibFleet/PlacementDivision.h"
+#include "LibFleet/PlacementPace.h"
 #include "LibFleet/SlotAdmission.h"
 
 #include <algorithm>
@@ -11,10 +12,6 @@
 
 namespace {
 
-/// A prompt that one engine prefills within this time is not divided. Each part
-/// would wait for the pass in progress on its engine, so that the prefill would
-/// not end sooner.
-constexpr double kMaxUndividedMs = 100;
 /// Cost of an engine in another data centre. It is so small that it only
 /// decides between engines of equal cost.
 constexpr double kOtherDataCentrePenalty = 0.002;
@@ -50,11 +47,12 @@
   std::pair<double, std::uint64_t> bestCost;
   double bestFirst = 0;
   for (const engine_candidate& one : aCandidates) {
+    const double prefillMs = one.mPace * aPrefillMs;
     const double first =
-      one.mBacklogMs + aPrefillMs + kPassesToFirstEvent * one.mDecodePassMs;
+      one.mBacklogMs + prefillMs + kPassesToFirstEvent * one.mDecodePassMs;
     const double cost =
-      LatenessCost(first, aRequest) + PauseHarm(one, aPrefillMs, aRequest) +
-      PackingCost(one, aTiming, aRequest) +
+      LatenessCost(first, aRequest) + PauseHarm(one, prefillMs, aRequest) +
+      PackingCost(one, aTiming, aRequest) + SlowEngineCost(one, aRequest) +
       (HasRoom(one, aTiming, aRequest) ? 0 : aRequest.mWorth) +
       (one.mInOtherDataCentre ? kOtherDataCentrePenalty : 0);
     const std::pair<double, std::uint64_t> ranked(
@@ -69,7 +67,7 @@
   choice.mDecodeEngine = best->mEndpoint;
   choice.mPartPrefillMs = aPrefillMs;
   choice.mFirstEventMs = bestFirst;
-  choice.mHarm.mStreams = PauseHarm(*best, aPrefillMs, aRequest);
+  choice.mHarm.mStreams = PauseHarm(*best, best->mPace * aPrefillMs, aRequest);
   return choice;
 }
 
@@ -125,6 +123,14 @@
 
 } // namespace
 
+size_kind
+SizeKind(const placement_request& aRequest)
+{
+  return { aRequest.mScope.mService,
+           aRequest.mObjective,
+           aRequest.mLongestPause };
+}
+
 double
 TotalHarm(const placement_harm& aHarm)
 {
@@ -215,6 +221,21 @@
   return placed;
 }
 
+slot_refusal
+RefusalByFullEngine(endpoint_registry& aRegistry,
+                    const engine_ledger& aLedger,
+                    const engine_timing& aTiming,
+                    const placement_request& aRequest,
+                    std::string_view aDataCentre,
+                    time_point aNow)
+{
+  return RefuseForSlots(
+    EngineCandidates(
+      aRegistry, aLedger, aTiming, aRequest, {}, aDataCentre, aNow),
+    aTiming,
+    aRequest);
+}
+
 duration
 TimeUntilAccepted(endpoint_registry& aRegistry,
                   const engine_ledger& aLedger,
--- a/Libraries/LibFleet/PlacementCandidates.h
+++ b/Libraries/LibFleet/PlacementCandidates.h
@@ -7,6 +7,11 @@
 
 namespace primrose {
 
+/// A prompt that one engine prefills within this time is not divided. Each part
+/// would wait for the pass in progress on its engine, so that the prefill would
+/// not end sooner.
+inline constexpr double kMaxUndividedMs = 100;
+
 /// A stream that an engine decodes.
 struct decoding_stream
 {
@@ -36,6 +41,9 @@
 struct engine_candidate
 {
   known_endpoint* mEndpoint = nullptr;
+  /// Actual over declared times of the engine; see LibFleet/EngineSpeed. It is
+  /// part of `mBacklogMs` and `mDecodePassMs`.
+  double mPace = 1;
   double mBacklogMs = 0; ///< Queued prefill time.
   double mFreeTokens = 0;
   double mDecodePassMs = 0; ///< Of a pass that also decodes this request.
--- a/Libraries/LibFleet/RequestClass.cpp
+++ b/Libraries/LibFleet/RequestClass.cpp
@@ -30,6 +30,8 @@
       return "reserved_for_urgent";
     case admission_reason::OverShare:
       return "over_share";
+    case admission_reason::AlreadyLate:
+      return "reserved_for_timely";
     case admission_reason::CannotStartSoon:
       return "cannot_start_soon";
   }
--- a/Libraries/LibFleet/RequestClass.h
+++ b/Libraries/LibFleet/RequestClass.h
@@ -36,6 +36,7 @@
   NoFreeSlot,      ///< All slots are in use.
   MoreUrgent,      ///< The free slots are reserved for more urgent requests.
   OverShare,       ///< The free slots are reserved for other organisations.
+  AlreadyLate,     ///< The free slots are reserved for requests not yet late.
   CannotStartSoon, ///< Its caller would give up before its first event.
 };
 
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -214,6 +214,10 @@
   duration limit =
     mRoute->mTimeout > duration::zero() ? mRoute->mTimeout : kDefaultTimeLimit;
   if (mRequestInfo.mTimeLeft.has_value()) {
+    mWaitedBefore =
+      TimeWaitedBefore(mContext.mBoard.mStatedLimits[mRoute->mName],
+                       *mRequestInfo.mTimeLeft,
+                       mStarted);
     limit = std::min(limit, *mRequestInfo.mTimeLeft - kAnswerDeliveryTime);
   }
   mDeadline = mStarted + limit;
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -119,9 +119,18 @@
   void CountRankDecision(bool aAdmitted);
   /// The rank as it is logged: empty where ranks take no effect.
   std::string RankText(unsigned aRank) const;
+  /// Refuses a request that a full engine has rejected and that cannot be sent
+  /// to another one.
+  void RefuseAfterRejection();
   /// Slots that have to stay free when this request is admitted; no value if
   /// requests are not refused for want of slots.
   std::optional<slot_reserve> SlotReserve() const;
+  /// True if the size of the request affects its admission: unless disabled,
+  /// and until it is sent to an engine.
+  bool IsDecidedBySize() const;
+  /// Counts the request once among those that were offered by size.
+  void RecordSizeOffer();
+  void RecordSizeOutcome(const placement_request& aWork, bool aAdmitted);
   void RecordPlacement(const engine_choice& aChoice,
                        const placement_request& aWork);
   void ReserveMemory(const engine_choice& aChoice);
@@ -172,6 +181,19 @@
   /// the caller left or the deadline passed.
   void ReportUnfinishedAttempt(const attempt& aAttempt, bool aEndpointAtFault);
   void RecordReportedLoad(const attempt& aAttempt);
+  /// Measures the pace of the engine by the events that were read at once, and
+  /// announces it to the peers if they know another.
+  void RecordEnginePace(const attempt& aAttempt, std::uint64_t aEvents);
+  /// The pace of the attempt's engine; 1 if it is as declared or not known.
+  double EnginePace(const attempt& aAttempt) const;
+  /// True if the attempt's engine is known to be slower than when the response
+  /// timer was started. Starts the timer again for the additional time.
+  bool ExtendForSlowEngine();
+  /// True if the engine rejected the request because all its slots, and its
+  /// queue, are in use.
+  bool IsRejectedByFullEngine(const attempt& aAttempt) const;
+  /// Records that the engine is full, whatever the ledger knows of it.
+  void RecordFullEngine(const attempt& aAttempt);
   /// Applies the rate limit that the endpoint's answer reports and broadcasts
   /// it to the peers.
   void ApplyReportedLimit(const attempt& aAttempt);
@@ -236,6 +258,12 @@
   bool mMayHaveRun = false; ///< Sent, and not known to be refused.
   bool mNeedsNewConnection = false;
   bool mPostponed = false; ///< See `PostponePlacement`.
+  /// A full engine has rejected the request, and no engine may have run it.
+  bool mRejectedByFullEngine = false;
+  duration mWaitedBefore{};  ///< See `placement_request`.
+  bool mPostponed = false;   ///< See `PostponePlacement`.
+  bool mSizeOffered = false; ///< See `RecordSizeOffer`.
+  bool mSizeDecided = false; ///< See `RecordSizeOutcome`.
   /// What this request is a quarantine trial of. A trial is sent only once.
   std::vector<request_digest> mTrialOf;
   bool mReachedEndpoint = false;
@@ -247,6 +275,11 @@
   /// Bytes after the last whole event of the stream, at its end.
   std::size_t mTrailingBytes = 0;
   event_cursor mCursor;
+  stream_events mEvents; ///< Of the current attempt.
+  /// Pace of the engine that the response timer allows for, and the time that
+  /// it allows.
+  double mTimeoutPace = 1;
+  duration mResponseTimeout{};
   /// Head of the first attempt that streamed.
   std::optional<http_head> mStreamHead;
   time_point mFirstEventAt{};
--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -21,6 +21,7 @@
 constexpr unsigned kFirstError = 400;
 constexpr unsigned kFirstServerError = 500;
 constexpr unsigned kFirstRedirect = 300;
+constexpr unsigned kServiceUnavailable = 503;
 
 bool
 IsSuccess(unsigned aStatus)
@@ -135,6 +136,65 @@
   }
 }
 
+bool
+exchange::IsRejectedByFullEngine(const attempt& aAttempt) const
+{
+  const answer_info& info = aAttempt.Info();
+  // A refusal for another reason names it, and is handled as such.
+  return mService->mEngine.has_value() &&
+         aAttempt.Head().mStatus == kServiceUnavailable && info.mNotRun &&
+         !info.mWrongEndpoint && !info.mLeaving &&
+         !info.mRetryAfter.has_value() && !info.mLimitPerSecond.has_value() &&
+         !info.mColdTime.has_value() && info.mFaultyHelperAddress.empty();
+}
+
+void
+exchange::RecordFullEngine(const attempt& aAttempt)
+{
+  const engine_key engine = EngineKey(aAttempt.Endpoint().mId);
+  const time_point now = mContext.mLoop.Now();
+  // One request more than there are slots: its queue is full as well.
+  const std::size_t least = mService->mEngine->mSlots + 1;
+  const std::size_t known =
+    RequestsOn(LoadOf(mContext.mBoard.mLedger, engine), now);
+  mContext.mBoard.mMetrics.Count("gateway_full_engine_rejections_total");
+  Log(log_level::Info,
+      "rejected_by_full_engine",
+      { { "request", mRequestInfo.mId },
+        { "endpoint", aAttempt.Endpoint().mId },
+        { "known_requests", known },
+        { "reported_requests", aAttempt.Info().mReportedRequests.value_or(0) },
+        { "slots", mService->mEngine->mSlots } });
+  SetReportedRequests(
+    mContext.mBoard.mLedger,
+    engine,
+    std::max<std::size_t>(least, aAttempt.Info().mReportedRequests.value_or(0)),
+    now);
+}
+
+void
+exchange::RecordEnginePace(const attempt& aAttempt, std::uint64_t aEvents)
+{
+  if (!mContext.mSettings.mOverload.mSpeeds || !mService->mEngine.has_value()) {
+    return;
+  }
+  events_read read{ aEvents, std::nullopt };
+  if (!mAttemptHasEvents && mHelperCount == 0) {
+    read.mFirstAfter = mContext.mLoop.Now() - aAttempt.SentAt();
+  }
+  const std::optional<speed_report> due =
+    RecordStreamEvents(mContext.mBoard,
+                       mContext.mSettings.mPeers.mHost,
+                       aAttempt.Endpoint().mId,
+                       *mService->mEngine,
+                       mEvents,
+                       read,
+                       mContext.mLoop.Now());
+  if (due.has_value()) {
+    mContext.mGossipSender.AnnounceSpeed(*due);
+  }
+}
+
 void
 exchange::ApplyReportedLimit(const attempt& aAttempt)
 {
@@ -254,12 +314,14 @@
 void
 exchange::ForwardEvents(attempt& aAttempt)
 {
+  const std::uint64_t countBefore = mCursor.Count();
   const std::string events = mCursor.TakeWholeEvents(aAttempt.Body());
   if (events.empty()) {
     return;
   }
   const time_point now = mContext.mLoop.Now();
   RecordEndpointActivity(aAttempt);
+  RecordEnginePace(aAttempt, mCursor.Count() - countBefore);
   mAttemptHasEvents = true;
   if (!mHeadWritten) {
     mFirstEventAt = now;
@@ -273,6 +335,7 @@
   mResponse->Write(chunk);
   if (mResponse->Pending() > kMaxPendingBytes) {
     mReadingPaused = true;
+    mEvents = {};
     aAttempt.PauseReading(true);
     mContext.mLoop.Cancel(mResponseTimer);
     return;
@@ -450,12 +513,21 @@
         RetryWithoutHelper(*helper, "helper_refused");
         return;
       }
+      if (mContext.mSettings.mOverload.mSlots &&
+          IsRejectedByFullEngine(aAttempt)) {
+        RecordFullEngine(aAttempt);
+        mRejectedByFullEngine = !mMayHaveRun;
+      }
       ReleaseAttempt();
       if (mAttemptedEndpoints.size() < mRoute->mMaxAttempts &&
           ConsumeRetryBudget()) {
         Retry(aWhy);
         return;
       }
+      if (mRejectedByFullEngine) {
+        RefuseAfterRejection();
+        return;
+      }
       GiveUp(error_kind::Overloaded, aWhy);
       return;
     case attempt_end::ConnectionLost:
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -1,6 +1,7 @@
 #include "LibGateway/Exchange.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace primrose {
 
@@ -26,6 +27,13 @@
 
 constexpr double kMsPerSecond = 1e3;
 
+duration
+ResponsiveWindow(double aPace)
+{
+  return aPace <= 1 ? kResponsiveWindow
+                    : FromSeconds(aPace * Seconds(kResponsiveWindow));
+}
+
 std::string
 JoinIds(const std::vector<known_endpoint*>& aEndpoints)
 {
@@ -54,6 +62,7 @@
 exchange::TrySendToEngines()
 {
   gateway_state& shared = mContext.mBoard;
+  RecordSizeOffer();
   const placement_request work = DescribeEngineWork();
   const std::optional<engine_choice> choice =
     PlaceOnEngines(shared.mEndpoints,
@@ -64,7 +73,10 @@
                    mContext.mSettings.mDataCentre,
                    mContext.mLoop.Now());
   if (!choice.has_value()) {
-    return false;
+    if (work.mRejectedByFullEngine) {
+      RefuseAfterRejection();
+    }
+    return work.mRejectedByFullEngine;
   }
   // A request that was accepted before is not refused when it has to be retried
   // on another engine.
@@ -87,6 +99,7 @@
       RefuseOverloaded(*choice);
       return true;
     case placement_verdict::NoSlot:
+      RecordSizeOutcome(work, false);
       RefuseWithoutSlot(choice->mSlotRefusal);
       return true;
   }
@@ -137,15 +150,81 @@
   work.mSlotReserve = SlotReserve();
   work.mPriceFactor = PrefillPriceFactor(
     mContext.mBoard.mUsage, mClass.mOrganisation, mContext.mLoop.Now());
+  work.mWaitedBefore = mWaitedBefore;
+  work.mRequestNumber = Hash(mRequestInfo.mId);
+  work.mGateways = std::min(EntryCount(mContext.mBoard), kFullBroadcastPeers);
+  work.mAwaitedReturns = CountReturns(
+    mContext.mBoard.mAwaitedReturns[mService->mName], mContext.mLoop.Now());
+  work.mRejectedByFullEngine = mRejectedByFullEngine && !mMayHaveRun;
+  // A gateway that drains sends what should wait, so nothing may be told to
+  // wait for memory.
+  if (IsDecidedBySize() && !mContext.mBoard.mDraining) {
+    work.mSize = SizePreference(mContext.mBoard.mSizeShares,
+                                SizeKind(work),
+                                work.mPromptTokens,
+                                mContext.mLoop.Now());
+  }
   return work;
 }
 
+bool
+exchange::IsDecidedBySize() const
+{
+  return mContext.mSettings.mOverload.mSizes && mAttemptedEndpoints.empty();
+}
+
+void
+exchange::RecordSizeOffer()
+{
+  if (!IsDecidedBySize() || mSizeOffered) {
+    return;
+  }
+  mSizeOffered = true;
+  const placement_request work = DescribeEngineWork();
+  RecordOffer(mContext.mBoard.mSizeShares,
+              SizeKind(work),
+              work.mPromptTokens,
+              mContext.mLoop.Now());
+}
+
+void
+exchange::RecordSizeOutcome(const placement_request& aWork, bool aAdmitted)
+{
+  if (!IsDecidedBySize() || mSizeDecided) {
+    return;
+  }
+  mSizeDecided = true;
+  size_shares& shares = mContext.mBoard.mSizeShares;
+  const time_point now = mContext.mLoop.Now();
+  if (aAdmitted) {
+    RecordAdmission(shares, SizeKind(aWork), aWork.mPromptTokens, now);
+  } else {
+    RecordRefusal(shares, SizeKind(aWork), now);
+  }
+  const std::string_view outcome = aAdmitted ? "placed" : "refused";
+  if (aWork.mSize.mPreferred) {
+    mContext.mBoard.mMetrics.Count(
+      Labelled("gateway_size_preferred_total", "outcome", outcome));
+  } else if (aWork.mSize.mGainFactor < 1) {
+    mContext.mBoard.mMetrics.Count(
+      Labelled("gateway_size_held_back_total", "outcome", outcome));
+  }
+}
+
 std::optional<slot_reserve>
 exchange::SlotReserve() const
 {
+  if (!mContext.mSettings.mOverload.mSlots) {
+    return std::nullopt;
+  }
+  if (mRejectedByFullEngine && !mMayHaveRun) {
+    // The request did not run, so that it may still be refused. Without this,
+    // it would be tried on full engines in turn.
+    return slot_reserve{};
+  }
   // A request that was admitted is not refused when it has to be retried on
   // another engine.
-  if (!mContext.mSettings.mOverload.mSlots || !mAttemptedEndpoints.empty()) {
+  if (!mAttemptedEndpoints.empty()) {
     return std::nullopt;
   }
   const time_point now = mContext.mLoop.Now();
@@ -202,9 +281,27 @@
   return mRanked ? std::to_string(aRank) : "";
 }
 
+void
+exchange::RefuseAfterRejection()
+{
+  RefuseWithoutSlot(RefusalByFullEngine(mContext.mBoard.mEndpoints,
+                                        mContext.mBoard.mLedger,
+                                        *mService->mEngine,
+                                        DescribeEngineWork(),
+                                        mContext.mSettings.mDataCentre,
+                                        mContext.mLoop.Now()));
+}
+
 void
 exchange::RefuseWithoutSlot(const slot_refusal& aRefusal)
 {
+  const time_point now = mContext.mLoop.Now();
+  const duration estimate = RetryAfterOfSlots(aRefusal);
+  const duration retryAfter = BoundedRetryAfter(
+    std::max(kMinRetryAfter, estimate),
+    std::max(kMinRetryAfter, TimeLeft() / kMaxRetryAfterDivisor),
+    Hash(mRequestInfo.mId));
+  AddReturn(mContext.mBoard.mAwaitedReturns[mService->mName], now + retryAfter);
   const std::string_view reason = AdmissionReasonName(aRefusal.mReason);
   mContext.mBoard.mMetrics.Count(
     Labelled("gateway_turned_away_total", "why", reason));
@@ -216,26 +313,28 @@
         { "rank", RankText(mClass.mRank) },
         { "placed_as_rank", RankText(PlacementRank()) },
         { "prompt_tokens", mRequestInfo.mPromptTokens },
-        { "retry_after_ms", Milliseconds(aRefusal.mRetryAfter) } });
+        { "waited_before_ms", Milliseconds(mWaitedBefore) },
+        { "free_slots", aRefusal.mFreeSlots },
+        { "slots", aRefusal.mSlots },
+        { "reserved_slots", aRefusal.mReservedSlots },
+        { "sent_to", mAttemptedEndpoints.size() },
+        { "awaited_returns",
+          mContext.mBoard.mAwaitedReturns[mService->mName].mTimes.size() },
+        { "estimated_ms", Milliseconds(estimate) },
+        { "retry_after_ms", Milliseconds(retryAfter) } });
   if (aRefusal.mReason == admission_reason::OverShare) {
     LogShare();
   }
   CountRankDecision(false);
-  GiveUp(error_kind::Overloaded,
-         std::string(reason),
-         Seconds(std::clamp(
-           RetryAfterOfSlots(aRefusal),
-           kMinRetryAfter,
-           std::max(kMinRetryAfter, TimeLeft() / kMaxRetryAfterDivisor))));
+  GiveUp(error_kind::Overloaded, std::string(reason), Seconds(retryAfter));
 }
 
 duration
 exchange::RetryAfterOfSlots(const slot_refusal& aRefusal) const
 {
-  // The reserve no longer applies once the organisation is within its share,
-  // which may be sooner than enough slots are free.
+  // The reserve applies until the organisation is within its share.
   return aRefusal.mReason == admission_reason::OverShare
-           ? std::min(aRefusal.mRetryAfter,
+           ? std::max(aRefusal.mRetryAfter,
                       TimeUntilWithinShare(mContext.mBoard.mUsage,
                                            mClass.mOrganisation,
                                            mContext.mLoop.Now()))
@@ -286,6 +385,7 @@
 {
   const bool fits = aChoice.mVerdict != placement_verdict::NoMemory;
   const placement_request work = DescribeEngineWork();
+  RecordSizeOutcome(work, false);
   const duration retryAfter =
     TimeUntilAccepted(mContext.mBoard.mEndpoints,
                       mContext.mBoard.mLedger,
@@ -315,6 +415,10 @@
         { "price", aChoice.mPrice },
         { "price_of_second", aChoice.mPrefillSecondPrice },
         { "price_factor", work.mPriceFactor },
+        { "size_class", SizeClassName(work.mSize.mClass) },
+        { "size_share", work.mSize.mClassShare },
+        { "kind_share", work.mSize.mKindShare },
+        { "size_factor", work.mSize.mGainFactor },
         { "retry_after_ms", Milliseconds(retryAfter) } });
   // Refusals for want of memory are not counted: they do not depend on the
   // rank, so the floor could not prevent them.
@@ -331,6 +435,7 @@
                           const placement_request& aWork)
 {
   gateway_state& shared = mContext.mBoard;
+  RecordSizeOutcome(aWork, true);
   placement placed = MakePlacement(
     aChoice,
     aWork,
@@ -362,6 +467,10 @@
         { "expected_ms", aChoice.mFirstEventMs },
         { "waited_ms", mPostponed ? Milliseconds(aWork.mElapsed) : 0 },
         { "harm", TotalHarm(aChoice.mHarm) },
+        { "size_class", SizeClassName(aWork.mSize.mClass) },
+        { "size_share", aWork.mSize.mClassShare },
+        { "kind_share", aWork.mSize.mKindShare },
+        { "size_factor", aWork.mSize.mGainFactor },
         { "attempt", mAttemptedEndpoints.size() + 1 },
         { "manifest", mManifest->Manifest().mVersion } });
   CountRankDecision(true);
@@ -433,8 +542,11 @@
                         i < aReservedCount ? mMemory->Reservation() : "" });
   }
   StartAttempt(aDecodeEngine, helpers);
-  StartResponseTimer(FirstEventTimeout(
-    DescribeEngineWork(), mExpectedFirstEventMs, !aHelpers.empty()));
+  mTimeoutPace = EnginePace(*mAttempt);
+  StartResponseTimer(FirstEventTimeout(DescribeEngineWork(),
+                                       mExpectedFirstEventMs,
+                                       !aHelpers.empty(),
+                                       mTimeoutPace));
 }
 
 bool
@@ -545,6 +657,7 @@
   }
   mHelperCount = aHelpers.size();
   mAttemptHasEvents = false;
+  mEvents = {};
   mAttemptedEndpoints.push_back(aEndpoint.mId);
   mExcludedEndpoints.push_back(aEndpoint.mId);
   const auto known = mContext.mBoard.mEndpoints.mEndpoints.find(aEndpoint.mId);
@@ -574,6 +687,7 @@
 exchange::StartResponseTimer(duration aLimit)
 {
   mContext.mLoop.Cancel(mResponseTimer);
+  mResponseTimeout = aLimit;
   mResponseTimer = mContext.mLoop.After(aLimit, [this]() {
     mResponseTimer = 0;
     OnResponseTimeout();
@@ -584,7 +698,8 @@
 exchange::StartStallTimer(const attempt& aAttempt)
 {
   if (mRoute->mLongestPause > duration::zero()) {
-    StartResponseTimer(StallTimeout(mRoute->mLongestPause) +
+    mTimeoutPace = EnginePace(aAttempt);
+    StartResponseTimer(StallTimeout(mRoute->mLongestPause, mTimeoutPace) +
                        PrefillBacklog(aAttempt));
   }
 }
@@ -603,11 +718,14 @@
     StartResponseTimer(backlog + kMinPrefillBacklog);
     return;
   }
+  if (ExtendForSlowEngine()) {
+    return;
+  }
   if (IsFullButResponsive(*mAttempt)) {
     // The request waits for a slot. Avoiding the engine, or prefilling the
     // prompt again elsewhere, would add load to the other engines until they
     // time out as well.
-    StartResponseTimer(kResponsiveWindow);
+    StartResponseTimer(ResponsiveWindow(EnginePace(*mAttempt)));
     return;
   }
   LogResponseTimeout();
@@ -618,6 +736,25 @@
   Retry("silent");
 }
 
+double
+exchange::EnginePace(const attempt& aAttempt) const
+{
+  const engine_load* const load = FindEngineLoad(aAttempt);
+  return load == nullptr ? 1 : load->mPace;
+}
+
+bool
+exchange::ExtendForSlowEngine()
+{
+  const double pace = EnginePace(*mAttempt);
+  if (pace <= mTimeoutPace || !DiffersNotably(pace, mTimeoutPace)) {
+    return false;
+  }
+  const double more = pace / std::exchange(mTimeoutPace, pace) - 1;
+  StartResponseTimer(FromSeconds(more * Seconds(mResponseTimeout)));
+  return true;
+}
+
 known_endpoint*
 exchange::FindEndpoint(const attempt& aAttempt) const
 {
@@ -642,7 +779,8 @@
   const engine_load* const load = FindEngineLoad(aAttempt);
   return mService->mEngine.has_value() && known != nullptr && load != nullptr &&
          load->mDecoding.size() >= mService->mEngine->mSlots &&
-         mContext.mLoop.Now() - known->mLastReceivedAt < kResponsiveWindow;
+         mContext.mLoop.Now() - known->mLastReceivedAt <
+           ResponsiveWindow(load->mPace);
 }
 
 void
@@ -663,6 +801,7 @@
         { "helpers", mHelperCount },
         { "reading_left_ms", load == nullptr ? 0 : BacklogMs(*load, now) },
         { "writing", load == nullptr ? 0 : load->mDecoding.size() },
+        { "pace", load == nullptr ? 1 : load->mPace },
         { "own_attempts", known == nullptr ? 0 : known->mOutstanding },
         { "heard_ms",
           hasBeenHeard ? Milliseconds(now - known->mLastReceivedAt) : -1 } });
@@ -674,7 +813,8 @@
   const engine_load* const load = FindEngineLoad(aAttempt);
   return load == nullptr
            ? duration::zero()
-           : FromSeconds(BacklogMs(*load, mContext.mLoop.Now()) / kMsPerSecond);
+           : FromSeconds(load->mPace * BacklogMs(*load, mContext.mLoop.Now()) /
+                         kMsPerSecond);
 }
 
 bool
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -457,6 +457,9 @@
   if (aListing != membership_change::Joined) {
     mConnections.CloseIdle(aId);
   }
+  if (aListing != membership_change::Leaving) {
+    ForgetSpeed(mBoard, aId, mLoop.Now());
+  }
   if (aListing == membership_change::Restarted) {
     mCrashDetector.OnEndpointRestarted(aId);
   }
@@ -704,6 +707,7 @@
   RemoveExpiredPlacements(mBoard.mLedger, mLoop.Now());
   mBoard.mUsage.mInFlight =
     static_cast<double>(mBoard.mLedger.mPlacements.size());
+  UpdatePaces(mBoard, mLoop.Now());
   mCrashDetector.Tick();
   if (mBoard.mDraining) {
     CheckDrained();
--- a/Libraries/LibGossip/GatewayState.h
+++ b/Libraries/LibGossip/GatewayState.h
@@ -103,14 +103,18 @@
   std::map<std::string, std::optional<time_point>> mPeersAheadSince;
   engine_ledger mLedger;
   organisation_usage mUsage;
+  std::map<std::string, stated_limits> mStatedLimits; ///< By route.
   std::map<std::string, service_demand> mDemand; ///< By service with ranks.
+  size_shares mSizeShares; ///< Of the prompts of this gateway's callers.
   quarantine mQuarantine;
   bool mQuarantineKnown = false; ///< The platform's table was read.
   /// Assigns each engine to the gateways that prefer it; built from the listed
   /// engines and the known gateways.
   subset_ring mSubsetRing;
   bool mSubsetRingStale = false; ///< Engines or gateways changed.
-  std::map<std::string, retry_history> mRepeats;    ///< By service.
+  std::map<std::string, retry_history> mRepeats; ///< By service.
+  /// Callers of requests that were refused for want of slots, by service.
+  std::map<std::string, awaited_returns> mAwaitedReturns;
   std::map<std::string, peer_state> mPeers;         ///< By host.
   std::array<table_freshness, kBeliefs> mFreshness; ///< By `belief`.
   bool mGatewaysLoaded = false; ///< The table of gateways was read.
--- a/Tests/Unit/PeerMessageTest.cpp
+++ b/Tests/Unit/PeerMessageTest.cpp
@@ -56,6 +56,10 @@
   CPPUNIT_TEST(BurstIsSentToAllPeers);
   CPPUNIT_TEST(LongOverloadStaysWithinByteBudget);
   CPPUNIT_TEST(LimitReportsStayWithinByteBudget);
+  CPPUNIT_TEST(SpeedReportsStayWithinByteBudget);
+  CPPUNIT_TEST(SpeedReportsCostNothingWithoutSlowEngines);
+  CPPUNIT_TEST(InvalidSpeedReportsAreIgnored);
+  CPPUNIT_TEST(NewPeerIsToldOfMeasuredSpeeds);
   CPPUNIT_TEST(LowTrafficIsSentToAllPeers);
   CPPUNIT_TEST(GossipStaysWithinByteBudgetAtAllFleetSizes);
   CPPUNIT_TEST(CrashReportsStayWithinByteBudget);
@@ -315,6 +319,94 @@
     }
   }
 
+  /// Guards against speed reports that exceed the byte budget while three in
+  /// ten engines are slow. Each of them is reported by two gateways every two
+  /// seconds, since two may measure it at the same time.
+  void SpeedReportsStayWithinByteBudget()
+  {
+    constexpr double kMostBytesPerSecond = 15e3;
+    constexpr double kReportsPerSecond = 1;
+    constexpr double kSlowShare = 0.3;
+    constexpr std::size_t kBytes = 48;
+    peer_message message = EmptyMessage();
+    message.mUpdates.mSpeeds = { { 0xfedcba98, 3.07, kStart } };
+    const std::size_t bytes = EncodePeerMessage(message, kStart).size();
+    CPPUNIT_ASSERT(bytes <= kBytes);
+    struct size
+    {
+      std::size_t mGateways;
+      std::size_t mEngines;
+      double mPerSecond; ///< Requests that one gateway receives.
+    };
+    for (const size& one : { size{ 15, 23, 3.0 },
+                             size{ 103, 172, 3.1 },
+                             size{ 350, 1200, 4.0 } }) {
+      const double recipients = static_cast<double>(std::min(
+        one.mGateways - 1, static_cast<std::size_t>(kFullBroadcastPeers)));
+      const double perGateway = kSlowShare * kReportsPerSecond *
+                                static_cast<double>(one.mEngines) /
+                                static_cast<double>(one.mGateways);
+      CPPUNIT_ASSERT(
+        BytesPerSecond(one.mGateways, one.mEngines, one.mPerSecond) +
+          perGateway * recipients * static_cast<double>(bytes) <
+        kMostBytesPerSecond);
+    }
+  }
+
+  void SpeedReportsCostNothingWithoutSlowEngines()
+  {
+    peer_message message = EmptyMessage();
+    message.mUpdates.mEndedPlacements = { ShortPlacement().mKey };
+    const std::string without = EncodePeerMessage(message, kStart);
+    message.mUpdates.mSpeeds = { { 7, 3, kStart } };
+    const std::string with = EncodePeerMessage(message, kStart);
+    CPPUNIT_ASSERT(without.size() <= kShortMessageBytes / 2);
+    CPPUNIT_ASSERT(with.size() > without.size() &&
+                   with.size() <= without.size() + 16);
+  }
+
+  /// Guards against a malicious or wrong peer that makes an engine unusable, or
+  /// fills the state with engines that do not exist.
+  void InvalidSpeedReportsAreIgnored()
+  {
+    gateway_state state;
+    const engine_key engine = EngineKey("engine-0");
+    state.mLedger.mEngines[engine] = {};
+    peer_message message = EmptyMessage();
+    message.mUpdates.mSpeeds = {
+      { engine, 0, kStart },     { engine, 0.49, kStart },
+      { engine, 10.01, kStart }, { engine, 655.35, kStart },
+      { engine, 1e9, kStart },   { engine, 3, kStart - std::chrono::hours(9) },
+      { 7, 3, kStart }
+    };
+    const std::string bytes = EncodePeerMessage(message, kStart);
+    const outcome<peer_message> read = Capture<peer_message>(
+      [&bytes]() { return DecodePeerMessage(bytes, kStart); });
+    ApplyPeerSpeeds(state, read.mValue->mUpdates.mSpeeds, "10.1.0.9", kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, state.mLedger.mEngines.size());
+    CPPUNIT_ASSERT_EQUAL(1.0, state.mLedger.mEngines[engine].mPace);
+    ApplyPeerSpeeds(state, { { engine, 3, kStart } }, "10.1.0.9", kStart);
+    CPPUNIT_ASSERT_EQUAL(1.5, state.mLedger.mEngines[engine].mPace);
+  }
+
+  /// A new peer is told what this gateway measured, not what it heard.
+  void NewPeerIsToldOfMeasuredSpeeds()
+  {
+    gateway_state state;
+    for (int i = 0; i < 8; ++i) {
+      AddPaceSample(state.mLedger.mEngines[1].mSpeed, 3, kStart);
+      AddPaceSample(state.mLedger.mEngines[2].mSpeed, 1.1, kStart);
+    }
+    for (const char* const host : { "10.1.0.8", "10.1.0.9" }) {
+      state.mLedger.mEngines[3] = {};
+      ApplyPeerSpeeds(state, { { 3, 4, kStart } }, host, kStart);
+    }
+    CPPUNIT_ASSERT(OwnSpeedReports(state, kStart + milliseconds(500)) ==
+                   (std::vector<speed_report>{ { 1, 3, kStart } }));
+    CPPUNIT_ASSERT(
+      OwnSpeedReports(state, kStart + std::chrono::seconds(9)).empty());
+  }
+
   void LowTrafficIsSentToAllPeers()
   {
     const std::vector<std::size_t> recipients =
@@ -363,6 +455,10 @@
         { EngineKey(aHost), 1.6, kStart - std::chrono::milliseconds(340) },
         { 7, std::nullopt, kStart }
       };
+      message.mUpdates.mSpeeds = {
+        { EngineKey(aHost), 3.07, kStart - std::chrono::milliseconds(340) },
+        { 7, 0.5, kStart }
+      };
       message.mUpdates.mCrashes = { { aBoot, EngineKey(aHost), true },
                                     { 7, 8, false } };
       message.mUpdates.mQuarantined = {
