--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -257,7 +257,6 @@
   std::size_t mHelperCount = 0;
   bool mMayHaveRun = false; ///< Sent, and not known to be refused.
   bool mNeedsNewConnection = false;
-  bool mPostponed = false; ///< See `PostponePlacement`.
   /// A full engine has rejected the request, and no engine may have run it.
   bool mRejectedByFullEngine = false;
   duration mWaitedBefore{};  ///< See `placement_request`.
