--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -118,7 +118,7 @@
                    ? HarmAtFloor(aInputs, chosen)
                    : chosen.mHarm;
   choice.mPrefillSecondPrice =
-    PrefillSecondPrice(aInputs.mCandidates, AdmissionRank(aInputs.mRequest));
+    PrefillSecondPrice(aInputs.mCandidates, aInputs.mRequest.mClass.mRank);
   DecideAdmission(choice, aLedger, aInputs.mRequest, aInputs.mPrefillMs);
   return choice;
 }
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -33,9 +33,11 @@
   std::uint64_t mTieBreakSeed = 0;
   duration mElapsed{}; ///< Since the gateway received the request.
   request_class mClass;
-  /// If its rank is below the floor, the most urgent rank. It is admitted and
-  /// then protected as if it had that rank. Its engines are chosen by its own
-  /// rank, so that it does as little harm to more urgent requests as possible.
+  /// If its rank is below the floor, the most urgent rank. The harm that it
+  /// does is weighed for admission, and it is protected later, as if it had
+  /// that rank. Its engines are chosen by its own rank, so that it does as
+  /// little harm to more urgent requests as possible, and so is its price:
+  /// backlog of its own rank is engine time that the rank is given.
   std::optional<unsigned> mFloorRank;
   /// Slots that have to stay free when the request is admitted; no value: it is
   /// not refused for want of slots.
--- a/Libraries/LibFleet/RankDemand.cpp
+++ b/Libraries/LibFleet/RankDemand.cpp
@@ -13,13 +13,14 @@
 /// Requests of a rank that do not decay. A gateway of hundreds has less than
 /// one long prompt in `kRankWindow`, and would never see that all of them are
 /// refused.
-constexpr double kRememberedRequests = 4;
+constexpr double kRememberedRequests = 8;
 /// Requests that a rank is taken to have been admitted besides those seen.
 /// A rank with few requests is then below its floor after two refusals in
-/// sequence, but not after one.
+/// sequence, but not after one. Without it, half of the long prompts were
+/// admitted by the floor although most of them would have been admitted soon.
 constexpr double kAssumedRequests = 1;
-/// A rank that was not requested for this long sets no floor for the others:
-/// only a twentieth of its average is left.
+/// A rank that was not requested for this long does not count in the share of
+/// all: only a twentieth of its average is left.
 constexpr duration kReferenceLifetime = 3 * kRankWindow;
 /// Limit of the engine time of one request. Callers state the sizes of their
 /// prompts, and no statement may outweigh all other requests.
@@ -113,6 +114,7 @@
       ? std::max(decayed, kRememberedRequests / demand.mRequests)
       : 1;
   demand.mRequests = demand.mRequests * kept + 1;
+  demand.mAdmitted = demand.mAdmitted * kept + (aAdmitted ? 1 : 0);
   demand.mRequestedMs = demand.mRequestedMs * kept + time;
   demand.mAdmittedMs = demand.mAdmittedMs * kept + (aAdmitted ? time : 0);
   demand.mAt = aNow;
@@ -125,15 +127,16 @@
   if (aDemand.mDecisions < kMinDecisions) {
     return false;
   }
-  // The largest share of a rank is not below the share of all requests,
-  // whichever of the ranks most requests have.
-  double largest = 0;
+  double requests = 0;
+  double admitted = 0;
   for (const rank_demand& one : aDemand.mRanks) {
     if (IsRequested(one, kReferenceLifetime, aNow)) {
-      largest = std::max(largest, AdmittedShare(one));
+      requests += one.mRequests;
+      admitted += one.mAdmitted;
     }
   }
-  return AdmittedShare(aDemand.mRanks.at(aRank)) < kRankFloor * largest;
+  return requests > 0 && AdmittedShare(aDemand.mRanks.at(aRank)) <
+                           kRankFloor * admitted / requests;
 }
 
 slot_reserve
--- a/Libraries/LibFleet/RankDemand.h
+++ b/Libraries/LibFleet/RankDemand.h
@@ -17,21 +17,23 @@
 /// ended half a minute ago for a twentieth.
 inline constexpr duration kRankWindow = std::chrono::seconds(10);
 
-/// A rank is below its floor if less than this share of the engine time that it
-/// requests is admitted, compared with the rank that is admitted most often.
+/// A rank is below its floor if the admitted share of the engine time that it
+/// requests is less than this part of the admitted share of all requests.
 /// Requirement: its served share is not below 0.25 of that of all requests. The
-/// rest is a margin: a gateway with few requests of a rank, which are all
-/// refused but for the floor, admits 0.37 of them, and some of the admitted
-/// fail.
-inline constexpr double kRankFloor = 0.45;
+/// rest is a margin: a rank of which every request is refused but for the floor
+/// is admitted 0.30 of the time by a gateway with few requests of it, and some
+/// of the admitted requests fail.
+inline constexpr double kRankFloor = 0.35;
 
-/// Engine time of one rank, as sums that decay exponentially.
+/// Requests of one rank and their engine time, as sums that decay
+/// exponentially.
 struct rank_demand
 {
   double mRequestedMs = 0;
   double mAdmittedMs = 0;
   double mRequests = 0;
-  time_point mAt{}; ///< Of the last request.
+  double mAdmitted = 0; ///< Of the requests.
+  time_point mAt{};     ///< Of the last request.
 
   bool operator==(const rank_demand&) const = default;
 };
--- a/Libraries/LibFleet/UrgentRoom.cpp
+++ b/Libraries/LibFleet/UrgentRoom.cpp
@@ -38,6 +38,8 @@
            const placement_request& aRequest)
 {
   urgent_room room;
+  // A request whose rank is below its floor would otherwise be added to the
+  // longest backlogs, where it delays others of its rank and is late itself.
   if (aRequest.mFloorRank.has_value()) {
     return room;
   }
--- a/Tests/Unit/RankTest.cpp
+++ b/Tests/Unit/RankTest.cpp
@@ -407,7 +407,7 @@
     service_demand demand;
     RecordSeveral(demand, 2, 0, 3);
     CPPUNIT_ASSERT(!IsBelowFloor(demand, 2, kStart));
-    RecordSeveral(demand, 0, 3, 0);
+    RecordSeveral(demand, 0, 30, 0);
     CPPUNIT_ASSERT(IsBelowFloor(demand, 2, kStart));
     CPPUNIT_ASSERT(!IsBelowFloor(demand, 0, kStart));
     CPPUNIT_ASSERT(!IsBelowFloor(demand, 5, kStart));
