--- a/Tests/Unit/SlotAdmissionTest.cpp
+++ b/Tests/Unit/SlotAdmissionTest.cpp
@@ -322,7 +322,7 @@
   }
 
   /// Guards against a flood whose prompts wait in the engines' queues until
-  /// they are late. More than twice as many were late without admission.
+  /// they are late. Nine times as many were late without admission.
   void FloodIsRefusedInsteadOfLate()
   {
     replay_settings settings = Flood(15, 24);
