--- a/Libraries/LibFleet/CallerWait.h
+++ b/Libraries/LibFleet/CallerWait.h
@@ -5,8 +5,9 @@
 /// A caller states how long it will wait. One that returns after a refusal
 /// states what is left of the time that it stated first, so the difference from
 /// the longest time that is stated on the route lately is what it has waited.
-/// A caller with a shorter limit than the others of its route is taken for one
-/// that has waited, so the estimate may only decide who is served first.
+/// Small differences are taken for callers' own. A caller with a much shorter
+/// limit than the others of its route is taken for one that has waited, so the
+/// estimate may only decide who is served first.
 
 #include "LibCore/LibCore.h"
 
@@ -23,7 +24,7 @@
 };
 
 /// Records the time that a request's caller has left, and estimates how long it
-/// has waited before.
+/// has waited before; 0 if the difference may be the caller's own.
 duration
 TimeWaitedBefore(stated_limits& aLimits, duration aTimeLeft, time_point aNow);
 
--- a/Libraries/LibFleet/FairShares.cpp
+++ b/Libraries/LibFleet/FairShares.cpp
@@ -247,20 +247,27 @@
   return shares;
 }
 
-std::size_t
-CountOverShare(const organisation_usage& aUsage, time_point aNow)
+std::vector<organisation_key>
+OrganisationsOverShare(const organisation_usage& aUsage, time_point aNow)
 {
   const std::optional<double> level = FairLevel(aUsage, aNow);
+  std::vector<organisation_key> over;
   if (!level.has_value()) {
-    return 0;
+    return over;
   }
   const double factor = PerSecondFactor(aUsage, aNow);
-  return static_cast<std::size_t>(
-    std::count_if(aUsage.mTracked.begin(),
-                  aUsage.mTracked.end(),
-                  [&](const tracked_organisation& aOne) {
-                    return IsOver(aUsage, aOne, *level, factor);
-                  }));
+  for (const tracked_organisation& one : aUsage.mTracked) {
+    if (IsOver(aUsage, one, *level, factor)) {
+      over.push_back(one.mOrganisation);
+    }
+  }
+  return over;
+}
+
+std::size_t
+CountOverShare(const organisation_usage& aUsage, time_point aNow)
+{
+  return OrganisationsOverShare(aUsage, aNow).size();
 }
 
 slot_reserve
--- a/Libraries/LibFleet/FairShares.h
+++ b/Libraries/LibFleet/FairShares.h
@@ -45,6 +45,9 @@
                       std::size_t aMost,
                       time_point aNow);
 
+std::vector<organisation_key>
+OrganisationsOverShare(const organisation_usage& aUsage, time_point aNow);
+
 std::size_t
 CountOverShare(const organisation_usage& aUsage, time_point aNow);
 
--- a/Libraries/LibFleet/RankDemand.cpp
+++ b/Libraries/LibFleet/RankDemand.cpp
@@ -25,12 +25,13 @@
 /// Limit of the engine time of one request. Callers state the sizes of their
 /// prompts, and no statement may outweigh all other requests.
 constexpr double kMaxEngineTimeMs = 600e3;
-/// Share of the slots that is left free for each rank of difference, and the
-/// largest difference that counts. Streams are packed up to three quarters of
-/// an engine's slots, so a larger reserve than the last quarter would refuse
-/// requests while no slot is short.
-constexpr double kReservePerRank = 0.1;
-constexpr unsigned kMaxReservedRanks = 2;
+/// Slots that are left free for each more urgent request that is in progress.
+/// Arrivals that come in bursts of twice their mean rate take this many more
+/// than are released within the time in which a refused request returns.
+constexpr double kReservePerUrgentRequest = 0.3;
+/// Streams are packed up to three quarters of an engine's slots, so a larger
+/// reserve than the last quarter would refuse requests while no slot is short.
+constexpr double kMaxReservedShare = 0.2;
 
 double
 AdmittedShare(const rank_demand& aDemand)
@@ -50,35 +51,27 @@
   return aDemand.mRequestedMs > 0 && aNow - aDemand.mAt < aWithin;
 }
 
-/// The most urgent of the ranks before `aRank` that callers requested lately.
-unsigned
-MostUrgentRequested(const service_demand& aDemand,
-                    unsigned aRank,
-                    time_point aNow)
+/// The number of placements that decode on the engine and are more urgent than
+/// `aRank`, without those of the organisations `aExcept`.
+std::size_t
+CountMoreUrgent(const engine_ledger& aLedger,
+                const engine_load& aLoad,
+                unsigned aRank,
+                const std::vector<organisation_key>& aExcept)
 {
-  unsigned rank = 0;
-  while (rank < aRank &&
-         !IsRequested(aDemand.mRanks.at(rank), kRankWindow, aNow)) {
-    ++rank;
-  }
-  return rank;
-}
-
-/// The most urgent rank of the placements that decode on the engine, at most
-/// `aRank`.
-unsigned
-MostUrgentOn(const engine_ledger& aLedger,
-             const engine_load& aLoad,
-             unsigned aRank)
-{
-  unsigned rank = aRank;
+  const auto counts = [aRank, &aExcept](const request_class& aClass) {
+    return aClass.mRank < aRank &&
+           std::find(aExcept.begin(), aExcept.end(), aClass.mOrganisation) ==
+             aExcept.end();
+  };
+  std::size_t count = 0;
   for (const placement_key key : aLoad.mDecoding) {
     const auto placed = aLedger.mPlacements.find(key);
-    if (placed != aLedger.mPlacements.end()) {
-      rank = std::min(rank, placed->second.mClass.mRank);
+    if (placed != aLedger.mPlacements.end() && counts(placed->second.mClass)) {
+      ++count;
     }
   }
-  return rank;
+  return count;
 }
 
 } // namespace
@@ -140,27 +133,31 @@
 }
 
 slot_reserve
-RankReserve(const service_demand& aDemand,
-            const endpoint_registry& aRegistry,
+RankReserve(const endpoint_registry& aRegistry,
             const engine_ledger& aLedger,
             const endpoint_scope& aScope,
+            unsigned aSlotsOfEngine,
             unsigned aRank,
-            time_point aNow)
+            const std::vector<organisation_key>& aExcept)
 {
-  unsigned urgent = MostUrgentRequested(aDemand, aRank, aNow);
+  if (aRank == 0) {
+    return {};
+  }
+  std::size_t urgent = 0;
+  std::size_t slots = 0;
   for (const auto& [id, known] : aRegistry.mEndpoints) {
-    if (aRank - urgent >= std::min(aRank, kMaxReservedRanks)) {
-      break;
-    }
-    if (IsInScope(known, aScope)) {
-      urgent = MostUrgentOn(aLedger, LoadOf(aLedger, EngineKey(id)), urgent);
+    if (known.mPreferred && IsInScope(known, aScope)) {
+      slots += aSlotsOfEngine;
+      urgent += CountMoreUrgent(
+        aLedger, LoadOf(aLedger, EngineKey(id)), aRank, aExcept);
     }
   }
-  if (urgent == aRank) {
+  if (urgent == 0) {
     return {};
   }
-  return { kReservePerRank * std::min(aRank - urgent, kMaxReservedRanks),
-           admission_reason::MoreUrgent };
+  const double share = kReservePerUrgentRequest * static_cast<double>(urgent) /
+                       static_cast<double>(slots);
+  return { std::min(kMaxReservedShare, share), admission_reason::MoreUrgent };
 }
 
 } // namespace primrose
--- a/Libraries/LibFleet/RankDemand.h
+++ b/Libraries/LibFleet/RankDemand.h
@@ -65,15 +65,16 @@
 bool
 IsBelowFloor(const service_demand& aDemand, unsigned aRank, time_point aNow);
 
-/// The slots that a request of this rank leaves free. None unless more urgent
-/// requests are on the service's engines or were sent here in the last
-/// `kRankWindow`.
+/// The slots that a request of this rank leaves free, in proportion to the more
+/// urgent requests that are in progress on the service's preferred engines.
+/// Those of the organisations `aExcept` do not count: an organisation that is
+/// over its share would otherwise take the slots of the others by its rank.
 slot_reserve
-RankReserve(const service_demand& aDemand,
-            const endpoint_registry& aRegistry,
+RankReserve(const endpoint_registry& aRegistry,
             const engine_ledger& aLedger,
             const endpoint_scope& aScope,
+            unsigned aSlotsOfEngine,
             unsigned aRank,
-            time_point aNow);
+            const std::vector<organisation_key>& aExcept);
 
 } // namespace primrose
--- a/Libraries/LibFleet/RequestClass.cpp
+++ b/Libraries/LibFleet/RequestClass.cpp
@@ -13,9 +13,10 @@
 }
 
 slot_reserve
-LargerReserve(const slot_reserve& aOne, const slot_reserve& aOther)
+CombinedReserve(const slot_reserve& aOne, const slot_reserve& aOther)
 {
-  return aOther.mShare > aOne.mShare ? aOther : aOne;
+  return { aOne.mShare + aOther.mShare,
+           aOther.mShare > aOne.mShare ? aOther.mReason : aOne.mReason };
 }
 
 std::string_view
--- a/Libraries/LibFleet/RequestClass.h
+++ b/Libraries/LibFleet/RequestClass.h
@@ -50,9 +50,9 @@
   bool operator==(const slot_reserve&) const = default;
 };
 
-/// The larger of two reserves.
+/// Both reserves together, with the reason of the larger one.
 slot_reserve
-LargerReserve(const slot_reserve& aOne, const slot_reserve& aOther);
+CombinedReserve(const slot_reserve& aOne, const slot_reserve& aOther);
 
 /// The reason as it appears in logs and metrics.
 std::string_view
--- a/Libraries/LibFleet/SlotAdmission.cpp
+++ b/Libraries/LibFleet/SlotAdmission.cpp
@@ -239,15 +239,15 @@
            ToMs(aRequest.mObjective);
 }
 
-/// The request's reserve, or that for timely requests if it is larger.
+/// The request's reserve, and that for timely requests if it is late already.
 slot_reserve
 EffectiveReserve(const std::vector<engine_candidate>& aCandidates,
                  const engine_timing& aTiming,
                  const placement_request& aRequest)
 {
   return IsLateAlready(aCandidates, aTiming, aRequest)
-           ? LargerReserve(*aRequest.mSlotReserve,
-                           { kTimelyReserve, admission_reason::AlreadyLate })
+           ? CombinedReserve(*aRequest.mSlotReserve,
+                             { kTimelyReserve, admission_reason::AlreadyLate })
            : *aRequest.mSlotReserve;
 }
 
@@ -277,10 +277,13 @@
   const double margin = ConcurrencyMargin(totals, aRequest);
   const slot_reserve reserve = EffectiveReserve(aCandidates, aTiming, aRequest);
   const double reserved = reserve.mShare * static_cast<double>(totals.mSlots);
-  const double needed = std::max(margin, reserved);
+  // Requests without a reserve are all admitted from twice the margin on, and
+  // the reserved slots have to be free for them.
+  const double threshold = reserved > 0 ? reserved + 2 * margin : 0;
+  const double needed = std::max(margin, threshold);
   const bool full = !totals.mHasRoom || !LeavesMargin(totals, margin, aRequest);
   if (totals.mHasRoom && reserved > 0 &&
-      static_cast<double>(totals.mFree) <= reserved) {
+      static_cast<double>(totals.mFree) <= threshold) {
     return Refusal(totals, needed, reserve.mReason, aRequest);
   }
   if (full) {
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -233,13 +233,19 @@
   if (!mRanked) {
     return share;
   }
-  return LargerReserve(share,
-                       RankReserve(mContext.mBoard.mDemand[mService->mName],
-                                   mContext.mBoard.mEndpoints,
-                                   mContext.mBoard.mLedger,
-                                   Scope(),
-                                   PlacementRank(),
-                                   now));
+  // What an organisation sends over its share comes after the requests of all
+  // others, whatever its rank.
+  const unsigned rank = share.mShare > 0
+                          ? mManifest->RanksOf(mService->mName).back()
+                          : PlacementRank();
+  return CombinedReserve(
+    share,
+    RankReserve(mContext.mBoard.mEndpoints,
+                mContext.mBoard.mLedger,
+                Scope(),
+                mService->mEngine->mSlots,
+                rank,
+                OrganisationsOverShare(mContext.mBoard.mUsage, now)));
 }
 
 unsigned
--- a/Tests/Unit/RankTest.cpp
+++ b/Tests/Unit/RankTest.cpp
@@ -426,28 +426,38 @@
     CPPUNIT_ASSERT(demand == before);
   }
 
-  /// Guards against slots that stay free although nobody more urgent asks.
+  /// Guards against slots that stay free although nobody more urgent asks, and
+  /// against more of them than the more urgent requests may need.
   void SlotsAreReservedOnlyForMoreUrgentRequests()
   {
     endpoint_registry engines = Engines(2);
     engine_ledger ledger;
-    service_demand demand;
-    const auto reserve = [&](unsigned aRank, time_point aNow = kStart) {
-      return RankReserve(demand, engines, ledger, { "model", {} }, aRank, aNow);
+    const auto reserve = [&](unsigned aRank) {
+      return RankReserve(engines, ledger, { "model", {} }, 16, aRank, {});
     };
     CPPUNIT_ASSERT(reserve(2) == slot_reserve{});
-    RecordSeveral(demand, 1, 1, 0);
-    CPPUNIT_ASSERT(reserve(1) == slot_reserve{});
-    CPPUNIT_ASSERT(reserve(2).mReason == admission_reason::MoreUrgent);
-    CPPUNIT_ASSERT(reserve(3).mShare > reserve(2).mShare);
-    CPPUNIT_ASSERT(reserve(2, kStart + seconds(10)) == slot_reserve{});
-    // Requests of other gateways count by their placements.
     engine_choice there;
     there.mDecodeEngine = &engines.mEndpoints.at("engine-1");
-    AddPlacement(
-      ledger, MakePlacement(there, Prompt(5000, 0, {}, {}), 1), kStart);
-    CPPUNIT_ASSERT(reserve(1, kStart + seconds(10)).mShare > 0);
+    const auto place = [&](unsigned aRank, placement_key aKey) {
+      placement_request request = Prompt(5000, 0, {}, {});
+      request.mClass.mRank = aRank;
+      AddPlacement(ledger, MakePlacement(there, request, aKey), kStart);
+    };
+    place(1, 1);
     CPPUNIT_ASSERT(reserve(0) == slot_reserve{});
+    CPPUNIT_ASSERT(reserve(1) == slot_reserve{});
+    CPPUNIT_ASSERT(reserve(2).mReason == admission_reason::MoreUrgent);
+    CPPUNIT_ASSERT(reserve(2).mShare > 0);
+    CPPUNIT_ASSERT(reserve(2).mShare <= 1.0 / 32);
+    place(0, 2);
+    CPPUNIT_ASSERT(reserve(2).mShare > reserve(1).mShare);
+    for (placement_key key = 3; key <= 32; ++key) {
+      place(0, key);
+    }
+    CPPUNIT_ASSERT(reserve(2).mShare <= 0.25);
+    const slot_reserve withoutThem =
+      RankReserve(engines, ledger, { "model", {} }, 16, 2, { 0 });
+    CPPUNIT_ASSERT(withoutThem == slot_reserve{});
   }
 };
 
--- a/Tests/Unit/SlotAdmissionTest.cpp
+++ b/Tests/Unit/SlotAdmissionTest.cpp
@@ -138,9 +138,29 @@
   CPPUNIT_TEST(LargeFleetsRejectFew);
   CPPUNIT_TEST(LostGossipCausesFewRejections);
   CPPUNIT_TEST(RestartedGatewayCausesFewRejections);
+  CPPUNIT_TEST(WaitOfReturningCallerIsEstimated);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  /// Guards against callers with a slightly shorter limit that are taken for
+  /// returning ones, and against limits that nobody states any more.
+  void WaitOfReturningCallerIsEstimated()
+  {
+    stated_limits limits;
+    const time_point start{ std::chrono::hours(1) };
+    const auto waited = [&](int aLeftMs, int aAtSeconds) {
+      return TimeWaitedBefore(limits,
+                              std::chrono::milliseconds(aLeftMs),
+                              start + std::chrono::seconds(aAtSeconds));
+    };
+    CPPUNIT_ASSERT(waited(10000, 0) == duration::zero());
+    CPPUNIT_ASSERT(waited(8600, 1) == duration::zero());
+    CPPUNIT_ASSERT(waited(7500, 2) == std::chrono::milliseconds(2500));
+    // One interval later the longer limit still counts, after two no more.
+    CPPUNIT_ASSERT(waited(7500, 40) == std::chrono::milliseconds(2500));
+    CPPUNIT_ASSERT(waited(7500, 110) == duration::zero());
+  }
+
   /// Guards against refusing a request that was accepted before.
   void PromptWithoutReserveIsAdmitted()
   {
