--- a/Libraries/LibFleet/PlacementCosts.cpp
+++ b/Libraries/LibFleet/PlacementCosts.cpp
@@ -11,6 +11,10 @@
 /// Allowance in the estimate of a pause for prefill that other gateways place
 /// at the same moment and for network latency.
 constexpr double kPauseMarginMs = 30;
+/// Additional allowance for more urgent streams. An engine prefills all parts
+/// that arrive during a pass in the next one, so two of them make one pause,
+/// while by the ledger the first is partly done when the second arrives.
+constexpr double kUrgentPauseMarginMs = 100;
 /// A request becomes likely to be late if its first event is expected after
 /// this share of its latency target.
 constexpr double kLateFromShare = 0.6;
@@ -90,9 +94,11 @@
                        aCandidate.mDecodePassMs + kPauseMarginMs;
   double harm = 0;
   for (const decoding_stream& one : aCandidate.mStreams) {
-    const double worth =
-      RankWeight(aRequest.mClass.mRank, one.mRank) * one.mWorth;
-    if (!one.mPauseExceeded && one.mLongestPauseMs < pause) {
+    const double weight = RankWeight(aRequest.mClass.mRank, one.mRank);
+    const double worth = weight * one.mWorth;
+    const double allowedMs =
+      one.mLongestPauseMs - (weight > 1 ? kUrgentPauseMarginMs : 0);
+    if (!one.mPauseExceeded && allowedMs < pause) {
       harm += kLostWhenLate * worth;
     }
     if (pause >
