--- a/Tests/Unit/FleetReplay.h
+++ b/Tests/Unit/FleetReplay.h
@@ -47,8 +47,8 @@
   double mSlowShareOfWork = 0;
   /// Every 100 ms: of the pairs of a gateway and an engine that it prefers and
   /// that has been slow and decoding for two seconds, the share for which the
-  /// gateway takes it for slow. Of the pairs with engines that are not slow, the
-  /// share for which it uses a pace other than 1.
+  /// gateway takes it for slow. Of the pairs with engines that are not slow,
+  /// the share for which it uses a pace other than 1.
   std::vector<double> mKnownShare;
   std::vector<double> mFalseShare;
   std::size_t mReports = 0;     ///< Sent, whatever the number of recipients.
