--- a/Libraries/LibFleet/Manifest.cpp
+++ b/Libraries/LibFleet/Manifest.cpp
@@ -1,6 +1,7 @@
 #include "LibFleet/Manifest.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace primrose {
 
@@ -54,6 +55,13 @@
 
 } // namespace
 
+bool
+operator<(const request_urgency& aOne, const request_urgency& aOther)
+{
+  return std::tie(aOne.mRank, aOne.mRouteRank) <
+         std::tie(aOther.mRank, aOther.mRouteRank);
+}
+
 unsigned
 RankOfPriority(int aPriority)
 {
--- a/Libraries/LibFleet/Manifest.h
+++ b/Libraries/LibFleet/Manifest.h
@@ -126,9 +126,13 @@
   unsigned mRank = 0;
   unsigned mRouteRank = 0;
 
-  auto operator<=>(const request_urgency&) const = default;
+  bool operator==(const request_urgency&) const = default;
 };
 
+/// True if the first one is more urgent.
+bool
+operator<(const request_urgency& aOne, const request_urgency& aOther);
+
 /// A manifest with indexes for look-up.
 class manifest_index
 {
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -99,6 +99,9 @@
   /// it; false if none can be chosen.
   bool TrySendToPlainEndpoint();
   endpoint_scope Scope() const;
+  /// What an engine has to do for the request, without what admission decides
+  /// by.
+  placement_request DescribePrompt() const;
   placement_request DescribeEngineWork() const;
   /// The latency target of the route. A route without one gets the whole time
   /// limit: a target of 0 would make every answer late and every endpoint
@@ -108,6 +111,7 @@
   void PostponePlacement(const engine_choice& aChoice);
   void RefuseOverloaded(const engine_choice& aChoice);
   void RefuseWithoutSlot(const slot_refusal& aRefusal);
+  duration MaxRetryAfter() const;
   duration RetryAfterOfSlots(const slot_refusal& aRefusal) const;
   /// Logs the use and the share of the organisation.
   void LogShare() const;
