--- a/Libraries/LibFleet/OrganisationUsage.cpp
+++ b/Libraries/LibFleet/OrganisationUsage.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace primrose {
 
@@ -117,6 +118,29 @@
   return std::exp(Windows(aTime - aUsage.mReference));
 }
 
+/// The work of a placement, with its weight in the amounts.
+struct counted_work
+{
+  work_amounts mWork;
+  double mWeight = 0;
+};
+
+/// Nullopt if the placement is too old to count. Converts the amounts to a new
+/// reference time first if that is due.
+std::optional<counted_work>
+CountedWork(organisation_usage& aUsage,
+            const placement& aPlaced,
+            time_point aNow)
+{
+  const time_point countedAt = CountedAt(aPlaced, aNow);
+  if (aPlaced.mEngines.empty() ||
+      Windows(aNow - countedAt) > kMaxAgeInWindows) {
+    return std::nullopt;
+  }
+  Rebase(aUsage, aNow);
+  return counted_work{ WorkOf(aUsage, aPlaced), WeightAt(aUsage, countedAt) };
+}
+
 } // namespace
 
 engine_capacity
@@ -166,38 +190,32 @@
 void
 AddUse(organisation_usage& aUsage, const placement& aPlaced, time_point aNow)
 {
-  const time_point countedAt = CountedAt(aPlaced, aNow);
-  if (aPlaced.mEngines.empty() ||
-      Windows(aNow - countedAt) > kMaxAgeInWindows) {
+  const std::optional<counted_work> counted =
+    CountedWork(aUsage, aPlaced, aNow);
+  if (!counted.has_value()) {
     return;
   }
-  Rebase(aUsage, aNow);
-  const work_amounts work = WorkOf(aUsage, aPlaced);
-  const double weight = WeightAt(aUsage, countedAt);
-  Add(aUsage.mTotal, work, weight);
+  Add(aUsage.mTotal, counted->mWork, counted->mWeight);
   tracked_organisation& user =
     FindOrTrack(aUsage, aPlaced.mClass.mOrganisation);
-  user.mMaxEngineMs += weight * work.mEngineMs;
-  Add(user.mSinceTracked, work, weight);
+  user.mMaxEngineMs += counted->mWeight * counted->mWork.mEngineMs;
+  Add(user.mSinceTracked, counted->mWork, counted->mWeight);
 }
 
 void
 ReturnUse(organisation_usage& aUsage, const placement& aPlaced, time_point aNow)
 {
-  const time_point countedAt = CountedAt(aPlaced, aNow);
-  if (aPlaced.mEngines.empty() ||
-      Windows(aNow - countedAt) > kMaxAgeInWindows) {
+  const std::optional<counted_work> counted =
+    CountedWork(aUsage, aPlaced, aNow);
+  if (!counted.has_value()) {
     return;
   }
-  Rebase(aUsage, aNow);
-  const work_amounts work = WorkOf(aUsage, aPlaced);
-  const double weight = WeightAt(aUsage, countedAt);
-  Add(aUsage.mTotal, work, -weight);
+  Add(aUsage.mTotal, counted->mWork, -counted->mWeight);
   if (tracked_organisation* const user =
         Find(aUsage, aPlaced.mClass.mOrganisation)) {
-    user->mMaxEngineMs =
-      std::max(0.0, user->mMaxEngineMs - weight * work.mEngineMs);
-    Add(user->mSinceTracked, work, -weight);
+    user->mMaxEngineMs = std::max(
+      0.0, user->mMaxEngineMs - counted->mWeight * counted->mWork.mEngineMs);
+    Add(user->mSinceTracked, counted->mWork, -counted->mWeight);
   }
 }
 
