--- a/Libraries/LibFleet/Endpoints.cpp
+++ b/Libraries/LibFleet/Endpoints.cpp
@@ -212,6 +212,17 @@
   return left;
 }
 
+std::uint64_t
+AppliedRevision(const endpoint_registry& aRegistry, const std::string& aId)
+{
+  const auto held = aRegistry.mEndpoints.find(aId);
+  if (held != aRegistry.mEndpoints.end()) {
+    return held->second.mRevision;
+  }
+  const auto gone = aRegistry.mGone.find(aId);
+  return gone == aRegistry.mGone.end() ? 0 : gone->second;
+}
+
 void
 RecordHealthEvent(endpoint_health& aHealth,
                   endpoint_health_event aEvent,
--- a/Libraries/LibFleet/Endpoints.h
+++ b/Libraries/LibFleet/Endpoints.h
@@ -148,6 +148,11 @@
               const std::vector<row_change<endpoint>>& aRows,
               std::uint64_t aRevision);
 
+/// Revision of the newest row of the endpoint that was applied, or of its
+/// removal; 0 if none is known.
+std::uint64_t
+AppliedRevision(const endpoint_registry& aRegistry, const std::string& aId);
+
 /// Updates the health of an endpoint with the outcome of an attempt.
 void
 RecordHealthEvent(endpoint_health& aHealth,
--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -49,6 +49,9 @@
     });
   }
   mSent = mReusedConnection;
+  if (mReusedConnection) {
+    mConnectTime = duration::zero();
+  }
   mChannel->SetOwner(this);
   aHead.append(aBody);
   mChannel->Write(aHead);
@@ -84,6 +87,7 @@
 attempt::OnConnected(tcp_channel&)
 {
   mSent = true;
+  mConnectTime = mLoop.Now() - mSentAt;
   mLoop.Cancel(mTimer);
 }
 
--- a/Libraries/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/Attempt.h
@@ -69,6 +69,9 @@
   const std::string& Body() const { return mReader.Body(); }
   body_framing Framing() const { return mReader.Framing(); }
   bool WasSent() const { return mSent; }
+  /// Time from the choice of the endpoint until the request was written to a
+  /// connection; zero if an idle one was reused, no value if none was made.
+  std::optional<duration> ConnectTime() const { return mConnectTime; }
   /// True if the endpoint's machine refused the connection, which a running
   /// endpoint would have accepted.
   bool ConnectionRefused() const { return mConnectionRefused; }
@@ -98,6 +101,7 @@
   answer_info mAnswerInfo;
   bool mReusedConnection = false; ///< The connection served a request before.
   bool mSent = false;
+  std::optional<duration> mConnectTime;
   bool mHeadAccepted = false;
   bool mConnectionRefused = false;
   time_point mSentAt{};
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -449,7 +449,11 @@
       { "manifest_age_ms",
         mManifest == nullptr
           ? -1
-          : Milliseconds(now - mContext.mBoard.mManifestAppliedAt) } });
+          : Milliseconds(now - mContext.mBoard.mManifestAppliedAt) },
+      { "operators_revision", CurrentOperatorRevision(mContext.mBoard) },
+      { "operators_age_ms", CopyAgeMs(mContext.mBoard, belief::Operator, now) },
+      { "connect_ms",
+        mConnectTime.has_value() ? Milliseconds(*mConnectTime) : -1 } });
   response_writer* const port = mResponse;
   mResponse = nullptr;
   if (port != nullptr) {
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -259,7 +259,8 @@
   std::size_t mHelperRefusals = 0;
   double mExpectedFirstEventMs = 0; ///< Estimated when the request was placed.
   std::size_t mHelperCount = 0;
-  bool mMayHaveRun = false; ///< Sent, and not known to be refused.
+  std::optional<duration> mConnectTime; ///< Of the last attempt that ended.
+  bool mMayHaveRun = false;             ///< Sent, and not known to be refused.
   bool mNeedsNewConnection = false;
   /// A full engine has rejected the request, and no engine may have run it.
   bool mRejectedByFullEngine = false;
--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -467,6 +467,10 @@
         { "framing", FramingName(aAttempt.Framing()) },
         { "at_fault", aAttempt.Info().mFaultyHelperAddress },
         { "after_ms", Milliseconds(mContext.mLoop.Now() - aAttempt.SentAt()) },
+        { "connect_ms",
+          aAttempt.ConnectTime().has_value()
+            ? Milliseconds(*aAttempt.ConnectTime())
+            : -1 },
         { "last_event", mCursor.LastId().value_or(0) },
         { "trailing_bytes", aAttempt.Body().size() } });
   const bool wrongEndpoint = aAttempt.Info().mWrongEndpoint;
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -205,7 +205,11 @@
         { "kind_share", aWork.mSize.mKindShare },
         { "size_factor", aWork.mSize.mGainFactor },
         { "attempt", mAttemptedEndpoints.size() + 1 },
-        { "manifest", mManifest->Manifest().mVersion } });
+        { "manifest", mManifest->Manifest().mVersion },
+        { "list_revision", CurrentListRevision(mContext.mBoard) },
+        { "list_age_ms",
+          CopyAgeMs(
+            mContext.mBoard, belief::Endpoints, mContext.mLoop.Now()) } });
   CountRankDecision(true);
 }
 
@@ -306,7 +310,11 @@
         { "endpoint", chosen->mListed.mId },
         { "outstanding", chosen->mOutstanding },
         { "attempt", mAttemptedEndpoints.size() + 1 },
-        { "manifest", mManifest->Manifest().mVersion } });
+        { "manifest", mManifest->Manifest().mVersion },
+        { "list_revision", CurrentListRevision(mContext.mBoard) },
+        { "list_age_ms",
+          CopyAgeMs(
+            mContext.mBoard, belief::Endpoints, mContext.mLoop.Now()) } });
   StartAttempt(chosen->mListed, {});
   if (mRoute->mKind == call_kind::Idempotent) {
     StartResponseTimer(
@@ -603,6 +611,7 @@
       --known->mOutstanding;
     }
     mReachedEndpoint = mReachedEndpoint || mAttempt->WasSent();
+    mConnectTime = mAttempt->ConnectTime();
     mAttempt->Cancel();
     mContext.mLoop.DeleteLater(std::move(mAttempt));
     mAttempt = nullptr;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -482,6 +482,7 @@
       "endpoint_listed",
       { { "endpoint", aId },
         { "change", ListingName(aListing) },
+        { "revision", AppliedRevision(mBoard.mEndpoints, aId) },
         { "known", mBoard.mEndpoints.mEndpoints.size() } });
 }
 
--- a/Libraries/LibGossip/GatewayMetrics.cpp
+++ b/Libraries/LibGossip/GatewayMetrics.cpp
@@ -22,12 +22,12 @@
   for (const auto& [table, name] :
        { std::pair(belief::Operator, "operators"),
          std::pair(belief::Endpoints, "endpoints") }) {
-    const table_freshness& copy = FreshnessOf(aState, table);
+    const std::optional<duration> age = CopyAge(aState, table, aNow);
+    aState.mMetrics.Set(Labelled("gateway_copy_age_seconds", "table", name),
+                        age.has_value() ? Seconds(*age) : -1);
     aState.mMetrics.Set(
-      Labelled("gateway_copy_age_seconds", "table", name),
-      copy.mConfirmedAt.has_value() ? Seconds(aNow - *copy.mConfirmedAt) : -1);
-    aState.mMetrics.Set(Labelled("gateway_reads_table", "table", name),
-                        copy.mReaderRank < kTableReaders ? 1 : 0);
+      Labelled("gateway_reads_table", "table", name),
+      FreshnessOf(aState, table).mReaderRank < kTableReaders ? 1 : 0);
   }
 }
 
--- a/Libraries/LibGossip/GatewayState.cpp
+++ b/Libraries/LibGossip/GatewayState.cpp
@@ -95,6 +95,22 @@
   known.mStoreTime = aStoreTime.has_value() ? aStoreTime : known.mStoreTime;
 }
 
+std::optional<duration>
+CopyAge(const gateway_state& aBoard, belief aTable, time_point aNow)
+{
+  const std::optional<time_point>& confirmed =
+    FreshnessOf(aBoard, aTable).mConfirmedAt;
+  return confirmed.has_value() ? std::optional(aNow - *confirmed)
+                               : std::nullopt;
+}
+
+std::int64_t
+CopyAgeMs(const gateway_state& aBoard, belief aTable, time_point aNow)
+{
+  const std::optional<duration> age = CopyAge(aBoard, aTable, aNow);
+  return age.has_value() ? Milliseconds(*age) : -1;
+}
+
 bool
 MustReadStore(const gateway_state& aBoard,
               belief aTable,
--- a/Libraries/LibGossip/GatewayState.h
+++ b/Libraries/LibGossip/GatewayState.h
@@ -176,6 +176,15 @@
            const std::optional<store_time>& aStoreTime,
            time_point aSentAt);
 
+/// Time since the copy of a table is known to have been current; no value
+/// before the first read.
+std::optional<duration>
+CopyAge(const gateway_state& aState, belief aTable, time_point aNow);
+
+/// The same in milliseconds, as logged; -1 before the first read.
+std::int64_t
+CopyAgeMs(const gateway_state& aState, belief aTable, time_point aNow);
+
 /// True if this gateway has to read the table from the store now.
 bool
 MustReadStore(const gateway_state& aState,
