--- a/Libraries/LibFleet/Endpoints.cpp
+++ b/Libraries/LibFleet/Endpoints.cpp
@@ -109,12 +109,14 @@
   return listed;
 }
 
-/// True if the row is that of a later start of the endpoint.
+/// True if the endpoint started again between the two. Which of them is the
+/// later one follows from the revisions of their rows only: the clock of the
+/// endpoint's machine may have been set back.
 bool
-IsLaterStart(const std::optional<std::int64_t>& aKnown, const endpoint& aListed)
+IsOtherStart(const std::optional<std::int64_t>& aOne,
+             const std::optional<std::int64_t>& aOther)
 {
-  return aKnown.has_value() && aListed.mBorn.has_value() &&
-         *aListed.mBorn > *aKnown;
+  return aOne.has_value() && aOther.has_value() && *aOne != *aOther;
 }
 
 /// Adds an endpoint to the list, with its notice if it was listed before and
@@ -128,7 +130,7 @@
   aRegistry.mGone.erase(aRow.mKey);
   const auto notice = aRegistry.mNoticesOfGone.find(aRow.mKey);
   if (notice != aRegistry.mNoticesOfGone.end()) {
-    if (!IsLaterStart(notice->second.mBorn, added.mListed)) {
+    if (!IsOtherStart(notice->second.mBorn, added.mListed.mBorn)) {
       added.mNotice = notice->second.mNotice;
     }
     aRegistry.mNoticesOfGone.erase(notice);
@@ -171,7 +173,7 @@
     AddEndpoint(aRegistry, aChange);
     return membership_change::Joined;
   }
-  if (IsLaterStart(held->second.mListed.mBorn, *aChange.mValue)) {
+  if (IsOtherStart(held->second.mListed.mBorn, aChange.mValue->mBorn)) {
     known_endpoint restarted;
     restarted.mListed = *aChange.mValue;
     restarted.mRevision = aChange.mRevision;
--- a/Tests/Unit/FleetStateTest.cpp
+++ b/Tests/Unit/FleetStateTest.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(StaleRowDoesNotRestoreEndpoint);
   CPPUNIT_TEST(FullListRemovesMissingEndpoints);
   CPPUNIT_TEST(NoticeOutlivesTheRowOfItsEndpoint);
+  CPPUNIT_TEST(RestartAfterItsClockSteppedBackIsRecognised);
   CPPUNIT_TEST(RequestedRestIsReadStrictly);
   CPPUNIT_TEST(LaterRestIsNotShortened);
   CPPUNIT_TEST(NoGatewayOfAFleetSendsToRestingEndpoint);
@@ -74,6 +75,31 @@
 
   /// Guards against requests to a leaving endpoint whose row lapsed while the
   /// store was unreachable and came back as ready.
+  /// Guards against an endpoint that is never used again because its machine's
+  /// clock had stepped back when it started again.
+  void RestartAfterItsClockSteppedBackIsRecognised()
+  {
+    const auto born = [](std::int64_t aBorn) {
+      endpoint listed = Listed("e");
+      listed.mBorn = aBorn;
+      return listed;
+    };
+    endpoint_registry registry;
+    (void)ApplyRow(registry, { "e", 5, born(9000) });
+    registry.mEndpoints.at("e").mNotice.mLeaving = true;
+    CPPUNIT_ASSERT(ApplyRow(registry, { "e", 6, born(9000) }) ==
+                   membership_change::Changed);
+    CPPUNIT_ASSERT(!IsUsable(registry.mEndpoints.at("e"), "model"));
+    CPPUNIT_ASSERT(ApplyRow(registry, { "e", 7, born(7000) }) ==
+                   membership_change::Restarted);
+    CPPUNIT_ASSERT(IsUsable(registry.mEndpoints.at("e"), "model"));
+    // The same after a removal.
+    registry.mEndpoints.at("e").mNotice.mLeaving = true;
+    (void)ApplyRow(registry, { "e", 8, std::nullopt });
+    (void)ApplyRow(registry, { "e", 9, born(6000) });
+    CPPUNIT_ASSERT(IsUsable(registry.mEndpoints.at("e"), "model"));
+  }
+
   void NoticeOutlivesTheRowOfItsEndpoint()
   {
     endpoint_registry registry;
