--- a/Libraries/LibFleet/Endpoints.cpp
+++ b/Libraries/LibFleet/Endpoints.cpp
@@ -214,6 +214,21 @@
   return left;
 }
 
+endpoint_notice*
+FindNotice(endpoint_registry& aRegistry, const endpoint& aEndpoint)
+{
+  const auto held = aRegistry.mEndpoints.find(aEndpoint.mId);
+  if (held != aRegistry.mEndpoints.end()) {
+    return &held->second.mNotice;
+  }
+  if (!aRegistry.mGone.contains(aEndpoint.mId)) {
+    return nullptr;
+  }
+  return &aRegistry.mNoticesOfGone
+            .try_emplace(aEndpoint.mId, kept_notice{ {}, aEndpoint.mBorn })
+            .first->second.mNotice;
+}
+
 std::uint64_t
 AppliedRevision(const endpoint_registry& aRegistry, const std::string& aId)
 {
--- a/Libraries/LibFleet/Endpoints.h
+++ b/Libraries/LibFleet/Endpoints.h
@@ -153,6 +153,13 @@
 std::uint64_t
 AppliedRevision(const endpoint_registry& aRegistry, const std::string& aId);
 
+/// Where to keep what an answer of this endpoint announces: with its row or,
+/// while that is gone, for its return. `aEndpoint` is the endpoint as it was
+/// listed when the request was sent. Null if it
+/// was never listed.
+endpoint_notice*
+FindNotice(endpoint_registry& aRegistry, const endpoint& aEndpoint);
+
 /// Updates the health of an endpoint with the outcome of an attempt.
 void
 RecordHealthEvent(endpoint_health& aHealth,
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -203,9 +203,6 @@
   void ApplyReportedLimit(const attempt& aAttempt);
   /// Applies what the endpoint's answer announces about the endpoint itself.
   void ApplyEndpointNotice(const attempt& aAttempt);
-  /// Sends nothing to the endpoint for as long as its Retry-After says.
-  void ApplyRequestedRest(known_endpoint& aEndpoint,
-                          const std::string& aRetryAfter);
   /// Why no endpoint can be chosen for the request, as logged.
   std::string_view ReasonForNoEndpoint() const;
   /// Refuses a request for which no endpoint can be chosen.
--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -226,59 +226,30 @@
 exchange::ApplyEndpointNotice(const attempt& aAttempt)
 {
   const answer_info& info = aAttempt.Info();
-  known_endpoint* const known = FindEndpoint(aAttempt);
-  if (known == nullptr || info.mWrongEndpoint) {
+  if (info.mWrongEndpoint) {
     return;
   }
-  if (info.mLeaving && !known->mNotice.mLeaving) {
-    known->mNotice.mLeaving = true;
-    mContext.mBoard.mMetrics.Count("gateway_endpoint_leaving_notices_total");
-    Log(log_level::Info,
-        "endpoint_says_leaving",
-        { { "endpoint", known->mListed.mId },
-          { "address", known->mListed.mAddress.Text() },
-          { "request", mRequestInfo.mId },
-          { "listed_as_leaving", static_cast<int>(known->mListed.mLeaving) } });
+  const time_point now = mContext.mLoop.Now();
+  if (info.mLeaving) {
+    ApplyLeavingNotice(mContext.mBoard, aAttempt.Endpoint(), mRequestInfo.mId);
   }
   if (info.mRetryAfter.has_value()) {
-    ApplyRequestedRest(*known, *info.mRetryAfter);
+    ApplyRequestedRest(mContext.mBoard,
+                       aAttempt.Endpoint(),
+                       *info.mRetryAfter,
+                       mRequestInfo.mId,
+                       now);
   }
-  if (info.mColdTime.has_value()) {
+  known_endpoint* const known = FindEndpoint(aAttempt);
+  if (info.mColdTime.has_value() && known != nullptr) {
     BeginWarmUp(mContext.mBoard,
                 mContext.mSettings.mPeers.mHost,
                 *known,
                 *info.mColdTime,
-                mContext.mLoop.Now());
+                now);
   }
 }
 
-void
-exchange::ApplyRequestedRest(known_endpoint& aEndpoint,
-                             const std::string& aRetryAfter)
-{
-  const time_point now = mContext.mLoop.Now();
-  const requested_rest rest = ReadRequestedRest(aRetryAfter);
-  if (!rest.mIsValid) {
-    Log(log_level::Warning,
-        "retry_after_invalid",
-        { { "endpoint", aEndpoint.mListed.mId },
-          { "request", mRequestInfo.mId },
-          { "value", aRetryAfter },
-          { "applied_ms", Milliseconds(rest.mRest) } });
-  }
-  if (rest.mRest <= duration::zero()) {
-    return;
-  }
-  aEndpoint.mNotice = WithRest(aEndpoint.mNotice, rest.mRest, now);
-  mContext.mBoard.mMetrics.Count("gateway_endpoint_rests_total");
-  Log(log_level::Info,
-      "endpoint_asks_rest",
-      { { "endpoint", aEndpoint.mListed.mId },
-        { "address", aEndpoint.mListed.mAddress.Text() },
-        { "request", mRequestInfo.mId },
-        { "for_ms", Milliseconds(rest.mRest) } });
-}
-
 void
 exchange::RecordEndpointActivity(const attempt& aAttempt)
 {
--- a/Libraries/LibGossip/LibGossip.h
+++ b/Libraries/LibGossip/LibGossip.h
@@ -9,6 +9,7 @@
 #include "LibGossip/GatewayState.h"
 #include "LibGossip/GossipSender.h"
 #include "LibGossip/LimitUpdates.h"
+#include "LibGossip/NoticeUpdates.h"
 #include "LibGossip/OrganisationReports.h"
 #include "LibGossip/PeerGossip.h"
 #include "LibGossip/PeerMessage.h"
--- a/Tests/Gateway/EndpointNoticeTest.cpp
+++ b/Tests/Gateway/EndpointNoticeTest.cpp
@@ -69,6 +69,47 @@
     }
   }
 
+  /// Sends requests until the first endpoint, which does not answer, has
+  /// received one; returns its caller.
+  standin_caller& AskUntilFirstHolds()
+  {
+    while (true) {
+      standin_caller& caller =
+        world::Ask(Request("r" + std::to_string(++mAsked), "unsafe"));
+      Until(
+        [this, &caller]() {
+          return caller.Answered() || !mDeskEndpoint.mHeads.empty();
+        },
+        "an answer or a request held");
+      if (!mDeskEndpoint.mHeads.empty()) {
+        return caller;
+      }
+    }
+  }
+
+  bool Lists(const std::string& aId) const
+  {
+    return mGateway->Board().mEndpoints.mEndpoints.contains(aId);
+  }
+
+  void ListBorn(std::int64_t aBorn)
+  {
+    ListEndpoint(mStore,
+                 "i-desk",
+                 "desk",
+                 mDeskEndpoint.mServer.Address(),
+                 "ready",
+                 { "a", 0, aBorn });
+  }
+
+  /// When the first endpoint started, as the gateway knows it.
+  std::int64_t Born() const
+  {
+    return mGateway->Board()
+      .mEndpoints.mEndpoints.at("i-desk")
+      .mListed.mBorn.value_or(0);
+  }
+
   standin_caller& Ask(const std::string& aKind = "safe")
   {
     return Answered(Request("r" + std::to_string(++mAsked), aKind));
@@ -84,6 +125,7 @@
   CPPUNIT_TEST_SUITE(endpoint_notice_test);
   CPPUNIT_TEST(EndpointThatSaysItLeavesGetsNoMoreRequests);
   CPPUNIT_TEST(EngineThatSaysItLeavesIsNoHelper);
+  CPPUNIT_TEST(LeavingIsRememberedIfTheRowIsGoneMeanwhile);
   CPPUNIT_TEST(RestingEndpointGetsNoRequests);
   CPPUNIT_TEST(RequestIsRefusedAtOnceIfAllEndpointsRest);
   CPPUNIT_TEST(OddRetryAfterNeitherBlocksNorCrashes);
@@ -133,6 +175,27 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), w.mModel.mHeads.size());
   }
 
+  /// Guards against requests to an endpoint whose answer said that it leaves
+  /// while its row had expired, and whose row returns.
+  void LeavingIsRememberedIfTheRowIsGoneMeanwhile()
+  {
+    two_desks w;
+    w.mDeskEndpoint.mAnswer = nullptr;
+    w.Start();
+    const standin_caller& caller = w.AskUntilFirstHolds();
+    w.mStore.Remove("servers", "i-desk");
+    w.Until([&w]() { return !w.Lists("i-desk"); }, "the removal");
+    AnswerLeaving(*w.mDeskEndpoint.mLast, w.mDeskEndpoint.mHeads.back());
+    w.Until([&caller]() { return caller.Answered(); }, "the answer");
+    CPPUNIT_ASSERT_EQUAL(200U, caller.Status());
+    w.List("i-desk", "desk", w.mDeskEndpoint.mServer.Address());
+    w.Until([&w]() { return w.Lists("i-desk"); }, "the return of the row");
+    for (int i = 0; i < 30; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200U, w.Ask().Status());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), w.mDeskEndpoint.mHeads.size());
+  }
+
   /// Guards against requests to an endpoint that has asked this gateway for
   /// rest, which it would only refuse again, and against one that is left idle
   /// after its rest.
