--- a/Libraries/LibFleet/Endpoints.cpp
+++ b/Libraries/LibFleet/Endpoints.cpp
@@ -219,14 +219,18 @@
 {
   const auto held = aRegistry.mEndpoints.find(aEndpoint.mId);
   if (held != aRegistry.mEndpoints.end()) {
-    return &held->second.mNotice;
+    return IsOtherStart(held->second.mListed.mBorn, aEndpoint.mBorn)
+             ? nullptr
+             : &held->second.mNotice;
   }
   if (!aRegistry.mGone.contains(aEndpoint.mId)) {
     return nullptr;
   }
-  return &aRegistry.mNoticesOfGone
-            .try_emplace(aEndpoint.mId, kept_notice{ {}, aEndpoint.mBorn })
-            .first->second.mNotice;
+  kept_notice& kept =
+    aRegistry.mNoticesOfGone
+      .try_emplace(aEndpoint.mId, kept_notice{ {}, aEndpoint.mBorn })
+      .first->second;
+  return IsOtherStart(kept.mBorn, aEndpoint.mBorn) ? nullptr : &kept.mNotice;
 }
 
 std::uint64_t
--- a/Libraries/LibFleet/Endpoints.h
+++ b/Libraries/LibFleet/Endpoints.h
@@ -155,8 +155,8 @@
 
 /// Where to keep what an answer of this endpoint announces: with its row or,
 /// while that is gone, for its return. `aEndpoint` is the endpoint as it was
-/// listed when the request was sent. Null if it
-/// was never listed.
+/// listed when the request was sent. Null if it has started again since, or was
+/// never listed.
 endpoint_notice*
 FindNotice(endpoint_registry& aRegistry, const endpoint& aEndpoint);
 
--- a/Tests/Gateway/EndpointNoticeTest.cpp
+++ b/Tests/Gateway/EndpointNoticeTest.cpp
@@ -126,6 +126,7 @@
   CPPUNIT_TEST(EndpointThatSaysItLeavesGetsNoMoreRequests);
   CPPUNIT_TEST(EngineThatSaysItLeavesIsNoHelper);
   CPPUNIT_TEST(LeavingIsRememberedIfTheRowIsGoneMeanwhile);
+  CPPUNIT_TEST(LeavingOfAnEarlierStartDoesNotBlockTheLater);
   CPPUNIT_TEST(RestingEndpointGetsNoRequests);
   CPPUNIT_TEST(RequestIsRefusedAtOnceIfAllEndpointsRest);
   CPPUNIT_TEST(OddRetryAfterNeitherBlocksNorCrashes);
@@ -196,6 +197,28 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), w.mDeskEndpoint.mHeads.size());
   }
 
+  /// Guards against an endpoint that gets no requests because an answer of its
+  /// earlier start, which arrived late, said that it leaves.
+  void LeavingOfAnEarlierStartDoesNotBlockTheLater()
+  {
+    two_desks w;
+    w.ListBorn(1000);
+    w.mDeskEndpoint.mAnswer = nullptr;
+    w.Start();
+    const standin_caller& caller = w.AskUntilFirstHolds();
+    w.ListBorn(2000);
+    w.Until([&w]() { return w.Born() == 2000; }, "the later start");
+    AnswerLeaving(*w.mDeskEndpoint.mLast, w.mDeskEndpoint.mHeads.back());
+    w.Until([&caller]() { return caller.Answered(); }, "the answer");
+    w.mDeskEndpoint.mAnswer = &AnswerOk;
+    w.Until(
+      [&w]() {
+        (void)w.Ask();
+        return w.mDeskEndpoint.mHeads.size() > 1;
+      },
+      "a request to the later start");
+  }
+
   /// Guards against requests to an endpoint that has asked this gateway for
   /// rest, which it would only refuse again, and against one that is left idle
   /// after its rest.
