--- a/Libraries/LibGateway/Adapter.h
+++ b/Libraries/LibGateway/Adapter.h
@@ -93,6 +93,17 @@
   NoAnswer, ///< The command may be carried out, now or later.
 };
 
+/// The answer to a reservation command.
+struct reservation_answer
+{
+  reservation_outcome mOutcome = reservation_outcome::NoAnswer;
+  bool mLeaving = false; ///< The engine accepts no new requests.
+  /// As in `answer_info`.
+  std::optional<std::string> mRetryAfter;
+
+  bool operator==(const reservation_answer&) const = default;
+};
+
 struct gateway_adapter : store_adapter
 {
   result<request_info> (*mReadRequest)(const http_head&) = nullptr;
@@ -107,7 +118,7 @@
                                bool aKeepAlive) = nullptr;
 
   http_call (*mWriteReservationCommand)(const reservation_command&) = nullptr;
-  reservation_outcome (*mReadReservationAnswer)(const http_answer&) = nullptr;
+  reservation_answer (*mReadReservationAnswer)(const http_answer&) = nullptr;
 };
 
 } // namespace primrose
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -224,6 +224,7 @@
     mContext.mAdapter,
     mContext.mBoard,
     mContext.mSettings.mName + '-' + std::to_string(*mPlacement),
+    mRequestInfo.mId,
     std::vector<endpoint>(helpers.begin(),
                           helpers.begin() +
                             static_cast<std::ptrdiff_t>(reservedCount)),
--- a/Libraries/LibGateway/MemoryReservation.cpp
+++ b/Libraries/LibGateway/MemoryReservation.cpp
@@ -1,5 +1,7 @@
 #include "LibGateway/MemoryReservation.h"
 
+#include "LibGossip/LibGossip.h"
+
 namespace primrose {
 
 namespace {
@@ -19,12 +21,14 @@
                                        const gateway_adapter& aAdapter,
                                        gateway_state& aState,
                                        std::string aReservation,
+                                       std::string aRequestId,
                                        std::vector<endpoint> aEngines,
                                        double aTokensEach)
   : mLoop(aLoop)
   , mAdapter(aAdapter)
   , mBoard(aState)
   , mReservation(std::move(aReservation))
+  , mRequestId(std::move(aRequestId))
   , mTokens(aTokensEach)
 {
   for (endpoint& one : aEngines) {
@@ -53,13 +57,30 @@
   mBoard.mMetrics.Count("gateway_memory_orders_total");
   // Keep this object alive until the last command is answered.
   const std::shared_ptr<memory_reservation> self = shared_from_this();
-  aShare.mCaller->Call(
-    mAdapter.mWriteReservationCommand(command),
-    kCommandTimeout,
-    [self, then = std::move(aThen)](const http_answer& aAnswer) {
-      self->mLoop.DeleteLater(self);
-      then(self->mAdapter.mReadReservationAnswer(aAnswer));
-    });
+  aShare.mCaller->Call(mAdapter.mWriteReservationCommand(command),
+                       kCommandTimeout,
+                       [self,
+                        engine = aShare.mEndpoint,
+                        then = std::move(aThen)](const http_answer& aAnswer) {
+                         self->mLoop.DeleteLater(self);
+                         const reservation_answer answer =
+                           self->mAdapter.mReadReservationAnswer(aAnswer);
+                         self->ApplyNotices(engine, answer);
+                         then(answer.mOutcome);
+                       });
+}
+
+void
+memory_reservation::ApplyNotices(const endpoint& aEngine,
+                                 const reservation_answer& aAnswer)
+{
+  if (aAnswer.mLeaving) {
+    ApplyLeavingNotice(mBoard, aEngine, mRequestId);
+  }
+  if (aAnswer.mRetryAfter.has_value()) {
+    ApplyRequestedRest(
+      mBoard, aEngine, *aAnswer.mRetryAfter, mRequestId, mLoop.Now());
+  }
 }
 
 void
--- a/Libraries/LibGateway/MemoryReservation.h
+++ b/Libraries/LibGateway/MemoryReservation.h
@@ -20,6 +20,7 @@
                      const gateway_adapter& aAdapter,
                      gateway_state& aState,
                      std::string aReservation,
+                     std::string aRequestId,
                      std::vector<endpoint> aEngines,
                      double aTokensEach);
   ~memory_reservation();
@@ -44,6 +45,8 @@
   void SendCommand(engine_share& aShare,
                    bool aRelease,
                    std::function<void(reservation_outcome)>);
+  /// What an answer to a command announces about its engine.
+  void ApplyNotices(const endpoint& aEngine, const reservation_answer& aAnswer);
   void Renew();
   void OnReservationAnswer(engine_share& aShare, reservation_outcome aOutcome);
 
@@ -51,6 +54,7 @@
   const gateway_adapter& mAdapter;
   gateway_state& mBoard;
   std::string mReservation;
+  std::string mRequestId; ///< The request that the memory is for.
   std::vector<engine_share> mShares;
   double mTokens = 0;
   acquired_callback mOnAcquired;
--- a/Libraries/LibNet/HttpClientCall.cpp
+++ b/Libraries/LibNet/HttpClientCall.cpp
@@ -162,7 +162,8 @@
                             std::move(mReader.Body()),
                             mLoop.Now() - mFirstByteAt,
                             mSentAt,
-                            mReceived };
+                            mReceived,
+                            mReader.Head().mFields };
   if (!mReader.Head().mKeepAlive) {
     DropChannel();
   }
--- a/Libraries/LibNet/HttpClientCall.h
+++ b/Libraries/LibNet/HttpClientCall.h
@@ -38,6 +38,7 @@
   time_point mSentAt{}; ///< When the call was sent.
   /// Bytes that were received, also of an answer that was not complete.
   std::size_t mReceivedBytes = 0;
+  http_fields mFields; ///< Of the head; empty if no answer was received.
 
   bool operator==(const http_answer&) const = default;
 };
--- a/Tests/Gateway/EndpointNoticeTest.cpp
+++ b/Tests/Gateway/EndpointNoticeTest.cpp
@@ -127,6 +127,7 @@
   CPPUNIT_TEST(EngineThatSaysItLeavesIsNoHelper);
   CPPUNIT_TEST(LeavingIsRememberedIfTheRowIsGoneMeanwhile);
   CPPUNIT_TEST(LeavingOfAnEarlierStartDoesNotBlockTheLater);
+  CPPUNIT_TEST(EngineThatSaysItLeavesWhenAskedForMemoryGetsNoRequests);
   CPPUNIT_TEST(RestingEndpointGetsNoRequests);
   CPPUNIT_TEST(RequestIsRefusedAtOnceIfAllEndpointsRest);
   CPPUNIT_TEST(OddRetryAfterNeitherBlocksNorCrashes);
@@ -219,6 +220,48 @@
       "a request to the later start");
   }
 
+  /// Guards against prompts, and parts of prompts, for an engine that said in
+  /// its answer to a reservation of memory that it leaves.
+  void EngineThatSaysItLeavesWhenAskedForMemoryGetsNoRequests()
+  {
+    two_desks w;
+    std::vector<std::unique_ptr<endpoint_fixture>> engines;
+    std::size_t reservations = 0;
+    std::size_t prompts = 0;
+    for (int i = 0; i < 4; ++i) {
+      engines.push_back(std::make_unique<endpoint_fixture>(w.mLoop));
+      engines.back()->mAnswer = [&reservations,
+                                 &prompts](connection& aConnection,
+                                           const http_head& aHead) {
+        if (aHead.mTarget != "/order") {
+          ++prompts;
+          AnswerStream(aConnection, aHead);
+          return;
+        }
+        ++reservations;
+        aConnection.mChannel->Write(
+          "HTTP/1.1 200 X\r\nServer-Leaving: 1\r\nContent-Length: 2\r\n\r\n{}");
+        aConnection.Next();
+      };
+      w.List(
+        "i-" + std::to_string(i), "model", engines.back()->mServer.Address());
+    }
+    w.Start();
+    CPPUNIT_ASSERT_EQUAL(
+      503U,
+      w.Answered(w.Request("l", "stream", "Token-Usage: 400000,50\r\n"))
+        .Status());
+    CPPUNIT_ASSERT(reservations > 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), prompts);
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+      const std::string id = "i-" + std::to_string(i);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        id,
+        !engines[i]->mHeads.empty(),
+        w.mGateway->Board().mEndpoints.mEndpoints.at(id).mNotice.mLeaving);
+    }
+  }
+
   /// Guards against requests to an endpoint that has asked this gateway for
   /// rest, which it would only refuse again, and against one that is left idle
   /// after its rest.
