--- a/Libraries/LibFleet/FairShares.cpp
+++ b/Libraries/LibFleet/FairShares.cpp
@@ -166,6 +166,29 @@
          (kOverShareMargin * std::max(kLeastShareMs, *aShare.mShareMs));
 }
 
+/// Part of the reserve that an organisation over its share leaves free: all of
+/// it if no other is further over its own, and else in proportion. A flood is
+/// borne by its organisation, and not by those whose demand varies around their
+/// shares meanwhile.
+double
+PartOfReserve(const organisation_usage& aUsage,
+              const tracked_organisation& aOne,
+              const std::optional<double>& aLevel,
+              double aFactor)
+{
+  const auto excess = [&](const tracked_organisation& aOther) {
+    return OverShareRatio(ShareAtLevel(aUsage, aOther, aLevel, aFactor)) - 1;
+  };
+  const double own = excess(aOne);
+  double largest = own;
+  for (const tracked_organisation& other : aUsage.mTracked) {
+    if (IsOver(aUsage, other, *aLevel, aFactor)) {
+      largest = std::max(largest, excess(other));
+    }
+  }
+  return own / largest;
+}
+
 /// Mean time in seconds for which a request of the organisation holds its slot:
 /// as declared, times the ratio of the requests in flight to those expected.
 double
@@ -290,7 +313,8 @@
                        HoldSeconds(aUsage, *known, factor);
   const double lacking =
     std::min(begun, kReserveDeviations * std::sqrt(2 * begun));
-  return { std::min(kMaxReserve, lacking / aUsage.mSlots),
+  return { PartOfReserve(aUsage, *known, level, factor) *
+             std::min(kMaxReserve, lacking / aUsage.mSlots),
            admission_reason::OverShare };
 }
 
--- a/Tests/Unit/FairShareTest.cpp
+++ b/Tests/Unit/FairShareTest.cpp
@@ -488,6 +488,7 @@
   CPPUNIT_TEST(SteadyLargestIsNotPenalisedForFloodOfAnother);
   CPPUNIT_TEST(WeightRaisesShare);
   CPPUNIT_TEST(ReserveFollowsUseOfOthers);
+  CPPUNIT_TEST(SlightExcessIsHardlyLimitedDuringFlood);
   CPPUNIT_TEST(FloodIsBorneByItsOrganisation);
   CPPUNIT_TEST(FloodOnLargeFleetsIsBorneByItsOrganisation);
   CPPUNIT_TEST(FloodOnSlowEnginesIsBorneByItsOrganisation);
@@ -652,6 +653,35 @@
     CPPUNIT_ASSERT(reserve(380) < 0.5 * 828);
   }
 
+  /// Guards against refusals of organisations whose demand varies around their
+  /// shares while another one floods the engines.
+  void SlightExcessIsHardlyLimitedDuringFlood()
+  {
+    constexpr organisation_key kVarying = 2;
+    const auto usage = [](double aFloodPerSecond) {
+      organisation_usage used = UsageOfEngines();
+      for (organisation_key other = 3; other < 23; ++other) {
+        AddSteadyUse(used, other, 3, kStart, seconds(10));
+      }
+      AddSteadyUse(used, kVarying, 40, kStart, seconds(10));
+      if (aFloodPerSecond > 0) {
+        AddSteadyUse(used, kFlooding, aFloodPerSecond, kStart, seconds(10));
+      }
+      // Engines that are slower than declared.
+      used.mInFlight = 3 * used.mSlots;
+      return used;
+    };
+    const time_point now = kStart + seconds(10);
+    const organisation_usage flood = usage(300);
+    CPPUNIT_ASSERT(ShareOf(flood, kVarying, now).mOver);
+    const double ofFlood = ShareReserve(flood, kFlooding, now).mShare;
+    const double ofVarying = ShareReserve(flood, kVarying, now).mShare;
+    CPPUNIT_ASSERT(ofVarying > 0 && ofVarying < 0.1 * ofFlood);
+    // Without the flood it is the one that is furthest over its share.
+    const organisation_usage calm = usage(0);
+    CPPUNIT_ASSERT(ShareReserve(calm, kVarying, now).mShare > 5 * ofVarying);
+  }
+
   void FloodIsBorneByItsOrganisation() { CheckFlood({}); }
 
   void FloodOnLargeFleetsIsBorneByItsOrganisation()
