--- a/Libraries/LibFleet/SizeShares.cpp
+++ b/Libraries/LibFleet/SizeShares.cpp
@@ -49,17 +49,23 @@
 /// below `kMinRelativeShare` by this part of it.
 constexpr double kFullShortfall = 0.2;
 
+/// Peers whose reports are kept; one is about 300 bytes.
+constexpr std::size_t kMaxPeers = 1024;
+/// A gateway that takes a thousand prompts of a kind in each second would count
+/// as many in the window.
+constexpr double kMaxReportedCount = 2e4;
+
 double
-DecayFactor(const kind_shares& aKind, time_point aNow)
+DecayFactor(time_point aSince, time_point aNow)
 {
-  const double age = std::max(0.0, Seconds(aNow - aKind.mCountedAt));
+  const double age = std::max(0.0, Seconds(aNow - aSince));
   return std::exp(-age / kWindowSeconds);
 }
 
 void
 Decay(kind_shares& aKind, time_point aNow)
 {
-  const double factor = DecayFactor(aKind, aNow);
+  const double factor = DecayFactor(aKind.mCountedAt, aNow);
   for (size_counts& counts : aKind.mCounts) {
     counts.mOffered *= factor;
     counts.mAdmitted *= factor;
@@ -68,29 +74,40 @@
   aKind.mCountedAt = std::max(aKind.mCountedAt, aNow);
 }
 
+/// Sizes of the last prompts of a kind, of this gateway and its peers.
+std::vector<double>
+KnownSizes(const size_shares& aShares,
+           const kind_shares& aKind,
+           std::uint64_t aKey)
+{
+  std::vector<double> sizes(aKind.mSizes.begin(), aKind.mSizes.end());
+  for (const auto& [host, peer] : aShares.mPeers) {
+    for (const size_report& report : peer.mReports) {
+      if (report.mKind == aKey) {
+        sizes.insert(sizes.end(), report.mSizes.begin(), report.mSizes.end());
+      }
+    }
+  }
+  return sizes;
+}
+
 size_class
-ClassOf(const kind_shares& aKind, double aTokens)
+ClassOf(const std::vector<double>& aSizes, double aTokens)
 {
-  if (aKind.mSizes.size() < kMinSizes) {
+  if (aSizes.size() < kMinSizes) {
     return size_class::Rest;
   }
   const std::ptrdiff_t larger =
-    std::count_if(aKind.mSizes.begin(),
-                  aKind.mSizes.end(),
-                  [aTokens](double aOther) { return aOther > aTokens; });
+    std::count_if(aSizes.begin(), aSizes.end(), [aTokens](double aOther) {
+      return aOther > aTokens;
+    });
   const double share =
-    static_cast<double>(larger) / static_cast<double>(aKind.mSizes.size());
+    static_cast<double>(larger) / static_cast<double>(aSizes.size());
   return share < kLargestShare          ? size_class::LargestTenth
          : share < kLargestAndNextShare ? size_class::NextFifth
                                         : size_class::Rest;
 }
 
-size_counts&
-CountsOf(kind_shares& aKind, double aTokens)
-{
-  return aKind.mCounts.at(static_cast<std::size_t>(ClassOf(aKind, aTokens)));
-}
-
 double
 KindShare(const kind_shares& aKind)
 {
@@ -120,6 +137,47 @@
   return lowest;
 }
 
+bool
+IsCount(double aValue)
+{
+  return std::isfinite(aValue) && aValue >= 0 && aValue <= kMaxReportedCount;
+}
+
+bool
+IsPossible(const size_report& aReport)
+{
+  return IsCount(aReport.mRefused) &&
+         std::all_of(aReport.mCounts.begin(),
+                     aReport.mCounts.end(),
+                     [](const size_counts& aCounts) {
+                       return IsCount(aCounts.mOffered) &&
+                              IsCount(aCounts.mAdmitted);
+                     });
+}
+
+/// Adds the counts that peers have reported of this kind.
+void
+AddPeerCounts(kind_shares& aKind,
+              const size_shares& aShares,
+              std::uint64_t aKey,
+              time_point aNow)
+{
+  for (const auto& [host, peer] : aShares.mPeers) {
+    for (const size_report& report : peer.mReports) {
+      if (report.mKind != aKey) {
+        continue;
+      }
+      const double factor = DecayFactor(peer.mReceivedAt, aNow);
+      for (std::size_t i = 0; i < kSizeClasses; ++i) {
+        aKind.mCounts.at(i).mOffered += factor * report.mCounts.at(i).mOffered;
+        aKind.mCounts.at(i).mAdmitted +=
+          factor * report.mCounts.at(i).mAdmitted;
+      }
+      aKind.mRefused += factor * report.mRefused;
+    }
+  }
+}
+
 /// The factor on the gain of prompts whose class is not preferred.
 double
 HeldBackFactor(double aLowestClassShare, double aMinShare)
@@ -163,7 +221,10 @@
   if (kind.mSizes.size() > kMaxSizes) {
     kind.mSizes.pop_front();
   }
-  CountsOf(kind, aTokens).mOffered += 1;
+  kind.mCounts
+    .at(static_cast<std::size_t>(
+      ClassOf(KnownSizes(aShares, kind, SizeKindKey(aKind)), aTokens)))
+    .mOffered += 1;
 }
 
 void
@@ -175,7 +236,10 @@
   const auto found = aShares.mKinds.find(aKind);
   if (found != aShares.mKinds.end()) {
     Decay(found->second, aNow);
-    CountsOf(found->second, aTokens).mAdmitted += 1;
+    found->second.mCounts
+      .at(static_cast<std::size_t>(ClassOf(
+        KnownSizes(aShares, found->second, SizeKindKey(aKind)), aTokens)))
+      .mAdmitted += 1;
   }
 }
 
@@ -189,6 +253,70 @@
   }
 }
 
+std::uint64_t
+SizeKindKey(const size_kind& aKind)
+{
+  return Hash(aKind.mService + ' ' +
+              std::to_string(Milliseconds(aKind.mObjective)) + ' ' +
+              std::to_string(Milliseconds(aKind.mLongestPause)));
+}
+
+std::vector<size_report>
+OwnSizeReports(const size_shares& aShares, time_point aNow)
+{
+  std::vector<size_report> reports;
+  for (const auto& [kind, held] : aShares.mKinds) {
+    kind_shares counted = held;
+    Decay(counted, aNow);
+    const std::uint64_t key = SizeKindKey(kind);
+    kind_shares fleet = counted;
+    AddPeerCounts(fleet, aShares, key, aNow);
+    if (fleet.mRefused >= kMinRefused) {
+      const std::size_t sizes =
+        std::min(counted.mSizes.size(), kMaxReportedSizes);
+      reports.push_back(
+        { key,
+          counted.mCounts,
+          counted.mRefused,
+          { counted.mSizes.end() - static_cast<std::ptrdiff_t>(sizes),
+            counted.mSizes.end() } });
+    }
+  }
+  std::sort(reports.begin(),
+            reports.end(),
+            [](const size_report& aOne, const size_report& aOther) {
+              return aOne.mRefused > aOther.mRefused;
+            });
+  reports.resize(std::min(reports.size(), kMaxSizeReports));
+  return reports;
+}
+
+std::size_t
+ApplySizeReports(size_shares& aShares,
+                 const std::string& aHost,
+                 const std::vector<size_report>& aReports,
+                 time_point aNow)
+{
+  std::erase_if(aShares.mPeers, [aNow](const auto& aPeer) {
+    return aNow - aPeer.second.mReceivedAt >= kForgetKindAfter;
+  });
+  std::vector<size_report> possible = aReports;
+  std::erase_if(
+    possible, [](const size_report& aReport) { return !IsPossible(aReport); });
+  const std::size_t ignored = aReports.size() - possible.size();
+  possible.resize(std::min(possible.size(), kMaxSizeReports));
+  for (size_report& report : possible) {
+    report.mSizes.resize(std::min(report.mSizes.size(), kMaxReportedSizes));
+  }
+  if (possible.empty()) {
+    aShares.mPeers.erase(aHost);
+  } else if (aShares.mPeers.size() < kMaxPeers ||
+             aShares.mPeers.contains(aHost)) {
+    aShares.mPeers[aHost] = { std::move(possible), aNow };
+  }
+  return ignored;
+}
+
 size_preference
 SizePreference(const size_shares& aShares,
                const size_kind& aKind,
@@ -202,10 +330,13 @@
   }
   kind_shares kind = found->second;
   Decay(kind, aNow);
-  preference.mClass = ClassOf(kind, aTokens);
+  AddPeerCounts(kind, aShares, SizeKindKey(aKind), aNow);
+  preference.mClass =
+    ClassOf(KnownSizes(aShares, kind, SizeKindKey(aKind)), aTokens);
   preference.mKindShare = KindShare(kind);
   preference.mClassShare =
-    ClassShare(CountsOf(kind, aTokens), preference.mKindShare);
+    ClassShare(kind.mCounts.at(static_cast<std::size_t>(preference.mClass)),
+               preference.mKindShare);
   if (kind.mRefused < kMinRefused || preference.mKindShare > kMaxKindShare) {
     return preference;
   }
--- a/Libraries/LibFleet/SizeShares.h
+++ b/Libraries/LibFleet/SizeShares.h
@@ -5,7 +5,9 @@
 /// and its gain only with its size, so admission by cost alone refuses the
 /// largest prompts of a kind first. In overload, a size class that is admitted
 /// too rarely is therefore preferred, at the expense of the rest of its kind.
-/// Each gateway counts the prompts of its own callers.
+/// Each gateway counts the prompts of its own callers, and adds the counts that
+/// its peers have reported: alone, a gateway among dozens is offered a large
+/// prompt every few seconds. Sizes are compared with those of its own callers.
 
 #include "LibCore/LibCore.h"
 
@@ -15,6 +17,7 @@
 #include <string>
 #include <string_view>
 #include <tuple>
+#include <vector>
 
 namespace primrose {
 
@@ -65,9 +68,30 @@
   bool operator==(const kind_shares&) const = default;
 };
 
+/// The counts of one kind at one gateway, as it tells its peers.
+struct size_report
+{
+  std::uint64_t mKind = 0; ///< See `SizeKindKey`.
+  std::array<size_counts, kSizeClasses> mCounts;
+  double mRefused = 0;
+  std::vector<double> mSizes; ///< Tokens of the last prompts offered.
+
+  bool operator==(const size_report&) const = default;
+};
+
+/// The last reports of a peer.
+struct peer_size_reports
+{
+  std::vector<size_report> mReports;
+  time_point mReceivedAt{};
+
+  bool operator==(const peer_size_reports&) const = default;
+};
+
 struct size_shares
 {
   std::map<size_kind, kind_shares> mKinds;
+  std::map<std::string, peer_size_reports> mPeers; ///< By host.
 
   bool operator==(const size_shares&) const = default;
 };
@@ -104,6 +128,28 @@
 void
 RecordRefusal(size_shares& aShares, const size_kind& aKind, time_point aNow);
 
+/// Identifies a kind to peers; the same at each gateway.
+std::uint64_t
+SizeKindKey(const size_kind& aKind);
+
+/// Kinds that a gateway reports: those with the most refusals.
+inline constexpr std::size_t kMaxSizeReports = 4;
+
+/// Sizes of one kind that a gateway reports.
+inline constexpr std::size_t kMaxReportedSizes = 8;
+
+/// This gateway's own counts of the kinds that it or a peer refused lately.
+std::vector<size_report>
+OwnSizeReports(const size_shares& aShares, time_point aNow);
+
+/// Replaces what the peer at this host has reported before. Reports that no
+/// gateway can have counted are ignored; returns how many.
+std::size_t
+ApplySizeReports(size_shares& aShares,
+                 const std::string& aHost,
+                 const std::vector<size_report>& aReports,
+                 time_point aNow);
+
 /// The preference of a prompt that was offered. It has no effect if no prompt
 /// of its kind was refused lately.
 size_preference
--- a/Libraries/LibGossip/GossipSender.cpp
+++ b/Libraries/LibGossip/GossipSender.cpp
@@ -210,7 +210,7 @@
   Flush();
   FlushBroadcast();
   mLeaving = true;
-  const std::string bytes = EncodeHeartbeat(false);
+  const std::string bytes = EncodeHeartbeat(false, false);
   for (const auto& [host, peer] : mBoard.mPeers) {
     Send(bytes, host);
   }
@@ -251,10 +251,21 @@
   return message;
 }
 
+std::vector<size_report>
+gossip_sender::OwnSizes() const
+{
+  return mSettings.mOverload.mSizes
+           ? OwnSizeReports(mBoard.mSizeShares, mLoop.Now())
+           : std::vector<size_report>{};
+}
+
 std::string
-gossip_sender::EncodeHeartbeat(bool aListsHosts)
+gossip_sender::EncodeHeartbeat(bool aListsHosts, bool aReportsSizes)
 {
   peer_message message = NewMessage();
+  if (aReportsSizes) {
+    message.mUpdates.mSizes = OwnSizes();
+  }
   message.mQuarantineHash = QuarantineChecksum(mBoard.mQuarantine);
   if (!aListsHosts) {
     return EncodePeerMessage(message, mLoop.Now());
@@ -320,7 +331,7 @@
 void
 gossip_sender::SendHeartbeat(const std::string& aHost)
 {
-  Send(EncodeHeartbeat(true), aHost);
+  Send(EncodeHeartbeat(true, true), aHost);
 }
 
 void
@@ -329,7 +340,7 @@
   // Heartbeats rotate over the peers, so that also those that receive none of
   // this gateway's placements hear from it regularly.
   const std::string bytes =
-    EncodeHeartbeat(mHeartbeats++ % kHeartbeatsPerHostList == 0);
+    EncodeHeartbeat(mHeartbeats++ % kHeartbeatsPerHostList == 0, true);
   const std::size_t chosen = PeersPerHeartbeat(mBoard.mPeers.size());
   std::map<std::string, peer_state>::const_iterator next =
     mBoard.mPeers.upper_bound(mLastHeartbeatHost);
@@ -354,7 +365,7 @@
               std::back_inserter(chosen),
               kSpreadPeers,
               mBoard.mRandom);
-  const std::string bytes = EncodeHeartbeat(false);
+  const std::string bytes = EncodeHeartbeat(false, false);
   for (const std::string& host : chosen) {
     Send(bytes, host);
   }
@@ -373,6 +384,7 @@
   if (mSettings.mOverload.mSpeeds) {
     message.mUpdates.mSpeeds = OwnSpeedReports(mBoard, mLoop.Now());
   }
+  message.mUpdates.mSizes = OwnSizes();
   std::vector<placement>& ownPlacements = message.mUpdates.mNewPlacements;
   for (const auto& [key, placed] : mBoard.mLedger.mPlacements) {
     if (placed.mOwner != mBoard.mGatewayIncarnation) {
@@ -386,6 +398,7 @@
       ownPlacements.clear();
       message.mUpdates.mLimits.clear();
       message.mUpdates.mSpeeds.clear();
+      message.mUpdates.mSizes.clear();
     }
   }
   if (message.mUpdates == peer_updates{}) {
--- a/Libraries/LibGossip/GossipSender.h
+++ b/Libraries/LibGossip/GossipSender.h
@@ -73,7 +73,9 @@
     std::size_t aBytes);
   /// A message with only the fields that every datagram has.
   peer_message NewMessage() const;
-  std::string EncodeHeartbeat(bool aListsHosts);
+  /// What this gateway reports of the prompts of its callers by size.
+  std::vector<size_report> OwnSizes() const;
+  std::string EncodeHeartbeat(bool aListsHosts, bool aReportsSizes);
   void Send(const std::string& aBytes, const std::string& aHost);
 
   event_loop& mLoop;
--- a/Libraries/LibGossip/PeerGossip.cpp
+++ b/Libraries/LibGossip/PeerGossip.cpp
@@ -358,6 +358,22 @@
   if (mSettings.mOverload.mSpeeds) {
     ApplyPeerSpeeds(mBoard, aUpdates.mSpeeds, aHost, now);
   }
+  if (mSettings.mOverload.mSizes && !aUpdates.mSizes.empty()) {
+    ApplyPeerSizes(aUpdates.mSizes, aHost);
+  }
+}
+
+void
+peer_gossip::ApplyPeerSizes(const std::vector<size_report>& aReports,
+                            const std::string& aHost)
+{
+  const std::size_t ignored =
+    ApplySizeReports(mBoard.mSizeShares, aHost, aReports, mLoop.Now());
+  if (ignored > 0) {
+    Log(log_level::Warning,
+        "size_report_ignored",
+        { { "host", aHost }, { "reports", ignored } });
+  }
 }
 
 void
--- a/Libraries/LibGossip/PeerGossip.h
+++ b/Libraries/LibGossip/PeerGossip.h
@@ -79,6 +79,8 @@
   /// Applies what the peer says of its copies of the tables, and passes it on.
   void ApplyVersions(const peer_message& aMessage, const std::string& aHost);
   void ApplyUpdates(const peer_updates& aUpdates, const std::string& aHost);
+  void ApplyPeerSizes(const std::vector<size_report>& aReports,
+                      const std::string& aHost);
   void ApplyCrashUpdates(const peer_message& aMessage,
                          const std::string& aHost);
 
--- a/Libraries/LibGossip/PeerMessage.cpp
+++ b/Libraries/LibGossip/PeerMessage.cpp
@@ -18,6 +18,7 @@
 constexpr double kMicrosecondsPerMs = 1e3;
 constexpr double kCentsPerUnit = 1e2;
 constexpr double kMillisPerUnit = 1e3;
+constexpr double kTenthsPerUnit = 10;
 
 std::uint32_t
 RoundToUint32(double aValue)
@@ -259,6 +260,63 @@
   }
 }
 
+void
+WriteSizes(wire::PeerNews::Builder aEncoded,
+           const std::vector<size_report>& aReports)
+{
+  if (aReports.empty()) {
+    return;
+  }
+  capnp::List<wire::SizeReport>::Builder encoded =
+    aEncoded.initSizes(static_cast<unsigned>(aReports.size()));
+  for (unsigned i = 0; i < aReports.size(); ++i) {
+    const size_report& report = aReports[i];
+    std::vector<std::uint32_t> offered;
+    std::vector<std::uint32_t> admitted;
+    for (const size_counts& counts : report.mCounts) {
+      offered.push_back(RoundToUint32(counts.mOffered * kTenthsPerUnit));
+      admitted.push_back(RoundToUint32(counts.mAdmitted * kTenthsPerUnit));
+    }
+    std::vector<std::uint32_t> tokens;
+    for (const double size : report.mSizes) {
+      tokens.push_back(RoundToUint32(size));
+    }
+    encoded[i].setKind(report.mKind);
+    WriteNumbers(encoded[i].initOfferedTenths(kSizeClasses), offered);
+    WriteNumbers(encoded[i].initAdmittedTenths(kSizeClasses), admitted);
+    encoded[i].setRefusedTenths(
+      RoundToUint32(report.mRefused * kTenthsPerUnit));
+    WriteNumbers(encoded[i].initTokens(static_cast<unsigned>(tokens.size())),
+                 tokens);
+  }
+}
+
+/// Reports with another number of classes are skipped.
+void
+ReadSizes(wire::PeerNews::Reader aEncoded, peer_updates& aUpdates)
+{
+  for (const wire::SizeReport::Reader encoded : aEncoded.getSizes()) {
+    const std::vector<std::uint32_t> offered =
+      ReadNumbers(encoded.getOfferedTenths());
+    const std::vector<std::uint32_t> admitted =
+      ReadNumbers(encoded.getAdmittedTenths());
+    if (offered.size() != kSizeClasses || admitted.size() != kSizeClasses) {
+      continue;
+    }
+    size_report report;
+    report.mKind = encoded.getKind();
+    for (std::size_t i = 0; i < kSizeClasses; ++i) {
+      report.mCounts.at(i) = { offered[i] / kTenthsPerUnit,
+                               admitted[i] / kTenthsPerUnit };
+    }
+    report.mRefused = encoded.getRefusedTenths() / kTenthsPerUnit;
+    for (const std::uint32_t tokens : ReadNumbers(encoded.getTokens())) {
+      report.mSizes.push_back(tokens);
+    }
+    aUpdates.mSizes.push_back(std::move(report));
+  }
+}
+
 void
 WriteNews(wire::PeerNews::Builder aEncoded,
           const peer_updates& aUpdates,
@@ -293,6 +351,7 @@
   }
   WriteLimits(aEncoded, aUpdates.mLimits, aNow);
   WriteSpeeds(aEncoded, aUpdates.mSpeeds, aNow);
+  WriteSizes(aEncoded, aUpdates.mSizes);
   WriteCrashes(aEncoded, aUpdates);
 }
 
@@ -322,6 +381,7 @@
   message.mUpdates.mFailedEndpoints = ReadNumbers(aEncoded.getTroubled());
   ReadLimits(aEncoded, message.mUpdates, aNow);
   ReadSpeeds(aEncoded, message.mUpdates, aNow);
+  ReadSizes(aEncoded, message.mUpdates);
   ReadCrashes(aEncoded, message.mUpdates);
   for (const capnp::Text::Reader host : aEncoded.getPeers()) {
     message.mHosts.emplace_back(host.cStr());
--- a/Libraries/LibGossip/PeerMessage.h
+++ b/Libraries/LibGossip/PeerMessage.h
@@ -41,6 +41,7 @@
   std::vector<engine_key> mFailedEndpoints; ///< Endpoints that failed.
   std::vector<limit_report> mLimits;
   std::vector<speed_report> mSpeeds;
+  std::vector<size_report> mSizes; ///< All of the sender, in heartbeats.
   std::vector<crash_report> mCrashes;
   std::vector<quarantined_request> mQuarantined;
   std::vector<request_digest> mCleared; ///< Requests that were answered.
--- a/Libraries/LibGossip/PeerNews.capnp
+++ b/Libraries/LibGossip/PeerNews.capnp
@@ -53,6 +53,16 @@
   ageMs @2 :UInt32;              # Time since it was measured.
 }
 
+# What an entry was offered and admitted of one kind of prompt, by size
+# (LibFleet/SizeShares), decayed until now.
+struct SizeReport {
+  kind @0 :UInt64;               # A hash.
+  offeredTenths @1 :List(UInt32); # Three classes, the smallest sizes first.
+  admittedTenths @2 :List(UInt32);
+  refusedTenths @3 :UInt32;
+  tokens @4 :List(UInt32);       # Sizes of the last prompts offered.
+}
+
 # What an entry believes, as the platform's rows had it: asked for by an entry
 # that cannot reach the platform.
 struct BelievedRow {
@@ -87,6 +97,7 @@
   cleared @12 :List(UInt64);     # Digests of requests that were answered.
   limits @14 :List(EndpointLimit);
   speeds @21 :List(EnginePace);  # Measured by the entry that tells.
+  sizes @22 :List(SizeReport);   # All of the entry that tells; beats have them.
   operatorRow @15 :UInt64;       # Newest revision of the operators' rows there.
   unusedOperatorAgeMs @16 :UInt32; # Earlier builds stated ages.
   unusedListAgeMs @17 :UInt32;
--- a/Libraries/LibGossip/PeerNews.capnp.h
+++ b/Libraries/LibGossip/PeerNews.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(fe9c9056baf99467);
 CAPNP_DECLARE_SCHEMA(8564a4a43f813b27);
 CAPNP_DECLARE_SCHEMA(b14151dfa4102d71);
+CAPNP_DECLARE_SCHEMA(fb91f2228481e64f);
 CAPNP_DECLARE_SCHEMA(ebcd3d31b18b9707);
 CAPNP_DECLARE_SCHEMA(cb56f5f636ed2e7f);
 CAPNP_DECLARE_SCHEMA(866e2b3eef8a5cbd);
@@ -106,6 +107,21 @@
   };
 };
 
+struct SizeReport {
+  SizeReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fb91f2228481e64f, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct BelievedRow {
   BelievedRow() = delete;
 
@@ -144,7 +160,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(866e2b3eef8a5cbd, 9, 11)
+    CAPNP_DECLARE_STRUCT_HEADER(866e2b3eef8a5cbd, 9, 12)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -645,6 +661,120 @@
 };
 #endif  // !CAPNP_LITE
 
+class SizeReport::Reader {
+public:
+  typedef SizeReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getKind() const;
+
+  inline bool hasOfferedTenths() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getOfferedTenths() const;
+
+  inline bool hasAdmittedTenths() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getAdmittedTenths() const;
+
+  inline  ::uint32_t getRefusedTenths() const;
+
+  inline bool hasTokens() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getTokens() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SizeReport::Builder {
+public:
+  typedef SizeReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getKind();
+  inline void setKind( ::uint64_t value);
+
+  inline bool hasOfferedTenths();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getOfferedTenths();
+  inline void setOfferedTenths( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setOfferedTenths(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initOfferedTenths(unsigned int size);
+  inline void adoptOfferedTenths(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownOfferedTenths();
+
+  inline bool hasAdmittedTenths();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getAdmittedTenths();
+  inline void setAdmittedTenths( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAdmittedTenths(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initAdmittedTenths(unsigned int size);
+  inline void adoptAdmittedTenths(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownAdmittedTenths();
+
+  inline  ::uint32_t getRefusedTenths();
+  inline void setRefusedTenths( ::uint32_t value);
+
+  inline bool hasTokens();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getTokens();
+  inline void setTokens( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTokens(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initTokens(unsigned int size);
+  inline void adoptTokens(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownTokens();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SizeReport::Pipeline {
+public:
+  typedef SizeReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class BelievedRow::Reader {
 public:
   typedef BelievedRow Reads;
@@ -935,6 +1065,9 @@
   inline bool hasSpeeds() const;
   inline  ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>::Reader getSpeeds() const;
 
+  inline bool hasSizes() const;
+  inline  ::capnp::List< ::primrose::wire::SizeReport,  ::capnp::Kind::STRUCT>::Reader getSizes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1079,6 +1212,13 @@
   inline void adoptSpeeds(::capnp::Orphan< ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::primrose::wire::EnginePace,  ::capnp::Kind::STRUCT>> disownSpeeds();
 
+  inline bool hasSizes();
+  inline  ::capnp::List< ::primrose::wire::SizeReport,  ::capnp::Kind::STRUCT>::Builder getSizes();
+  inline void setSizes( ::capnp::List< ::primrose::wire::SizeReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::primrose::wire::SizeReport,  ::capnp::Kind::STRUCT>::Builder initSizes(unsigned int size);
+  inline void adoptSizes(::capnp::Orphan< ::capnp::List< ::primrose::wire::SizeReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::primrose::wire::SizeReport,  ::capnp::Kind::STRUCT>> disownSizes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1505,6 +1645,148 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t SizeReport::Reader::getKind() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SizeReport::Builder::getKind() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SizeReport::Builder::setKind( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SizeReport::Reader::hasOfferedTenths() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SizeReport::Builder::hasOfferedTenths() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader SizeReport::Reader::getOfferedTenths() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder SizeReport::Builder::getOfferedTenths() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SizeReport::Builder::setOfferedTenths( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void SizeReport::Builder::setOfferedTenths(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder SizeReport::Builder::initOfferedTenths(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SizeReport::Builder::adoptOfferedTenths(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> SizeReport::Builder::disownOfferedTenths() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SizeReport::Reader::hasAdmittedTenths() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SizeReport::Builder::hasAdmittedTenths() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader SizeReport::Reader::getAdmittedTenths() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder SizeReport::Builder::getAdmittedTenths() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SizeReport::Builder::setAdmittedTenths( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void SizeReport::Builder::setAdmittedTenths(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder SizeReport::Builder::initAdmittedTenths(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SizeReport::Builder::adoptAdmittedTenths(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> SizeReport::Builder::disownAdmittedTenths() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t SizeReport::Reader::getRefusedTenths() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SizeReport::Builder::getRefusedTenths() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SizeReport::Builder::setRefusedTenths( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SizeReport::Reader::hasTokens() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool SizeReport::Builder::hasTokens() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader SizeReport::Reader::getTokens() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder SizeReport::Builder::getTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SizeReport::Builder::setTokens( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void SizeReport::Builder::setTokens(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder SizeReport::Builder::initTokens(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void SizeReport::Builder::adoptTokens(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> SizeReport::Builder::disownTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool BelievedRow::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2302,6 +2584,40 @@
       ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
+inline bool PeerNews::Reader::hasSizes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerNews::Builder::hasSizes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::primrose::wire::SizeReport,  ::capnp::Kind::STRUCT>::Reader PeerNews::Reader::getSizes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::primrose::wire::SizeReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::primrose::wire::SizeReport,  ::capnp::Kind::STRUCT>::Builder PeerNews::Builder::getSizes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::primrose::wire::SizeReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void PeerNews::Builder::setSizes( ::capnp::List< ::primrose::wire::SizeReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::primrose::wire::SizeReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::primrose::wire::SizeReport,  ::capnp::Kind::STRUCT>::Builder PeerNews::Builder::initSizes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::primrose::wire::SizeReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
+}
+inline void PeerNews::Builder::adoptSizes(
+    ::capnp::Orphan< ::capnp::List< ::primrose::wire::SizeReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::primrose::wire::SizeReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::primrose::wire::SizeReport,  ::capnp::Kind::STRUCT>> PeerNews::Builder::disownSizes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::primrose::wire::SizeReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Tests/Unit/PeerMessageTest.cpp
+++ b/Tests/Unit/PeerMessageTest.cpp
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(LongOverloadStaysWithinByteBudget);
   CPPUNIT_TEST(LimitReportsStayWithinByteBudget);
   CPPUNIT_TEST(SpeedReportsStayWithinByteBudget);
+  CPPUNIT_TEST(SizeReportsStayWithinTheBytesOfAGateway);
   CPPUNIT_TEST(SpeedReportsCostNothingWithoutSlowEngines);
   CPPUNIT_TEST(InvalidSpeedReportsAreIgnored);
   CPPUNIT_TEST(NewPeerIsToldOfMeasuredSpeeds);
@@ -353,6 +354,26 @@
     }
   }
 
+  /// Guards against heartbeats of a fleet in overload that exceed the bytes
+  /// that a gateway may send. Four kinds are refused at each gateway.
+  void SizeReportsStayWithinTheBytesOfAGateway()
+  {
+    constexpr double kControlBytesPerSecond = 15e3;
+    size_report report{ 0xfedcba9876543210, {}, 61.7, {} };
+    report.mCounts.fill({ 123.4, 98.7 });
+    report.mSizes.assign(kMaxReportedSizes, 234567);
+    peer_message message = EmptyMessage();
+    const std::size_t without = EncodePeerMessage(message, kStart).size();
+    message.mUpdates.mSizes.assign(kMaxSizeReports, report);
+    const std::string bytes = EncodePeerMessage(message, kStart);
+    CPPUNIT_ASSERT(DecodePeerMessage(bytes, kStart).value() == message);
+    for (const std::size_t gateways : { 15U, 33U, 103U, 350U }) {
+      const double perSecond = static_cast<double>(
+        (bytes.size() - without) * PeersPerHeartbeat(gateways - 1));
+      CPPUNIT_ASSERT(perSecond < kControlBytesPerSecond - 4e3);
+    }
+  }
+
   void SpeedReportsCostNothingWithoutSlowEngines()
   {
     peer_message message = EmptyMessage();
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -168,6 +168,8 @@
   std::vector<prompt_kind> mShorterPrompts;
   prompt_kind mLongRequests;
   double mSeconds = 10;
+  /// That share the load; they share the ledger in any case.
+  std::size_t mGateways = 1;
 };
 
 /// The load on the engines that one gateway of a large fleet prefers.
@@ -243,8 +245,12 @@
 public:
   burst_simulation(std::uint64_t aSeed, burst_load aLoad)
     : mLoad(std::move(aLoad))
+    , mSizeShares(mLoad.mGateways)
     , mRandom(aSeed)
   {
+    if (mLoad.mGateways > 1) {
+      mEvents.emplace(kStart, [this]() { ReportSizes(); });
+    }
     mTiming.mSlots = mLoad.mSlots;
     for (std::size_t i = 0; i < mLoad.mEngines; ++i) {
       endpoint listed;
@@ -300,23 +306,48 @@
              std::optional<std::size_t> aLongIndex,
              bool aMayRetry)
   {
-    RecordOffer(mSizeShares, SizeKind(aRequest), aRequest.mPromptTokens, mNow);
-    Submit(aRequest, aLongIndex, aMayRetry);
+    const std::size_t gateway = mLoad.mGateways > 1
+                                  ? std::uniform_int_distribution<std::size_t>(
+                                      0, mLoad.mGateways - 1)(mGatewayRandom)
+                                  : 0;
+    RecordOffer(
+      mSizeShares[gateway], SizeKind(aRequest), aRequest.mPromptTokens, mNow);
+    Submit(aRequest, aLongIndex, aMayRetry, gateway);
+  }
+
+  /// Each gateway tells its counts to all others, once a second.
+  void ReportSizes()
+  {
+    for (std::size_t i = 0; i < mSizeShares.size(); ++i) {
+      const std::vector<size_report> reports =
+        OwnSizeReports(mSizeShares[i], mNow);
+      for (std::size_t j = 0; j < mSizeShares.size(); ++j) {
+        if (j != i) {
+          (void)ApplySizeReports(
+            mSizeShares[j], std::to_string(i), reports, mNow);
+        }
+      }
+    }
+    if (mNow < kStart + FromSeconds(mLoad.mSeconds)) {
+      mEvents.emplace(mNow + std::chrono::seconds(1),
+                      [this]() { ReportSizes(); });
+    }
   }
 
   void Submit(const placement_request& aRequest,
               std::optional<std::size_t> aLongIndex,
-              bool aMayRetry)
+              bool aMayRetry,
+              std::size_t aGateway)
   {
+    size_shares& shares = mSizeShares[aGateway];
     placement_request request = aRequest;
-    request.mSize = SizePreference(
-      mSizeShares, SizeKind(request), request.mPromptTokens, mNow);
+    request.mSize =
+      SizePreference(shares, SizeKind(request), request.mPromptTokens, mNow);
     const std::optional<engine_choice> choice =
       PlaceOnEngines(mRegistry, mLedger, mTiming, request, {}, "", mNow);
     CPPUNIT_ASSERT(choice.has_value());
     if (choice->mVerdict == placement_verdict::Send) {
-      RecordAdmission(
-        mSizeShares, SizeKind(request), request.mPromptTokens, mNow);
+      RecordAdmission(shares, SizeKind(request), request.mPromptTokens, mNow);
       Place(*choice, aRequest);
       if (aLongIndex.has_value()) {
         long_request& longRequest = mLongRequests[*aLongIndex];
@@ -329,11 +360,11 @@
       placement_request waiting = aRequest;
       waiting.mElapsed += kReevaluationInterval;
       mEvents.emplace(mNow + kReevaluationInterval,
-                      [this, waiting, aLongIndex, aMayRetry]() {
-                        Submit(waiting, aLongIndex, aMayRetry);
+                      [this, waiting, aLongIndex, aMayRetry, aGateway]() {
+                        Submit(waiting, aLongIndex, aMayRetry, aGateway);
                       });
     } else {
-      RecordRefusal(mSizeShares, SizeKind(request), mNow);
+      RecordRefusal(shares, SizeKind(request), mNow);
       if (!aMayRetry) {
         return;
       }
@@ -390,8 +421,9 @@
   engine_timing mTiming = SampleEngine();
   endpoint_registry mRegistry;
   engine_ledger mLedger;
-  size_shares mSizeShares;
+  std::vector<size_shares> mSizeShares; ///< By gateway.
   std::mt19937_64 mRandom;
+  std::mt19937_64 mGatewayRandom{ 1 };
   placement_key mLastKey = 0;
   time_point mNow{};
   std::multimap<time_point, std::function<void()>> mEvents;
@@ -446,6 +478,7 @@
   CPPUNIT_TEST(LongestPromptIsNotRefusedForItsSizeAlone);
   CPPUNIT_TEST(LargestTenthIsServedAtLeastHalfAsOftenInBursts);
   CPPUNIT_TEST(LargestPromptsAreServedAtLeastHalfAsOftenInOverload);
+  CPPUNIT_TEST(LargestPromptsAreServedAtLeastHalfAsOftenByManyGateways);
   CPPUNIT_TEST(MostRefusedPromptsAreServedOnReturn);
   CPPUNIT_TEST(HarmfulPromptWaitsInBursts);
   CPPUNIT_TEST(VeryLongPromptDoesNotBlockEnginesInBurst);
@@ -696,6 +729,28 @@
     }
   }
 
+  /// Guards against gateways that are offered too few large prompts each to see
+  /// that these are refused more often than others.
+  void LargestPromptsAreServedAtLeastHalfAsOftenByManyGateways()
+  {
+    constexpr std::uint64_t kSeeds = 8;
+    for (const std::size_t engines : { 45U, 32U, 24U }) {
+      burst_load load = kAlternatingBursts;
+      load.mEngines = engines;
+      load.mGateways = 27;
+      const std::vector<long_request> longRequests = RunBursts(load, kSeeds);
+      const double all = ServedShare(longRequests);
+      const double largest = ServedShare(BySize(longRequests, 0, 10));
+      const double next = ServedShare(BySize(longRequests, 10, 30));
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(engines) + " engines: served " +
+                               std::to_string(largest) +
+                               " of the largest tenth, " +
+                               std::to_string(next) + " of the next fifth, " +
+                               std::to_string(all) + " of all",
+                             std::min(largest, next) >= all / 2);
+    }
+  }
+
   /// Guards against callers that are told to return while the burst in which
   /// they were refused goes on, and use up their only retry in it.
   void MostRefusedPromptsAreServedOnReturn()
--- a/Tests/Unit/SizeShareTest.cpp
+++ b/Tests/Unit/SizeShareTest.cpp
@@ -2,6 +2,7 @@
 #include "SampleEngine.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <limits>
 #include <random>
 
 using namespace primrose;
@@ -62,9 +63,92 @@
   CPPUNIT_TEST(NumberOfKindsIsBounded);
   CPPUNIT_TEST(ClassesFollowSizesThatShift);
   CPPUNIT_TEST(PreferredPromptWaitsInsteadOfBeingRefused);
+  CPPUNIT_TEST(GatewayWithFewPromptsKnowsSizesFromPeers);
+  CPPUNIT_TEST(NothingIsReportedWithoutRefusals);
+  CPPUNIT_TEST(ReportsOfLostPeerAreForgotten);
+  CPPUNIT_TEST(ImpossibleReportsAreIgnored);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  /// Guards against a gateway that is offered too few prompts to see that the
+  /// largest of a kind are starved everywhere.
+  void GatewayWithFewPromptsKnowsSizesFromPeers()
+  {
+    const size_shares peer = StarvedLarge(kStart);
+    size_shares own;
+    RecordOffer(own, kKind, kLarge, kStart);
+    CPPUNIT_ASSERT(!SizePreference(own, kKind, kLarge, kStart).mPreferred);
+    CPPUNIT_ASSERT_EQUAL(
+      std::size_t(0),
+      ApplySizeReports(own, "peer", OwnSizeReports(peer, kStart), kStart));
+    const size_preference large = SizePreference(own, kKind, kLarge, kStart);
+    CPPUNIT_ASSERT(large.mClass == size_class::LargestTenth);
+    CPPUNIT_ASSERT(large.mPreferred);
+    CPPUNIT_ASSERT(SizePreference(own, kKind, kSmall, kStart).mGainFactor < 1);
+    // A kind that the peer says nothing of.
+    const size_kind other{ "other", milliseconds(4000), milliseconds(1200) };
+    RecordOffer(own, other, kLarge, kStart);
+    CPPUNIT_ASSERT(!SizePreference(own, other, kLarge, kStart).mPreferred);
+  }
+
+  /// Guards against messages that grow while nothing is refused.
+  void NothingIsReportedWithoutRefusals()
+  {
+    size_shares calm;
+    for (int i = 0; i < 100; ++i) {
+      RecordOffer(calm, kKind, kSmall + i, kStart);
+      RecordAdmission(calm, kKind, kSmall + i, kStart);
+    }
+    CPPUNIT_ASSERT(OwnSizeReports(calm, kStart).empty());
+    // One that admits all still tells how much, if a peer refuses.
+    (void)ApplySizeReports(
+      calm, "peer", OwnSizeReports(StarvedLarge(kStart), kStart), kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), OwnSizeReports(calm, kStart).size());
+  }
+
+  /// Guards against decisions by what a gateway that was killed or cut off
+  /// reported long ago, and against memory for peers that are gone.
+  void ReportsOfLostPeerAreForgotten()
+  {
+    size_shares own;
+    (void)ApplySizeReports(
+      own, "lost", OwnSizeReports(StarvedLarge(kStart), kStart), kStart);
+    const time_point later = kStart + std::chrono::minutes(1);
+    RecordOffer(own, kKind, kLarge, later);
+    CPPUNIT_ASSERT(SizePreference(own, kKind, kLarge, later).mGainFactor >
+                   0.99);
+    (void)ApplySizeReports(
+      own, "peer", OwnSizeReports(StarvedLarge(later), later), later);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), own.mPeers.size());
+  }
+
+  /// Guards against a wrong or malicious peer whose counts decide for all.
+  void ImpossibleReportsAreIgnored()
+  {
+    const size_report sound =
+      OwnSizeReports(StarvedLarge(kStart), kStart).at(0);
+    for (const double odd : { -1.0,
+                              1e9,
+                              std::numeric_limits<double>::infinity(),
+                              std::numeric_limits<double>::quiet_NaN() }) {
+      size_report report = sound;
+      report.mCounts.at(0).mAdmitted = odd;
+      size_shares own;
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                           ApplySizeReports(own, "peer", { report }, kStart));
+      CPPUNIT_ASSERT(own.mPeers.empty());
+    }
+    size_report oversized = sound;
+    oversized.mSizes.assign(100000, kLarge);
+    size_shares own;
+    (void)ApplySizeReports(
+      own, "peer", std::vector<size_report>(1000, oversized), kStart);
+    CPPUNIT_ASSERT_EQUAL(kMaxSizeReports,
+                         own.mPeers.at("peer").mReports.size());
+    CPPUNIT_ASSERT_EQUAL(kMaxReportedSizes,
+                         own.mPeers.at("peer").mReports.at(0).mSizes.size());
+  }
+
   /// Guards against starvation of the largest prompts, and against a preference
   /// that lasts after they have caught up.
   void StarvedClassIsPreferredUntilItCatchesUp()
