--- a/Libraries/LibFleet/SizeShares.cpp
+++ b/Libraries/LibFleet/SizeShares.cpp
@@ -74,7 +74,8 @@
   aKind.mCountedAt = std::max(aKind.mCountedAt, aNow);
 }
 
-/// Sizes of the last prompts of a kind, of this gateway and its peers.
+/// Sizes of the last prompts of the kind with this key, of this gateway and its
+/// peers.
 std::vector<double>
 KnownSizes(const size_shares& aShares,
            const kind_shares& aKind,
@@ -108,6 +109,18 @@
                                         : size_class::Rest;
 }
 
+/// The own counts of a size of this kind.
+size_counts&
+CountsOf(const size_shares& aShares,
+         const size_kind& aKind,
+         kind_shares& aCounted,
+         double aTokens)
+{
+  const std::vector<double> sizes =
+    KnownSizes(aShares, aCounted, SizeKindKey(aKind));
+  return aCounted.mCounts.at(static_cast<std::size_t>(ClassOf(sizes, aTokens)));
+}
+
 double
 KindShare(const kind_shares& aKind)
 {
@@ -155,7 +168,7 @@
                      });
 }
 
-/// Adds the counts that peers have reported of this kind.
+/// Adds the counts that peers have reported of the kind with this key.
 void
 AddPeerCounts(kind_shares& aKind,
               const size_shares& aShares,
@@ -221,10 +234,7 @@
   if (kind.mSizes.size() > kMaxSizes) {
     kind.mSizes.pop_front();
   }
-  kind.mCounts
-    .at(static_cast<std::size_t>(
-      ClassOf(KnownSizes(aShares, kind, SizeKindKey(aKind)), aTokens)))
-    .mOffered += 1;
+  CountsOf(aShares, aKind, kind, aTokens).mOffered += 1;
 }
 
 void
@@ -236,10 +246,7 @@
   const auto found = aShares.mKinds.find(aKind);
   if (found != aShares.mKinds.end()) {
     Decay(found->second, aNow);
-    found->second.mCounts
-      .at(static_cast<std::size_t>(ClassOf(
-        KnownSizes(aShares, found->second, SizeKindKey(aKind)), aTokens)))
-      .mAdmitted += 1;
+    CountsOf(aShares, aKind, found->second, aTokens).mAdmitted += 1;
   }
 }
 
@@ -271,16 +278,16 @@
     const std::uint64_t key = SizeKindKey(kind);
     kind_shares fleet = counted;
     AddPeerCounts(fleet, aShares, key, aNow);
-    if (fleet.mRefused >= kMinRefused) {
-      const std::size_t sizes =
-        std::min(counted.mSizes.size(), kMaxReportedSizes);
-      reports.push_back(
-        { key,
-          counted.mCounts,
-          counted.mRefused,
-          { counted.mSizes.end() - static_cast<std::ptrdiff_t>(sizes),
-            counted.mSizes.end() } });
+    if (fleet.mRefused < kMinRefused) {
+      continue;
     }
+    const std::ptrdiff_t sizes = static_cast<std::ptrdiff_t>(
+      std::min(counted.mSizes.size(), kMaxReportedSizes));
+    reports.push_back(
+      { key,
+        counted.mCounts,
+        counted.mRefused,
+        { counted.mSizes.end() - sizes, counted.mSizes.end() } });
   }
   std::sort(reports.begin(),
             reports.end(),
@@ -330,9 +337,9 @@
   }
   kind_shares kind = found->second;
   Decay(kind, aNow);
-  AddPeerCounts(kind, aShares, SizeKindKey(aKind), aNow);
-  preference.mClass =
-    ClassOf(KnownSizes(aShares, kind, SizeKindKey(aKind)), aTokens);
+  const std::uint64_t key = SizeKindKey(aKind);
+  AddPeerCounts(kind, aShares, key, aNow);
+  preference.mClass = ClassOf(KnownSizes(aShares, kind, key), aTokens);
   preference.mKindShare = KindShare(kind);
   preference.mClassShare =
     ClassShare(kind.mCounts.at(static_cast<std::size_t>(preference.mClass)),
