--- a/Libraries/LibFleet/SizeShares.h
+++ b/Libraries/LibFleet/SizeShares.h
@@ -133,7 +133,7 @@
 SizeKindKey(const size_kind& aKind);
 
 /// Kinds that a gateway reports: those with the most refusals.
-inline constexpr std::size_t kMaxSizeReports = 4;
+inline constexpr std::size_t kMaxSizeReports = 3;
 
 /// Sizes of one kind that a gateway reports.
 inline constexpr std::size_t kMaxReportedSizes = 8;
--- a/Tests/Unit/PeerMessageTest.cpp
+++ b/Tests/Unit/PeerMessageTest.cpp
@@ -355,11 +355,11 @@
   }
 
   /// Guards against heartbeats of a fleet in overload that exceed the bytes
-  /// that a gateway may send. Four kinds are refused at each gateway.
+  /// that a gateway may send. Three kinds are refused at each gateway.
   void SizeReportsStayWithinTheBytesOfAGateway()
   {
     // What placements, heartbeats and calls to the store leave of 15 KB/s.
-    constexpr double kMostBytesPerSecond = 3.5e3;
+    constexpr double kMostBytesPerSecond = 3e3;
     size_report report{ 0xfedcba9876543210, {}, 61.7, {} };
     report.mCounts.fill({ 123.4, 98.7 });
     report.mSizes.assign(kMaxReportedSizes, 234567);
