--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -109,7 +109,8 @@
   duration LatencyTarget() const;
   /// Evaluates the placement again after `kReevaluationInterval`.
   void PostponePlacement(const engine_choice& aChoice);
-  void RefuseOverloaded(const engine_choice& aChoice);
+  void RefuseOverloaded(const engine_choice& aChoice,
+                        const placement_request& aWork);
   void RefuseWithoutSlot(const slot_refusal& aRefusal);
   duration MaxRetryAfter() const;
   duration RetryAfterOfSlots(const slot_refusal& aRefusal) const;
--- a/Libraries/LibGateway/ExchangeAdmission.cpp
+++ b/Libraries/LibGateway/ExchangeAdmission.cpp
@@ -167,15 +167,15 @@
 }
 
 void
-exchange::RefuseOverloaded(const engine_choice& aChoice)
+exchange::RefuseOverloaded(const engine_choice& aChoice,
+                           const placement_request& aWork)
 {
   const bool fits = aChoice.mVerdict != placement_verdict::NoMemory;
-  const placement_request work = DescribeEngineWork();
-  RecordSizeOutcome(work, false);
+  RecordSizeOutcome(aWork, false);
   const duration retryAfter = TimeUntilAccepted(mContext.mBoard.mEndpoints,
                                                 mContext.mBoard.mLedger,
                                                 *mService->mEngine,
-                                                work,
+                                                aWork,
                                                 mContext.mSettings.mDataCentre,
                                                 mContext.mLoop.Now(),
                                                 MaxRetryAfter());
@@ -199,11 +199,11 @@
         { "harm_urgent_room", aChoice.mHarm.mUrgentRoom },
         { "price", aChoice.mPrice },
         { "price_of_second", aChoice.mPrefillSecondPrice },
-        { "price_factor", work.mPriceFactor },
-        { "size_class", SizeClassName(work.mSize.mClass) },
-        { "size_share", work.mSize.mClassShare },
-        { "kind_share", work.mSize.mKindShare },
-        { "size_factor", work.mSize.mGainFactor },
+        { "price_factor", aWork.mPriceFactor },
+        { "size_class", SizeClassName(aWork.mSize.mClass) },
+        { "size_share", aWork.mSize.mClassShare },
+        { "kind_share", aWork.mSize.mKindShare },
+        { "size_factor", aWork.mSize.mGainFactor },
         { "retry_after_ms", Milliseconds(retryAfter) } });
   // Refusals for want of memory are not counted: they do not depend on the
   // rank, so the floor could not prevent them.
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -92,7 +92,7 @@
       }
       [[fallthrough]];
     case placement_verdict::NoMemory:
-      RefuseOverloaded(*choice);
+      RefuseOverloaded(*choice, work);
       return true;
     case placement_verdict::NoSlot:
       RecordSizeOutcome(work, false);
@@ -281,10 +281,8 @@
   }
   StartAttempt(aDecodeEngine, helpers);
   mTimeoutPace = EnginePace(*mAttempt);
-  StartResponseTimer(FirstEventTimeout(DescribeEngineWork(),
-                                       mExpectedFirstEventMs,
-                                       !aHelpers.empty(),
-                                       mTimeoutPace));
+  StartResponseTimer(FirstEventTimeout(
+    DescribePrompt(), mExpectedFirstEventMs, !aHelpers.empty(), mTimeoutPace));
 }
 
 bool
