--- a/Libraries/LibFleet/SizeShares.cpp
+++ b/Libraries/LibFleet/SizeShares.cpp
@@ -74,36 +74,52 @@
   aKind.mCountedAt = std::max(aKind.mCountedAt, aNow);
 }
 
-/// Sizes of the last prompts of the kind with this key, of this gateway and its
-/// peers.
-std::vector<double>
-KnownSizes(const size_shares& aShares,
-           const kind_shares& aKind,
-           std::uint64_t aKey)
+/// Calls `aVisit` with each peer's report of this kind and when it came.
+template<typename Visitor>
+void
+ForEachPeerReport(const size_shares& aShares,
+                  const size_kind& aKind,
+                  Visitor aVisit)
 {
-  std::vector<double> sizes(aKind.mSizes.begin(), aKind.mSizes.end());
+  if (aShares.mPeers.empty()) {
+    return;
+  }
+  const std::uint64_t key = SizeKindKey(aKind);
   for (const auto& [host, peer] : aShares.mPeers) {
     for (const size_report& report : peer.mReports) {
-      if (report.mKind == aKey) {
-        sizes.insert(sizes.end(), report.mSizes.begin(), report.mSizes.end());
+      if (report.mKind == key) {
+        aVisit(report, peer.mReceivedAt);
       }
     }
   }
-  return sizes;
 }
 
+/// The class of a size among those of the last prompts of its kind, of this
+/// gateway and its peers.
 size_class
-ClassOf(const std::vector<double>& aSizes, double aTokens)
+ClassOf(const size_shares& aShares,
+        const size_kind& aKind,
+        const kind_shares& aCounted,
+        double aTokens)
 {
-  if (aSizes.size() < kMinSizes) {
+  std::size_t sizes = 0;
+  std::ptrdiff_t larger = 0;
+  const auto count = [&sizes, &larger, aTokens](const auto& aSizes) {
+    sizes += aSizes.size();
+    larger +=
+      std::count_if(aSizes.begin(), aSizes.end(), [aTokens](double aOther) {
+        return aOther > aTokens;
+      });
+  };
+  count(aCounted.mSizes);
+  ForEachPeerReport(
+    aShares, aKind, [&count](const size_report& aReport, time_point) {
+      count(aReport.mSizes);
+    });
+  if (sizes < kMinSizes) {
     return size_class::Rest;
   }
-  const std::ptrdiff_t larger =
-    std::count_if(aSizes.begin(), aSizes.end(), [aTokens](double aOther) {
-      return aOther > aTokens;
-    });
-  const double share =
-    static_cast<double>(larger) / static_cast<double>(aSizes.size());
+  const double share = static_cast<double>(larger) / static_cast<double>(sizes);
   return share < kLargestShare          ? size_class::LargestTenth
          : share < kLargestAndNextShare ? size_class::NextFifth
                                         : size_class::Rest;
@@ -116,9 +132,8 @@
          kind_shares& aCounted,
          double aTokens)
 {
-  const std::vector<double> sizes =
-    KnownSizes(aShares, aCounted, SizeKindKey(aKind));
-  return aCounted.mCounts.at(static_cast<std::size_t>(ClassOf(sizes, aTokens)));
+  return aCounted.mCounts.at(
+    static_cast<std::size_t>(ClassOf(aShares, aKind, aCounted, aTokens)));
 }
 
 double
@@ -168,27 +183,25 @@
                      });
 }
 
-/// Adds the counts that peers have reported of the kind with this key.
+/// Adds the counts that peers have reported of this kind.
 void
-AddPeerCounts(kind_shares& aKind,
+AddPeerCounts(kind_shares& aCounted,
               const size_shares& aShares,
-              std::uint64_t aKey,
+              const size_kind& aKind,
               time_point aNow)
 {
-  for (const auto& [host, peer] : aShares.mPeers) {
-    for (const size_report& report : peer.mReports) {
-      if (report.mKind != aKey) {
-        continue;
-      }
-      const double factor = DecayFactor(peer.mReceivedAt, aNow);
+  ForEachPeerReport(
+    aShares,
+    aKind,
+    [&aCounted, aNow](const size_report& aReport, time_point aReceivedAt) {
+      const double factor = DecayFactor(aReceivedAt, aNow);
       for (std::size_t i = 0; i < kSizeClasses; ++i) {
-        aKind.mCounts.at(i).mOffered += factor * report.mCounts.at(i).mOffered;
-        aKind.mCounts.at(i).mAdmitted +=
-          factor * report.mCounts.at(i).mAdmitted;
+        size_counts& counts = aCounted.mCounts.at(i);
+        counts.mOffered += factor * aReport.mCounts.at(i).mOffered;
+        counts.mAdmitted += factor * aReport.mCounts.at(i).mAdmitted;
       }
-      aKind.mRefused += factor * report.mRefused;
-    }
-  }
+      aCounted.mRefused += factor * aReport.mRefused;
+    });
 }
 
 /// The factor on the gain of prompts whose class is not preferred.
@@ -275,16 +288,15 @@
   for (const auto& [kind, held] : aShares.mKinds) {
     kind_shares counted = held;
     Decay(counted, aNow);
-    const std::uint64_t key = SizeKindKey(kind);
     kind_shares fleet = counted;
-    AddPeerCounts(fleet, aShares, key, aNow);
+    AddPeerCounts(fleet, aShares, kind, aNow);
     if (fleet.mRefused < kMinRefused) {
       continue;
     }
     const std::ptrdiff_t sizes = static_cast<std::ptrdiff_t>(
       std::min(counted.mSizes.size(), kMaxReportedSizes));
     reports.push_back(
-      { key,
+      { SizeKindKey(kind),
         counted.mCounts,
         counted.mRefused,
         { counted.mSizes.end() - sizes, counted.mSizes.end() } });
@@ -337,9 +349,8 @@
   }
   kind_shares kind = found->second;
   Decay(kind, aNow);
-  const std::uint64_t key = SizeKindKey(aKind);
-  AddPeerCounts(kind, aShares, key, aNow);
-  preference.mClass = ClassOf(KnownSizes(aShares, kind, key), aTokens);
+  AddPeerCounts(kind, aShares, aKind, aNow);
+  preference.mClass = ClassOf(aShares, aKind, kind, aTokens);
   preference.mKindShare = KindShare(kind);
   preference.mClassShare =
     ClassShare(kind.mCounts.at(static_cast<std::size_t>(preference.mClass)),
