--- a/Libraries/LibGateway/Adapter.h
+++ b/Libraries/LibGateway/Adapter.h
@@ -65,10 +65,7 @@
   /// Time for which the endpoint says that it stays cold.
   std::optional<duration> mColdTime;
   std::string mFaultyHelperAddress; ///< The helper that caused a refusal.
-  bool mLeaving = false;            ///< The endpoint accepts no new requests.
-  /// Retry-After of a 503, as received: the time for which the endpoint accepts
-  /// no requests from this gateway.
-  std::optional<std::string> mRetryAfter;
+  announced_notice mNotice;
 
   bool operator==(const answer_info&) const = default;
 };
@@ -97,9 +94,7 @@
 struct reservation_answer
 {
   reservation_outcome mOutcome = reservation_outcome::NoAnswer;
-  bool mLeaving = false; ///< The engine accepts no new requests.
-  /// As in `answer_info`.
-  std::optional<std::string> mRetryAfter;
+  announced_notice mNotice;
 
   bool operator==(const reservation_answer&) const = default;
 };
--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -143,9 +143,9 @@
   // A refusal for another reason names it, and is handled as such.
   return mService->mEngine.has_value() &&
          aAttempt.Head().mStatus == kServiceUnavailable && info.mNotRun &&
-         !info.mWrongEndpoint && !info.mLeaving &&
-         !info.mRetryAfter.has_value() && !info.mLimitPerSecond.has_value() &&
-         !info.mColdTime.has_value() && info.mFaultyHelperAddress.empty();
+         !info.mWrongEndpoint && info.mNotice == announced_notice{} &&
+         !info.mLimitPerSecond.has_value() && !info.mColdTime.has_value() &&
+         info.mFaultyHelperAddress.empty();
 }
 
 void
@@ -230,16 +230,8 @@
     return;
   }
   const time_point now = mContext.mLoop.Now();
-  if (info.mLeaving) {
-    ApplyLeavingNotice(mContext.mBoard, aAttempt.Endpoint(), mRequestInfo.mId);
-  }
-  if (info.mRetryAfter.has_value()) {
-    ApplyRequestedRest(mContext.mBoard,
-                       aAttempt.Endpoint(),
-                       *info.mRetryAfter,
-                       mRequestInfo.mId,
-                       now);
-  }
+  ApplyNotice(
+    mContext.mBoard, aAttempt.Endpoint(), info.mNotice, mRequestInfo.mId, now);
   known_endpoint* const known = FindEndpoint(aAttempt);
   if (info.mColdTime.has_value() && known != nullptr) {
     BeginWarmUp(mContext.mBoard,
--- a/Libraries/LibGateway/MemoryReservation.cpp
+++ b/Libraries/LibGateway/MemoryReservation.cpp
@@ -65,24 +65,15 @@
                          self->mLoop.DeleteLater(self);
                          const reservation_answer answer =
                            self->mAdapter.mReadReservationAnswer(aAnswer);
-                         self->ApplyNotices(engine, answer);
+                         ApplyNotice(self->mBoard,
+                                     engine,
+                                     answer.mNotice,
+                                     self->mRequestId,
+                                     self->mLoop.Now());
                          then(answer.mOutcome);
                        });
 }
 
-void
-memory_reservation::ApplyNotices(const endpoint& aEngine,
-                                 const reservation_answer& aAnswer)
-{
-  if (aAnswer.mLeaving) {
-    ApplyLeavingNotice(mBoard, aEngine, mRequestId);
-  }
-  if (aAnswer.mRetryAfter.has_value()) {
-    ApplyRequestedRest(
-      mBoard, aEngine, *aAnswer.mRetryAfter, mRequestId, mLoop.Now());
-  }
-}
-
 void
 memory_reservation::Acquire(acquired_callback aOnAcquired)
 {
--- a/Libraries/LibGateway/MemoryReservation.h
+++ b/Libraries/LibGateway/MemoryReservation.h
@@ -45,8 +45,6 @@
   void SendCommand(engine_share& aShare,
                    bool aRelease,
                    std::function<void(reservation_outcome)>);
-  /// What an answer to a command announces about its engine.
-  void ApplyNotices(const endpoint& aEngine, const reservation_answer& aAnswer);
   void Renew();
   void OnReservationAnswer(engine_share& aShare, reservation_outcome aOutcome);
 
--- a/Libraries/LibGossip/NoticeUpdates.cpp
+++ b/Libraries/LibGossip/NoticeUpdates.cpp
@@ -2,6 +2,8 @@
 
 namespace primrose {
 
+namespace {
+
 void
 ApplyLeavingNotice(gateway_state& aBoard,
                    const endpoint& aEndpoint,
@@ -55,4 +57,21 @@
         { "for_ms", Milliseconds(rest.mRest) } });
 }
 
+} // namespace
+
+void
+ApplyNotice(gateway_state& aBoard,
+            const endpoint& aEndpoint,
+            const announced_notice& aNotice,
+            const std::string& aRequest,
+            time_point aNow)
+{
+  if (aNotice.mLeaving) {
+    ApplyLeavingNotice(aBoard, aEndpoint, aRequest);
+  }
+  if (aNotice.mRetryAfter.has_value()) {
+    ApplyRequestedRest(aBoard, aEndpoint, *aNotice.mRetryAfter, aRequest, aNow);
+  }
+}
+
 } // namespace primrose
--- a/Libraries/LibGossip/NoticeUpdates.h
+++ b/Libraries/LibGossip/NoticeUpdates.h
@@ -7,22 +7,24 @@
 
 namespace primrose {
 
-/// The endpoint has said that it leaves, in its answer to `aRequest`. Nothing
-/// new is sent to it until it starts again, also if its row is gone and
-/// returns. `aEndpoint` is the endpoint as it was listed when the request was
-/// sent.
-void
-ApplyLeavingNotice(gateway_state& aBoard,
-                   const endpoint& aEndpoint,
-                   const std::string& aRequest);
+/// What the head of an endpoint's answer announces.
+struct announced_notice
+{
+  bool mLeaving = false; ///< It accepts no new requests until it starts again.
+  /// Retry-After of a rejection, as received.
+  std::optional<std::string> mRetryAfter;
+
+  bool operator==(const announced_notice&) const = default;
+};
 
-/// The endpoint has rejected `aRequest` with this value of Retry-After.
-/// Nothing is sent to it for as long; an invalid value is logged and bounded.
+/// Applies what the answer to `aRequest` announces, also if the endpoint's row
+/// is gone and returns. An invalid Retry-After is logged and bounded.
+/// `aEndpoint` is the endpoint as it was listed when the request was sent.
 void
-ApplyRequestedRest(gateway_state& aBoard,
-                   const endpoint& aEndpoint,
-                   const std::string& aRetryAfter,
-                   const std::string& aRequest,
-                   time_point aNow);
+ApplyNotice(gateway_state& aBoard,
+            const endpoint& aEndpoint,
+            const announced_notice& aNotice,
+            const std::string& aRequest,
+            time_point aNow);
 
 } // namespace primrose
