--- a/Libraries/LibFleet/RetryBudget.cpp
+++ b/Libraries/LibFleet/RetryBudget.cpp
@@ -29,21 +29,31 @@
   aHistory.mRequests.push_back(aNow);
 }
 
+retry_allowance
+AllowanceOf(retry_history& aHistory,
+            const retry_limits& aLimits,
+            std::size_t aGateways,
+            time_point aNow)
+{
+  DropBefore(aHistory.mRequests, aNow - aLimits.mWindow);
+  DropBefore(aHistory.mRetries, aNow - aLimits.mWindow);
+  const double share = aLimits.mRetriesPerWindow /
+                       static_cast<double>(std::max<std::size_t>(aGateways, 1));
+  return { aHistory.mRetries.size(),
+           kUsableFraction *
+             (share + aLimits.mRetriesPerRequest *
+                        static_cast<double>(aHistory.mRequests.size())) };
+}
+
 bool
 TakeRetry(retry_history& aHistory,
           const retry_limits& aLimits,
           std::size_t aGateways,
           time_point aNow)
 {
-  DropBefore(aHistory.mRequests, aNow - aLimits.mWindow);
-  DropBefore(aHistory.mRetries, aNow - aLimits.mWindow);
-  const double share = aLimits.mRetriesPerWindow /
-                       static_cast<double>(std::max<std::size_t>(aGateways, 1));
-  const double allowed =
-    kUsableFraction *
-    (share + aLimits.mRetriesPerRequest *
-               static_cast<double>(aHistory.mRequests.size()));
-  if (static_cast<double>(aHistory.mRetries.size()) + 1 > allowed) {
+  const retry_allowance allowance =
+    AllowanceOf(aHistory, aLimits, aGateways, aNow);
+  if (static_cast<double>(allowance.mUsed) + 1 > allowance.mAllowed) {
     return false;
   }
   aHistory.mRetries.push_back(aNow);
--- a/Libraries/LibFleet/RetryBudget.h
+++ b/Libraries/LibFleet/RetryBudget.h
@@ -29,11 +29,27 @@
   std::deque<time_point> mRetries;
 };
 
+/// The retries of a window, as of a time.
+struct retry_allowance
+{
+  std::size_t mUsed = 0;
+  double mAllowed = 0; ///< For this gateway.
+
+  bool operator==(const retry_allowance&) const = default;
+};
+
 void
 RecordRequestForRetries(retry_history& aHistory,
                         const retry_limits& aLimits,
                         time_point aNow);
 
+/// The share of the budget of this gateway, as one of `aGateways`.
+retry_allowance
+AllowanceOf(retry_history& aHistory,
+            const retry_limits& aLimits,
+            std::size_t aGateways,
+            time_point aNow);
+
 /// Takes one retry from the budget if this gateway's share, as one of
 /// `aGateways`, allows it. True if taken.
 bool
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -169,7 +169,10 @@
   /// spent.
   bool ConsumeRetryBudget();
   /// True if the request may be retried and another endpoint is available.
-  bool CanRetryElsewhere() const;
+  bool CanRetryElsewhere();
+  /// Counts a retry that was wanted and not made; logs it once for each reason
+  /// in a row.
+  void LogRetryDenied(std::string_view aWhy);
   bool IsRetryable() const;
   void Retry(const std::string& aWhy);
   void GiveUp(error_kind aKind, const std::string& aWhy);
@@ -255,6 +258,7 @@
   std::shared_ptr<memory_reservation> mMemory;
   std::size_t mMemoryRefusals = 0;
   std::size_t mHelperRefusals = 0;
+  std::string_view mLoggedDenial;   ///< See `LogRetryDenied`.
   double mExpectedFirstEventMs = 0; ///< Estimated when the request was placed.
   std::size_t mHelperCount = 0;
   std::optional<duration> mConnectTime; ///< Of the last attempt that ended.
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -556,9 +556,14 @@
 }
 
 bool
-exchange::CanRetryElsewhere() const
+exchange::CanRetryElsewhere()
 {
-  if (!IsRetryable() || mAttemptedEndpoints.size() >= mRoute->mMaxAttempts) {
+  if (!IsRetryable()) {
+    LogRetryDenied("not_repeatable");
+    return false;
+  }
+  if (mAttemptedEndpoints.size() >= mRoute->mMaxAttempts) {
+    LogRetryDenied("max_attempts");
     return false;
   }
   const endpoint_scope scope = Scope();
@@ -569,16 +574,48 @@
       return true;
     }
   }
+  LogRetryDenied("no_endpoint");
   return false;
 }
 
 bool
 exchange::ConsumeRetryBudget()
 {
-  return TakeRetry(mContext.mBoard.mRepeats[mService->mName],
-                   mContext.mSettings.mRepeats,
-                   EntryCount(mContext.mBoard),
-                   mContext.mLoop.Now());
+  const bool granted = TakeRetry(mContext.mBoard.mRepeats[mService->mName],
+                                 mContext.mSettings.mRepeats,
+                                 EntryCount(mContext.mBoard),
+                                 mContext.mLoop.Now());
+  if (!granted) {
+    LogRetryDenied("budget");
+  }
+  return granted;
+}
+
+void
+exchange::LogRetryDenied(std::string_view aWhy)
+{
+  const std::string_view answer = mHeadWritten ? "begun" : "not_begun";
+  mContext.mBoard.mMetrics.Count(
+    Labelled("gateway_retries_denied_total", "why", aWhy));
+  if (aWhy == mLoggedDenial) {
+    return;
+  }
+  mLoggedDenial = aWhy;
+  const retry_allowance allowance =
+    AllowanceOf(mContext.mBoard.mRepeats[mService->mName],
+                mContext.mSettings.mRepeats,
+                EntryCount(mContext.mBoard),
+                mContext.mLoop.Now());
+  Log(log_level::Info,
+      "retry_denied",
+      { { "request", mRequestInfo.mId },
+        { "why", aWhy },
+        { "answer", answer },
+        { "sent_to", mAttemptedEndpoints.size() },
+        { "max_attempts", mRoute->mMaxAttempts },
+        { "retries_used", allowance.mUsed },
+        { "retries_allowed", allowance.mAllowed },
+        { "left_ms", Milliseconds(TimeLeft()) } });
 }
 
 void
