--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -153,6 +153,9 @@
   void StartResponseTimer(duration aLimit);
   void StartStallTimer(const attempt& aAttempt);
   void OnResponseTimeout();
+  /// Starts the response timer again if the engine is known to be busy rather
+  /// than unresponsive; true if it is.
+  bool WaitForBusyEngine();
   void LogResponseTimeout() const;
   /// The state of the attempt's endpoint; null if it is no longer listed.
   known_endpoint* FindEndpoint(const attempt& aAttempt) const;
@@ -170,7 +173,7 @@
   bool ConsumeRetryBudget();
   /// True if the request may be retried and another endpoint is available.
   bool CanRetryElsewhere();
-  /// Counts a retry that was wanted and not made; logs it once for each reason
+  /// Counts and logs a retry that was wanted and not made, once for each reason
   /// in a row.
   void LogRetryDenied(std::string_view aWhy);
   bool IsRetryable() const;
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -445,33 +445,43 @@
 void
 exchange::OnResponseTimeout()
 {
-  // Without an alternative, keep waiting for the slow endpoint.
-  if (mAttempt == nullptr || !CanRetryElsewhere() || !ConsumeRetryBudget()) {
+  if (mAttempt == nullptr || WaitForBusyEngine()) {
     return;
   }
+  if (!CanRetryElsewhere() || !ConsumeRetryBudget()) {
+    // Keep waiting for the slow endpoint until there is an alternative.
+    StartResponseTimer(kReevaluationInterval);
+    return;
+  }
+  LogResponseTimeout();
+  UpdateEndpointHealth(*mAttempt, endpoint_health_event::Silent);
+  ReportUnfinishedAttempt(*mAttempt, true);
+  mMayHaveRun = mMayHaveRun || mAttempt->WasSent();
+  ReleaseAttempt();
+  Retry("silent");
+}
+
+bool
+exchange::WaitForBusyEngine()
+{
   const duration backlog = PrefillBacklog(*mAttempt);
   if (backlog > kMinPrefillBacklog) {
     // Other prompts were placed there in the meantime: the engine is busy, not
     // unresponsive.
     StartResponseTimer(backlog + kMinPrefillBacklog);
-    return;
+    return true;
   }
   if (ExtendForSlowEngine()) {
-    return;
+    return true;
   }
   if (IsFullButResponsive(*mAttempt)) {
     // The request waits for a slot. Avoiding the engine, or prefilling the
     // prompt again elsewhere, would add load to the other engines until they
     // time out as well.
     StartResponseTimer(ResponsiveWindow(EnginePace(*mAttempt)));
-    return;
+    return true;
   }
-  LogResponseTimeout();
-  UpdateEndpointHealth(*mAttempt, endpoint_health_event::Silent);
-  ReportUnfinishedAttempt(*mAttempt, true);
-  mMayHaveRun = mMayHaveRun || mAttempt->WasSent();
-  ReleaseAttempt();
-  Retry("silent");
+  return false;
 }
 
 double
@@ -595,12 +605,12 @@
 exchange::LogRetryDenied(std::string_view aWhy)
 {
   const std::string_view answer = mHeadWritten ? "begun" : "not_begun";
-  mContext.mBoard.mMetrics.Count(
-    Labelled("gateway_retries_denied_total", "why", aWhy));
   if (aWhy == mLoggedDenial) {
     return;
   }
   mLoggedDenial = aWhy;
+  mContext.mBoard.mMetrics.Count(
+    Labelled("gateway_retries_denied_total", "why", aWhy));
   const retry_allowance allowance =
     AllowanceOf(mContext.mBoard.mRepeats[mService->mName],
                 mContext.mSettings.mRepeats,
--- a/Tests/Gateway/StreamTest.cpp
+++ b/Tests/Gateway/StreamTest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(BrokenStreamResumesElsewhere);
   CPPUNIT_TEST(ResetBeforeTheHeadIsRetriedElsewhere);
   CPPUNIT_TEST(BrokenStreamIsNotRefusedOnRetry);
+  CPPUNIT_TEST(StreamsThatWaitDoNotSpendTheRetryBudget);
   CPPUNIT_TEST(StreamThatCannotResumeIsAborted);
   CPPUNIT_TEST(StreamThatEndsInsideEventIsNotComplete);
   CPPUNIT_TEST(WholeStreamIsForwardedUnchanged);
@@ -37,6 +38,24 @@
     return "id: " + std::to_string(aId) + "\ndata: x\n\n";
   }
 
+  /// A part of the budget is left for gateways that restart.
+  static constexpr retry_limits kBudgetOfOneRetry{ 0,
+                                                   2,
+                                                   std::chrono::seconds(10) };
+
+  /// Resumes a stream with one more event and ends it.
+  static void AnswerRest(connection& aConnection, const http_head& aHead)
+  {
+    const std::optional<std::string_view> after =
+      FieldValue(aHead.mFields, "last-event-id");
+    const int last = after.has_value() ? std::stoi(std::string(*after)) : 0;
+    std::string bytes = SuccessHead(aHead, "Transfer-Encoding: chunked\r\n");
+    AppendChunk(bytes, Event(last + 1));
+    bytes.append(kLastChunk);
+    aConnection.mChannel->Write(bytes);
+    aConnection.Next();
+  }
+
   static constexpr std::array kFramings = { body_framing::Close,
                                             body_framing::Chunked,
                                             body_framing::Length };
@@ -293,6 +312,57 @@
     CPPUNIT_ASSERT(caller.Answered());
   }
 
+  /// Guards against response timeouts that spend the retry budget although
+  /// nothing is sent, because the engine is only busy.
+  void StreamsThatWaitDoNotSpendTheRetryBudget()
+  {
+    constexpr std::size_t kSlots = 16;
+    world w;
+    w.mSettings.mRepeats = kBudgetOfOneRetry;
+    w.mSettings.mOverload.mSlots = false;
+    endpoint_fixture other(w.mLoop);
+    w.mModel.mAnswer = [](connection& aConnection, const http_head& aHead) {
+      std::string bytes = SuccessHead(aHead, "Transfer-Encoding: chunked\r\n");
+      AppendChunk(bytes, Event(1));
+      aConnection.mChannel->Write(bytes);
+    };
+    other.mAnswer = &AnswerRest;
+    w.List("i-model", "model", w.mModel.mServer.Address());
+    w.Start();
+    standin_caller* last = nullptr;
+    std::vector<connection*> streams;
+    for (std::size_t i = 1; i <= kSlots; ++i) {
+      last = &w.Ask(w.Request(
+        "r" + std::to_string(i), "stream", "Token-Usage: 1000,50\r\n"));
+      w.Until([&w, i]() { return w.mModel.mHeads.size() == i; }, "a stream");
+      streams.push_back(w.mModel.mLast);
+    }
+    connection* const decoding = streams.back();
+    w.List("i-other", "model", other.mServer.Address());
+    w.Until(
+      [&w]() {
+        return w.mGateway->Board().mEndpoints.mEndpoints.contains("i-other");
+      },
+      "the other engine");
+    for (connection* const stream : streams) {
+      std::string event;
+      AppendChunk(event, Event(2));
+      stream->mChannel->Write(event);
+    }
+    // The others are silent for longer than their response timeout.
+    constexpr int kEvents = 15;
+    for (int id = 3; id <= kEvents; ++id) {
+      std::string event;
+      AppendChunk(event, Event(id));
+      decoding->mChannel->Write(event);
+      w.For(milliseconds(100));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), other.mHeads.size());
+    decoding->mChannel->CloseWhenDrained();
+    w.Until([last]() { return last->Answered() || last->Ended(); }, "the rest");
+    CPPUNIT_ASSERT(last->Answered());
+  }
+
   void StreamThatCannotResumeIsAborted()
   {
     world w;
