--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -47,6 +47,9 @@
   std::pair<double, std::uint64_t> bestCost;
   double bestFirst = 0;
   for (const engine_candidate& one : aCandidates) {
+    if (!one.mMayDecode) {
+      continue;
+    }
     const double prefillMs = one.mPace * aPrefillMs;
     const double first =
       one.mBacklogMs + prefillMs + kPassesToFirstEvent * one.mDecodePassMs;
@@ -155,7 +158,10 @@
 {
   std::vector<engine_candidate> candidates = EngineCandidates(
     aRegistry, aLedger, aTiming, aRequest, aTried, aDataCentre, aNow);
-  if (candidates.empty()) {
+  if (std::none_of(
+        candidates.begin(), candidates.end(), [](const engine_candidate& aOne) {
+          return aOne.mMayDecode;
+        })) {
     return std::nullopt;
   }
   const slot_refusal refusal =
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -60,6 +60,11 @@
   /// on a slot that is free.
   bool mRejectedByFullEngine = false;
   size_preference mSize; ///< See `SizePreference`.
+  /// It waits until an engine is known to have a free slot, whatever its
+  /// reserve.
+  bool mAwaitsRoom = false;
+  /// Ids of the engines that may decode the answer; empty: all candidates.
+  std::vector<std::string> mDecodeAmong;
 
   bool operator==(const placement_request&) const = default;
 };
--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -31,6 +31,7 @@
 #include "LibFleet/RequestDigest.h"
 #include "LibFleet/RequestRank.h"
 #include "LibFleet/RetryBudget.h"
+#include "LibFleet/RetryTargets.h"
 #include "LibFleet/SizeShares.h"
 #include "LibFleet/StoreClock.h"
 #include "LibFleet/StorePolling.h"
--- a/Libraries/LibFleet/PlacementCandidates.cpp
+++ b/Libraries/LibFleet/PlacementCandidates.cpp
@@ -54,6 +54,14 @@
   return prefills;
 }
 
+bool
+MayDecode(const placement_request& aRequest, const std::string& aId)
+{
+  const std::vector<std::string>& among = aRequest.mDecodeAmong;
+  return among.empty() ||
+         std::find(among.begin(), among.end(), aId) != among.end();
+}
+
 double
 FreeTokens(const engine_timing& aTiming, const engine_load& aLoad)
 {
@@ -81,8 +89,11 @@
 {
   const auto usable = [&aRequest, &aTried, aNow](const std::string& aId,
                                                  const known_endpoint& aKnown) {
+    const bool askedAgain =
+      !aRequest.mDecodeAmong.empty() && MayDecode(aRequest, aId);
     return IsAdmissible(aKnown, aRequest.mScope, aNow) &&
-           std::find(aTried.begin(), aTried.end(), aId) == aTried.end();
+           (askedAgain ||
+            std::find(aTried.begin(), aTried.end(), aId) == aTried.end());
   };
   const bool anyPreferred = std::any_of(
     aRegistry.mEndpoints.begin(),
@@ -92,7 +103,10 @@
     });
   std::vector<engine_candidate> candidates;
   for (auto& [id, known] : aRegistry.mEndpoints) {
-    if ((anyPreferred && !known.mPreferred) || !usable(id, known)) {
+    const bool askedAgain =
+      !aRequest.mDecodeAmong.empty() && MayDecode(aRequest, id);
+    if ((anyPreferred && !known.mPreferred && !askedAgain) ||
+        !usable(id, known)) {
       continue;
     }
     const engine_load& load = LoadOf(aLedger, EngineKey(id));
@@ -109,6 +123,7 @@
                                static_cast<double>(one.mRequests + 1),
                                load.mTokens + aRequest.mPromptTokens);
     one.mAvoided = IsAvoided(known, aNow);
+    one.mMayDecode = MayDecode(aRequest, id);
     one.mInOtherDataCentre = known.mListed.mDataCentre != aDataCentre;
     candidates.push_back(std::move(one));
   }
@@ -118,8 +133,10 @@
       return !aOne.mAvoided;
     }));
   if (healthy > 0 && healthy * 2 >= candidates.size()) {
-    std::erase_if(candidates,
-                  [](const engine_candidate& aOne) { return aOne.mAvoided; });
+    std::erase_if(candidates, [&aRequest](const engine_candidate& aOne) {
+      return aOne.mAvoided &&
+             (aRequest.mDecodeAmong.empty() || !aOne.mMayDecode);
+    });
   }
   return candidates;
 }
--- a/Libraries/LibFleet/PlacementCandidates.h
+++ b/Libraries/LibFleet/PlacementCandidates.h
@@ -52,6 +52,7 @@
   std::size_t mRequests = 0; ///< Running or queued there.
   bool mAvoided = false;
   bool mInOtherDataCentre = false;
+  bool mMayDecode = true; ///< See `placement_request::mDecodeAmong`.
 };
 
 /// The engines that may be chosen for the request. Engines that are
--- a/Libraries/LibFleet/PlacementDivision.cpp
+++ b/Libraries/LibFleet/PlacementDivision.cpp
@@ -19,14 +19,15 @@
 constexpr double kTimePenalty = 0.05;
 
 /// Chooses the engine that holds the prompt in memory and decodes the answer:
-/// one with room, then one that is not slow, then with the fewest streams whose
-/// allowed pauses are shorter, then with the most free memory.
+/// one that may decode it, then one with room, then one that is not slow, then
+/// with the fewest streams whose allowed pauses are shorter, then with the most
+/// free memory.
 const engine_candidate*
 ChooseDecodeEngine(const std::vector<const engine_candidate*>& aEngines,
                    const division_inputs& aInputs)
 {
   const engine_candidate* best = nullptr;
-  std::tuple<bool, bool, std::size_t, double> bestRank;
+  std::tuple<bool, bool, bool, std::size_t, double> bestRank;
   const double own = ToMs(aInputs.mRequest.mLongestPause);
   for (const engine_candidate* const one : aEngines) {
     const std::size_t shorterPauses = static_cast<std::size_t>(
@@ -35,7 +36,8 @@
                     [own](const decoding_stream& aOne) {
                       return aOne.mLongestPauseMs < own;
                     }));
-    const std::tuple<bool, bool, std::size_t, double> rank(
+    const std::tuple<bool, bool, bool, std::size_t, double> rank(
+      !one->mMayDecode,
       !HasRoom(*one, aInputs.mTiming, aInputs.mRequest),
       one->mPace >= kNotablePaceRatio,
       shorterPauses,
@@ -199,6 +201,26 @@
   return result;
 }
 
+/// Replaces the most expensive engine if none of them may decode the answer.
+void
+AddDecodeEngine(std::vector<const engine_candidate*>& aEngines,
+                const division_inputs& aInputs)
+{
+  const auto mayDecode = [](const engine_candidate* aOne) {
+    return aOne->mMayDecode;
+  };
+  if (std::any_of(aEngines.begin(), aEngines.end(), mayDecode)) {
+    return;
+  }
+  std::vector<const engine_candidate*> allowed;
+  for (const engine_candidate& one : aInputs.mCandidates) {
+    if (one.mMayDecode) {
+      allowed.push_back(&one);
+    }
+  }
+  aEngines.back() = ChooseDecodeEngine(allowed, aInputs);
+}
+
 /// Divides the prompt over the `aParts` cheapest engines. If they do not have
 /// the memory for it, the most expensive of them is replaced by the engine with
 /// the most free memory.
@@ -210,6 +232,7 @@
                     aInputs.mPrefillMs / static_cast<double>(aParts),
                     aParts,
                     aDelayWeight);
+  AddDecodeEngine(engines, aInputs);
   prompt_division result = DivideOver(aInputs, engines);
   if (result.mFitsMemory) {
     return result;
@@ -222,6 +245,7 @@
     });
   if (std::find(engines.begin(), engines.end(), &*most) == engines.end()) {
     engines.back() = &*most;
+    AddDecodeEngine(engines, aInputs);
   }
   return DivideOver(aInputs, engines);
 }
--- a/Libraries/LibFleet/SlotAdmission.cpp
+++ b/Libraries/LibFleet/SlotAdmission.cpp
@@ -97,6 +97,9 @@
   slot_totals totals;
   totals.mSlots = aCandidates.size() * aTiming.mSlots;
   for (const engine_candidate& one : aCandidates) {
+    if (!one.mMayDecode) {
+      continue;
+    }
     const std::size_t used =
       std::min<std::size_t>(one.mRequests, aTiming.mSlots);
     const double answerMs = MeanAnswerMs(one, aTiming, aRequest);
@@ -270,10 +273,15 @@
                     const engine_timing& aTiming,
                     const placement_request& aRequest)
 {
-  if (!aRequest.mSlotReserve.has_value()) {
+  if (!aRequest.mSlotReserve.has_value() && !aRequest.mAwaitsRoom) {
     return {};
   }
   const slot_totals totals = CountSlots(aCandidates, aTiming, aRequest);
+  if (aRequest.mAwaitsRoom) {
+    return totals.mHasRoom
+             ? slot_refusal{}
+             : Refusal(totals, 0, admission_reason::NoFreeSlot, aRequest);
+  }
   const double margin = ConcurrencyMargin(totals, aRequest);
   const slot_reserve reserve = EffectiveReserve(aCandidates, aTiming, aRequest);
   const double reserved = reserve.mShare * static_cast<double>(totals.mSlots);
--- a/Libraries/LibFleet/SlotAdmission.h
+++ b/Libraries/LibFleet/SlotAdmission.h
@@ -9,7 +9,7 @@
 
 /// Decides whether a request is admitted by the slots that are free on the
 /// candidates. Requires at least one candidate. Admits every request that sets
-/// no `mSlotReserve`.
+/// neither `mSlotReserve` nor `mAwaitsRoom`.
 slot_refusal
 DecideSlotAdmission(const std::vector<engine_candidate>& aCandidates,
                     const engine_timing& aTiming,
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -312,9 +312,14 @@
   }
   const bool chosen = mService->mEngine.has_value() ? TrySendToEngines()
                                                     : TrySendToPlainEndpoint();
-  if (!chosen) {
-    RefuseUnplaced();
+  if (chosen) {
+    return;
+  }
+  if (HasBegunAndMayResume()) {
+    PostponeRetry(error_kind::NoEndpoint, std::string(ReasonForNoEndpoint()));
+    return;
   }
+  RefuseUnplaced();
 }
 
 void
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -173,6 +173,20 @@
   bool ConsumeRetryBudget();
   /// True if the request may be retried and another endpoint is available.
   bool CanRetryElsewhere();
+  std::optional<retry_targets> FindTargets() const;
+  /// True if the caller has a part of a stream that another engine may resume.
+  /// Such a request can neither be refused nor answered with a failure.
+  bool HasBegunAndMayResume() const;
+  /// True while a stream that is to be resumed waits for an engine with room.
+  bool MayWaitForRoom() const;
+  /// Resumes the stream as soon as the retry budget and the endpoints allow it.
+  /// Gives up if the request has not begun a stream that may be resumed, or if
+  /// no endpoint is left.
+  void ResumeOrGiveUp(error_kind aKind, const std::string& aWhy);
+  /// The same after an attempt that has ended without the rest of the stream.
+  void ResumeAfterFailure(const std::string& aWhy);
+  /// Calls `ResumeOrGiveUp` again after `kReevaluationInterval`.
+  void PostponeRetry(error_kind aKind, const std::string& aWhy);
   /// Counts and logs a retry that was wanted and not made, once for each reason
   /// in a row.
   void LogRetryDenied(std::string_view aWhy);
@@ -261,6 +275,11 @@
   std::shared_ptr<memory_reservation> mMemory;
   std::size_t mMemoryRefusals = 0;
   std::size_t mHelperRefusals = 0;
+  /// Endpoints one of which is asked again; see `retry_targets`.
+  std::vector<std::string> mAskAgain;
+  time_point mAskAgainAt{};
+  unsigned mFailedResumptions = 0;  ///< Since the last event.
+  bool mRetryPostponed = false;     ///< See `PostponeRetry`.
   std::string_view mLoggedDenial;   ///< See `LogRetryDenied`.
   double mExpectedFirstEventMs = 0; ///< Estimated when the request was placed.
   std::size_t mHelperCount = 0;
--- a/Libraries/LibGateway/ExchangeAdmission.cpp
+++ b/Libraries/LibGateway/ExchangeAdmission.cpp
@@ -28,6 +28,8 @@
   work.mGateways = std::min(EntryCount(mContext.mBoard), kFullBroadcastPeers);
   work.mAwaitedReturns = CountReturns(
     mContext.mBoard.mAwaitedReturns[mService->mName], mContext.mLoop.Now());
+  work.mAwaitsRoom = MayWaitForRoom();
+  work.mDecodeAmong = mAskAgain;
   work.mRejectedByFullEngine = mRejectedByFullEngine && !mMayHaveRun;
   // A gateway that drains sends what should wait, so nothing may be told to
   // wait for memory.
--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -108,7 +108,7 @@
   if (++mHelperRefusals <= kMaxHelperRefusals && ConsumeRetryBudget()) {
     Retry(aWhy);
   } else {
-    GiveUp(error_kind::Overloaded, aWhy);
+    ResumeOrGiveUp(error_kind::Overloaded, aWhy);
   }
 }
 
@@ -286,6 +286,7 @@
   RecordEndpointActivity(aAttempt);
   RecordEnginePace(aAttempt, mCursor.Count() - countBefore);
   mAttemptHasEvents = true;
+  mFailedResumptions = 0;
   if (!mHeadWritten) {
     mFirstEventAt = now;
     WriteHead(*mStreamHead, std::nullopt);
@@ -344,7 +345,8 @@
   }
   if (status >= kFirstServerError) {
     UpdateEndpointHealth(aAttempt, endpoint_health_event::Failed);
-    if (CanRetryElsewhere() && ConsumeRetryBudget()) {
+    if (!HasBegunAndMayResume() && CanRetryElsewhere() &&
+        ConsumeRetryBudget()) {
       mMayHaveRun = true;
       ReleaseAttempt();
       Retry("status_" + std::to_string(status));
@@ -356,8 +358,9 @@
   if (!mStreaming) {
     if (mHeadWritten) {
       // The endpoint that should have resumed the stream refused.
+      mMayHaveRun = true;
       ReleaseAttempt();
-      GiveUp(error_kind::StreamBroken, "resume_failed");
+      ResumeAfterFailure("resume_failed");
       return;
     }
     ForwardCompleteAnswer(aAttempt);
@@ -447,8 +450,13 @@
       ReleaseAttempt();
       mAttemptedEndpoints.pop_back();
       if (mExcludedEndpoints.size() - mAttemptedEndpoints.size() >=
-          kMaxConnectFailures) {
-        GiveUp(error_kind::NoEndpoint, "unreachable");
+            kMaxConnectFailures ||
+          !mAskAgain.empty()) {
+        if (HasBegunAndMayResume()) {
+          ResumeAfterFailure("unreachable");
+        } else {
+          GiveUp(error_kind::NoEndpoint, "unreachable");
+        }
         return;
       }
       Retry(aWhy);
@@ -464,7 +472,7 @@
       if (ConsumeRetryBudget()) {
         Retry(aWhy);
       } else {
-        GiveUp(error_kind::EndpointFailed, aWhy);
+        ResumeOrGiveUp(error_kind::EndpointFailed, aWhy);
       }
       return;
     case attempt_end::NotExecuted:
@@ -486,6 +494,10 @@
         mRejectedByFullEngine = !mMayHaveRun;
       }
       ReleaseAttempt();
+      if (HasBegunAndMayResume()) {
+        ResumeAfterFailure(aWhy);
+        return;
+      }
       if (mAttemptedEndpoints.size() < mRoute->mMaxAttempts &&
           ConsumeRetryBudget()) {
         Retry(aWhy);
@@ -505,6 +517,10 @@
       UpdateEndpointHealth(aAttempt, endpoint_health_event::ConnectionBroken);
       mMayHaveRun = true;
       ReleaseAttempt();
+      if (HasBegunAndMayResume()) {
+        ResumeAfterFailure(aWhy);
+        return;
+      }
       if (CanRetryElsewhere() && ConsumeRetryBudget()) {
         Retry(aWhy);
         return;
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -74,6 +74,10 @@
     }
     return work.mRejectedByFullEngine;
   }
+  if (choice->mVerdict != placement_verdict::Send && MayWaitForRoom()) {
+    PostponePlacement(*choice);
+    return true;
+  }
   // A request that was accepted before is not refused when it has to be retried
   // on another engine.
   const bool alreadyAccepted = !mAttemptedEndpoints.empty();
@@ -247,7 +251,7 @@
             { "granted", static_cast<int>(aGranted) } });
       self->ReleaseAttempt();
       if (++self->mMemoryRefusals >= kMaxMemoryRefusals) {
-        self->GiveUp(error_kind::Overloaded, "no_memory");
+        self->ResumeOrGiveUp(error_kind::Overloaded, "no_memory");
         return;
       }
       self->Dispatch();
@@ -458,6 +462,7 @@
   ReportUnfinishedAttempt(*mAttempt, true);
   mMayHaveRun = mMayHaveRun || mAttempt->WasSent();
   ReleaseAttempt();
+  mAskAgain.clear();
   Retry("silent");
 }
 
@@ -565,88 +570,6 @@
                          kMsPerSecond);
 }
 
-bool
-exchange::CanRetryElsewhere()
-{
-  if (!IsRetryable()) {
-    LogRetryDenied("not_repeatable");
-    return false;
-  }
-  if (mAttemptedEndpoints.size() >= mRoute->mMaxAttempts) {
-    LogRetryDenied("max_attempts");
-    return false;
-  }
-  const endpoint_scope scope = Scope();
-  for (const auto& [id, known] : mContext.mBoard.mEndpoints.mEndpoints) {
-    if (IsAdmissible(known, scope, mContext.mLoop.Now()) &&
-        std::find(mExcludedEndpoints.begin(), mExcludedEndpoints.end(), id) ==
-          mExcludedEndpoints.end()) {
-      return true;
-    }
-  }
-  LogRetryDenied("no_endpoint");
-  return false;
-}
-
-bool
-exchange::ConsumeRetryBudget()
-{
-  const bool granted = TakeRetry(mContext.mBoard.mRepeats[mService->mName],
-                                 mContext.mSettings.mRepeats,
-                                 EntryCount(mContext.mBoard),
-                                 mContext.mLoop.Now());
-  if (!granted) {
-    LogRetryDenied("budget");
-  }
-  return granted;
-}
-
-void
-exchange::LogRetryDenied(std::string_view aWhy)
-{
-  const std::string_view answer = mHeadWritten ? "begun" : "not_begun";
-  if (aWhy == mLoggedDenial) {
-    return;
-  }
-  mLoggedDenial = aWhy;
-  mContext.mBoard.mMetrics.Count(
-    Labelled("gateway_retries_denied_total", "why", aWhy));
-  const retry_allowance allowance =
-    AllowanceOf(mContext.mBoard.mRepeats[mService->mName],
-                mContext.mSettings.mRepeats,
-                EntryCount(mContext.mBoard),
-                mContext.mLoop.Now());
-  Log(log_level::Info,
-      "retry_denied",
-      { { "request", mRequestInfo.mId },
-        { "why", aWhy },
-        { "answer", answer },
-        { "sent_to", mAttemptedEndpoints.size() },
-        { "max_attempts", mRoute->mMaxAttempts },
-        { "retries_used", allowance.mUsed },
-        { "retries_allowed", allowance.mAllowed },
-        { "left_ms", Milliseconds(TimeLeft()) } });
-}
-
-void
-exchange::Retry(const std::string& aWhy)
-{
-  mContext.mBoard.mMetrics.Count("gateway_repeats_total");
-  if (mCursor.LastId().has_value()) {
-    mContext.mBoard.mMetrics.Count("gateway_resumed_total");
-  }
-  Log(log_level::Info,
-      "retry",
-      { { "request", mRequestInfo.mId },
-        { "why", aWhy },
-        { "sent_to", mAttemptedEndpoints.size() },
-        { "after_event", mCursor.LastId().value_or(0) },
-        { "left_ms", Milliseconds(TimeLeft()) } });
-  mStreaming = false;
-  mCursor.Resume();
-  Dispatch();
-}
-
 void
 exchange::ReleaseAttempt()
 {
--- a/Tests/Gateway/StreamTest.cpp
+++ b/Tests/Gateway/StreamTest.cpp
@@ -16,6 +16,10 @@
   CPPUNIT_TEST(ResetBeforeTheHeadIsRetriedElsewhere);
   CPPUNIT_TEST(BrokenStreamIsNotRefusedOnRetry);
   CPPUNIT_TEST(StreamsThatWaitDoNotSpendTheRetryBudget);
+  CPPUNIT_TEST(ResumptionThatIsRefusedIsTriedAgain);
+  CPPUNIT_TEST(StreamIsResumedOnNoMoreEnginesThanTheRouteAllows);
+  CPPUNIT_TEST(ResumptionWaitsForTheRetryBudget);
+  CPPUNIT_TEST(ResumptionFollowsTheListOfEngines);
   CPPUNIT_TEST(StreamThatCannotResumeIsAborted);
   CPPUNIT_TEST(StreamThatEndsInsideEventIsNotComplete);
   CPPUNIT_TEST(WholeStreamIsForwardedUnchanged);
@@ -363,6 +367,127 @@
     CPPUNIT_ASSERT(last->Answered());
   }
 
+  /// A world with three engines. The first one that is asked breaks the stream
+  /// off after one event; what the others do is up to the test.
+  struct broken_stream_world : world
+  {
+    broken_stream_world()
+      : mOther(mLoop)
+      , mThird(mLoop)
+    {
+      for (endpoint_fixture* const one : { &mModel, &mOther, &mThird }) {
+        one->mAnswer = [this](connection& aConnection, const http_head& aHead) {
+          if (mRequests++ > 0) {
+            mLater(aConnection, aHead);
+            return;
+          }
+          mBroken = mModel.mLast == &aConnection   ? "i-model"
+                    : mOther.mLast == &aConnection ? "i-other"
+                                                   : "i-third";
+          std::string bytes =
+            SuccessHead(aHead, "Transfer-Encoding: chunked\r\n");
+          AppendChunk(bytes, Event(1));
+          aConnection.mChannel->Write(bytes);
+          aConnection.mChannel->CloseWhenDrained();
+        };
+      }
+      List("i-model", "model", mModel.mServer.Address());
+      List("i-other", "model", mOther.mServer.Address());
+      List("i-third", "model", mThird.mServer.Address());
+    }
+
+    const standin_caller& Run()
+    {
+      Start();
+      return Answered(Request("r1", "stream", "Token-Usage: 1000,50\r\n"));
+    }
+
+    std::size_t EnginesAsked() const
+    {
+      return static_cast<std::size_t>(!mModel.mHeads.empty()) +
+             static_cast<std::size_t>(!mOther.mHeads.empty()) +
+             static_cast<std::size_t>(!mThird.mHeads.empty());
+    }
+
+    std::size_t mRequests = 0;
+    std::string mBroken; ///< The engine that breaks the stream off.
+    std::function<void(connection&, const http_head&)> mLater = &AnswerRest;
+    endpoint_fixture mOther;
+    endpoint_fixture mThird;
+  };
+
+  /// Guards against cutting a stream that has begun, with time left, because
+  /// the engine that is to resume it refuses once.
+  void ResumptionThatIsRefusedIsTriedAgain()
+  {
+    broken_stream_world w;
+    w.mLater = [&w](connection& aConnection, const http_head& aHead) {
+      constexpr std::size_t kRefusals = 3;
+      if (w.mRequests <= 1 + kRefusals) {
+        AnswerRefused(aConnection, aHead);
+        return;
+      }
+      AnswerRest(aConnection, aHead);
+    };
+    const standin_caller& caller = w.Run();
+    CPPUNIT_ASSERT(caller.Answered());
+    CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2), caller.Body());
+  }
+
+  /// Guards against sending a request to more endpoints than its route allows.
+  void StreamIsResumedOnNoMoreEnginesThanTheRouteAllows()
+  {
+    broken_stream_world w;
+    w.mLater = &AnswerRefused;
+    const standin_caller& caller = w.Run();
+    CPPUNIT_ASSERT(!caller.Answered());
+    CPPUNIT_ASSERT(w.mRequests > 3);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), w.EnginesAsked());
+  }
+
+  /// Guards against cutting a stream with time left because the retry budget is
+  /// spent at that moment.
+  void ResumptionWaitsForTheRetryBudget()
+  {
+    broken_stream_world w;
+    // Nothing at first; each request adds a retry.
+    w.mSettings.mRepeats = { 1, 0, std::chrono::seconds(10) };
+    w.Start();
+    const standin_caller& caller =
+      w.Ask(w.Request("r1", "stream", "Token-Usage: 1000,50\r\n"));
+    w.Until([&w]() { return !w.mBroken.empty(); }, "the stream to break");
+    w.For(milliseconds(300));
+    CPPUNIT_ASSERT(!caller.Ended());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), w.mRequests);
+    (void)w.Answered(w.Request("r2", "stream", "Token-Usage: 1000,50\r\n"));
+    w.Until([&caller]() { return caller.Answered() || caller.Ended(); },
+            "the rest of the stream");
+    CPPUNIT_ASSERT(caller.Answered());
+  }
+
+  /// Guards against keeping to engines that have left the list when a stream is
+  /// resumed.
+  void ResumptionFollowsTheListOfEngines()
+  {
+    broken_stream_world w;
+    w.mLater = &AnswerRefused;
+    w.Start();
+    const standin_caller& caller =
+      w.Ask(w.Request("r1", "stream", "Token-Usage: 1000,50\r\n"));
+    w.Until([&w]() { return w.mRequests >= 3; }, "refusals");
+    w.mStore.Remove("servers", w.mBroken);
+    w.mLater = [&w](connection& aConnection, const http_head& aHead) {
+      if (w.EnginesAsked() < 3) {
+        AnswerRefused(aConnection, aHead);
+        return;
+      }
+      AnswerRest(aConnection, aHead);
+    };
+    w.Until([&caller]() { return caller.Answered() || caller.Ended(); },
+            "the rest of the stream");
+    CPPUNIT_ASSERT(caller.Answered());
+  }
+
   void StreamThatCannotResumeIsAborted()
   {
     world w;
--- a/Tests/Unit/FleetStateTest.cpp
+++ b/Tests/Unit/FleetStateTest.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(LongestPrefixWins);
   CPPUNIT_TEST(ServiceChoiceFollowsWeights);
   CPPUNIT_TEST(GatewaysShareRetryBudget);
+  CPPUNIT_TEST(RetryGoesToNoMoreEndpointsThanAllowed);
   CPPUNIT_TEST(FailingEndpointIsAvoidedTemporarily);
   CPPUNIT_TEST(PeerReportsMakeEndpointAvoided);
   CPPUNIT_TEST(BurstOfPeerReportsCountsOnce);
@@ -253,6 +254,39 @@
     CPPUNIT_ASSERT(granted <= 100 + 0.2 * 400);
   }
 
+  /// Guards against sending a request to more endpoints than its route allows,
+  /// and against giving up while one of them may be asked again.
+  void RetryGoesToNoMoreEndpointsThanAllowed()
+  {
+    endpoint_registry registry;
+    for (const char* const id : { "a", "b", "c" }) {
+      endpoint listed;
+      listed.mId = id;
+      listed.mService = "model";
+      (void)ApplyRow(registry, { id, 1, listed });
+    }
+    const endpoint_scope scope{ "model", {} };
+    const auto targets = [&](const request_attempts& aAttempts) {
+      return FindRetryTargets(registry, scope, aAttempts, 2, kStart);
+    };
+    const retry_targets any;
+    CPPUNIT_ASSERT(targets({ { "a" }, { "a" } }) == any);
+    const request_attempts both{ { "a", "b", "a" }, { "a", "b", "a" } };
+    CPPUNIT_ASSERT((targets(both) == retry_targets{ { "a", "b" } }));
+    RecordHealthEvent(registry.mEndpoints.at("a").mHealth,
+                      endpoint_health_event::Unreachable,
+                      kStart);
+    CPPUNIT_ASSERT(targets(both) == retry_targets{ { "b" } });
+    // An endpoint that has ended no longer counts.
+    (void)ApplyRow(registry, { "a", 2, std::nullopt });
+    CPPUNIT_ASSERT(targets(both) == any);
+    // All others are unreachable.
+    CPPUNIT_ASSERT(targets({ { "b" }, { "b", "c" } }) ==
+                   retry_targets{ { "b" } });
+    CPPUNIT_ASSERT(
+      !FindRetryTargets(registry, { "desk", {} }, both, 2, kStart).has_value());
+  }
+
   void FailingEndpointIsAvoidedTemporarily()
   {
     known_endpoint known;
--- a/Tests/Unit/SlotAdmissionTest.cpp
+++ b/Tests/Unit/SlotAdmissionTest.cpp
@@ -139,6 +139,8 @@
   CPPUNIT_TEST(LostGossipCausesFewRejections);
   CPPUNIT_TEST(RestartedGatewayCausesFewRejections);
   CPPUNIT_TEST(WaitOfReturningCallerIsEstimated);
+  CPPUNIT_TEST(ResumedStreamWaitsForAFreeSlot);
+  CPPUNIT_TEST(ResumedStreamKeepsToItsEngines);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -403,6 +405,48 @@
     AssertFewRejections(result);
     AssertNoRefusalAtUsualLoad(result);
   }
+
+  /// Guards against resuming a stream on an engine that is known to be full,
+  /// and against refusing it by rules for new requests.
+  void ResumedStreamWaitsForAFreeSlot()
+  {
+    reporting_fleet fleet;
+    placement_request request = ShortRequest();
+    request.mSlotReserve.reset();
+    request.mAwaitsRoom = true;
+    request.mElapsed = std::chrono::seconds(5);
+    const std::size_t slots = SampleEngine().mSlots;
+    fleet.ReportEverywhere(slots);
+    CPPUNIT_ASSERT(fleet.Choose(request).mVerdict == placement_verdict::NoSlot);
+    fleet.Report(3, slots - 1);
+    const engine_choice choice = fleet.Choose(request);
+    CPPUNIT_ASSERT(choice.mVerdict == placement_verdict::Send);
+    CPPUNIT_ASSERT_EQUAL(std::string("engine-3"),
+                         choice.mDecodeEngine->mListed.mId);
+  }
+
+  /// Guards against resuming a stream on a further engine although its route
+  /// allows no more, whatever the engines that it was sent to have to do.
+  void ResumedStreamKeepsToItsEngines()
+  {
+    reporting_fleet fleet;
+    fleet.Report(7, SampleEngine().mSlots);
+    for (placement_request request : { ShortRequest(), LongRequest() }) {
+      request.mSlotReserve.reset();
+      request.mDecodeAmong = { "engine-7" };
+      CPPUNIT_ASSERT_EQUAL(std::string("engine-7"),
+                           fleet.Choose(request).mDecodeEngine->mListed.mId);
+      request.mDecodeAmong = { "engine-gone" };
+      CPPUNIT_ASSERT(!PlaceOnEngines(fleet.mRegistry,
+                                     fleet.mLedger,
+                                     SampleEngine(),
+                                     request,
+                                     {},
+                                     "",
+                                     kStart)
+                        .has_value());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(slot_admission_test, "slot-admission");
