--- a/Libraries/LibFleet/RetryBudget.cpp
+++ b/Libraries/LibFleet/RetryBudget.cpp
@@ -9,6 +9,8 @@
 /// Fraction of the budget that is used. The rest covers gateways that were
 /// killed and start with an empty history within the same window.
 constexpr double kUsableFraction = 0.6;
+/// Fraction of the usable budget that only `retry_claim::Started` may take.
+constexpr double kReservedForStarted = 0.33;
 
 void
 DropBefore(std::deque<time_point>& aTimes, time_point aBefore)
@@ -49,11 +51,15 @@
 TakeRetry(retry_history& aHistory,
           const retry_limits& aLimits,
           std::size_t aGateways,
+          retry_claim aClaim,
           time_point aNow)
 {
   const retry_allowance allowance =
     AllowanceOf(aHistory, aLimits, aGateways, aNow);
-  if (static_cast<double>(allowance.mUsed) + 1 > allowance.mAllowed) {
+  const double allowed =
+    allowance.mAllowed *
+    (aClaim == retry_claim::Refusable ? 1 - kReservedForStarted : 1);
+  if (static_cast<double>(allowance.mUsed) + 1 > allowed) {
     return false;
   }
   aHistory.mRetries.push_back(aNow);
--- a/Libraries/LibFleet/RetryBudget.h
+++ b/Libraries/LibFleet/RetryBudget.h
@@ -29,11 +29,23 @@
   std::deque<time_point> mRetries;
 };
 
+/// Whose retry takes from the budget.
+enum class retry_claim : std::uint8_t
+{
+  /// Of a request that can still be refused: none of it was executed, so its
+  /// caller may return.
+  Refusable,
+  /// Of a request that an endpoint may have executed, or whose answer has
+  /// begun. It fails without a retry, so a part of the budget is reserved for
+  /// such requests.
+  Started,
+};
+
 /// The retries of a window, as of a time.
 struct retry_allowance
 {
   std::size_t mUsed = 0;
-  double mAllowed = 0; ///< For this gateway.
+  double mAllowed = 0; ///< For this gateway and any claim.
 
   bool operator==(const retry_allowance&) const = default;
 };
@@ -56,6 +68,7 @@
 TakeRetry(retry_history& aHistory,
           const retry_limits& aLimits,
           std::size_t aGateways,
+          retry_claim aClaim,
           time_point aNow);
 
 } // namespace primrose
--- a/Libraries/LibGateway/ExchangeRetry.cpp
+++ b/Libraries/LibGateway/ExchangeRetry.cpp
@@ -114,10 +114,13 @@
 bool
 exchange::ConsumeRetryBudget()
 {
-  const bool granted = TakeRetry(mContext.mBoard.mRepeats[mService->mName],
-                                 mContext.mSettings.mRepeats,
-                                 EntryCount(mContext.mBoard),
-                                 mContext.mLoop.Now());
+  const bool granted =
+    TakeRetry(mContext.mBoard.mRepeats[mService->mName],
+              mContext.mSettings.mRepeats,
+              EntryCount(mContext.mBoard),
+              mMayHaveRun || mAttempt != nullptr ? retry_claim::Started
+                                                 : retry_claim::Refusable,
+              mContext.mLoop.Now());
   if (!granted) {
     LogRetryDenied("budget");
   }
--- a/Tests/Gateway/TableSyncTest.cpp
+++ b/Tests/Gateway/TableSyncTest.cpp
@@ -391,7 +391,10 @@
     std::size_t granted = 0;
     for (int i = 0; i < 200; ++i) {
       granted +=
-        TakeRetry(record, bound, EntryCount(board), time_point{}) ? 1U : 0U;
+        TakeRetry(
+          record, bound, EntryCount(board), retry_claim::Started, time_point{})
+          ? 1U
+          : 0U;
     }
     CPPUNIT_ASSERT(granted * kGateways <= 130);
     board.mGatewaysLoaded = true;
--- a/Tests/Unit/FleetStateTest.cpp
+++ b/Tests/Unit/FleetStateTest.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(LongestPrefixWins);
   CPPUNIT_TEST(ServiceChoiceFollowsWeights);
   CPPUNIT_TEST(GatewaysShareRetryBudget);
+  CPPUNIT_TEST(RefusableRequestsLeaveRetriesForStartedOnes);
   CPPUNIT_TEST(RetryGoesToNoMoreEndpointsThanAllowed);
   CPPUNIT_TEST(FailingEndpointIsAvoidedTemporarily);
   CPPUNIT_TEST(PeerReportsMakeEndpointAvoided);
@@ -247,13 +248,40 @@
       retry_history history;
       for (int i = 0; i < 100; ++i) {
         RecordRequestForRetries(history, limits, kStart);
-        granted += TakeRetry(history, limits, kGateways, kStart) ? 1U : 0U;
+        granted +=
+          TakeRetry(history, limits, kGateways, retry_claim::Started, kStart)
+            ? 1U
+            : 0U;
       }
     }
     CPPUNIT_ASSERT(granted > 50);
     CPPUNIT_ASSERT(granted <= 100 + 0.2 * 400);
   }
 
+  /// Guards against cutting a stream because requests that could have been
+  /// refused have spent the retry budget.
+  void RefusableRequestsLeaveRetriesForStartedOnes()
+  {
+    const retry_limits limits{ 0.2, 100, std::chrono::seconds(10) };
+    const auto grantedOf = [&limits](retry_history& aHistory,
+                                     retry_claim aClaim) {
+      unsigned granted = 0;
+      while (TakeRetry(aHistory, limits, 4, aClaim, kStart)) {
+        ++granted;
+      }
+      return granted;
+    };
+    retry_history history;
+    const unsigned refusable = grantedOf(history, retry_claim::Refusable);
+    const unsigned started = grantedOf(history, retry_claim::Started);
+    CPPUNIT_ASSERT(refusable > started);
+    CPPUNIT_ASSERT(started * 4 >= refusable + started);
+    CPPUNIT_ASSERT_EQUAL(0U, grantedOf(history, retry_claim::Refusable));
+    retry_history onlyStarted;
+    CPPUNIT_ASSERT_EQUAL(refusable + started,
+                         grantedOf(onlyStarted, retry_claim::Started));
+  }
+
   /// Guards against sending a request to more endpoints than its route allows,
   /// and against giving up while one of them may be asked again.
   void RetryGoesToNoMoreEndpointsThanAllowed()
