--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -221,9 +221,29 @@
 read_state
 http_reader::Read(std::string& aInput)
 {
-  if (mState != read_state::Head && mState != read_state::Body) {
-    return mState;
+  std::string_view rest = aInput;
+  bool isInterim = true;
+  while (isInterim &&
+         (mState == read_state::Head || mState == read_state::Body)) {
+    rest.remove_prefix(Parse(rest));
+    isInterim = mState == read_state::Complete && mRole == http_role::Answer &&
+                mHead.mStatus < kFirstFinalStatus;
+    if (isInterim) {
+      // The final answer follows. All heads of an answer share one limit.
+      const std::size_t headBytes = mHeadBytes;
+      Restart(mNoBody);
+      mHeadBytes = headBytes;
+      CheckHeadSize();
+      isInterim = !rest.empty();
+    }
   }
+  aInput.erase(0, aInput.size() - rest.size());
+  return mState;
+}
+
+std::size_t
+http_reader::Parse(std::string_view aInput)
+{
   const bool inHead = mState == read_state::Head;
   const std::size_t used =
     http_parser_execute(&mParser, &Callbacks(), aInput.data(), aInput.size());
@@ -232,28 +252,24 @@
     mHeadBytes += used;
   }
   if (error == HPE_PAUSED) {
-    aInput.erase(0, used);
-    if (mRole == http_role::Answer && mHead.mStatus < kFirstFinalStatus) {
-      // An interim (1xx) answer; the final one follows.
-      const bool noBody = mNoBody;
-      Restart(noBody);
-      return aInput.empty() ? mState : Read(aInput);
-    }
-    return mState;
+    return used;
   }
-  if (error != HPE_OK) {
-    if (error == HPE_HEADER_OVERFLOW) {
-      mState = read_state::HeadTooBig;
-    } else if (mState != read_state::BodyTooBig) {
-      mState = read_state::Malformed;
-    }
-    return mState;
+  if (error == HPE_HEADER_OVERFLOW) {
+    mState = read_state::HeadTooBig;
+  } else if (error == HPE_OK) {
+    CheckHeadSize();
+  } else if (mState != read_state::BodyTooBig) {
+    mState = read_state::Malformed;
   }
-  aInput.erase(0, used);
+  return error == HPE_OK ? used : 0;
+}
+
+void
+http_reader::CheckHeadSize()
+{
   if (mState == read_state::Head && mHeadBytes > mLimits.mHeadBytes) {
     mState = read_state::HeadTooBig;
   }
-  return mState;
 }
 
 read_state
--- a/Libraries/LibNet/HttpReader.h
+++ b/Libraries/LibNet/HttpReader.h
@@ -39,6 +39,7 @@
 
 struct http_limits
 {
+  /// Of a head; of an answer's interim (1xx) heads and its own one together.
   std::size_t mHeadBytes = std::size_t{ 64 } * 1024;
   std::size_t mBodyBytes = std::size_t{ 16 } * 1024 * 1024;
 
@@ -56,6 +57,7 @@
   /// request.
   void Restart(bool aNoBody = false);
   /// Removes bytes from the front of `aInput` up to the end of one message.
+  /// Interim (1xx) answers are skipped.
   /// The bytes after it stay, since they belong to another message.
   read_state Read(std::string& aInput);
   /// To be called when the peer has finished sending. This completes a
@@ -79,6 +81,10 @@
   static int OnBody(http_parser* aParser, const char* aAt, size_t aSize);
   static int OnEnd(http_parser* aParser);
   static const http_parser_settings& Callbacks();
+  /// Parses up to the end of one message, an interim answer too. Returns the
+  /// number of bytes that were used; none of invalid ones.
+  std::size_t Parse(std::string_view aInput);
+  void CheckHeadSize();
   bool HeadIsUnambiguous() const;
   body_framing FramingOfHead() const;
 
--- a/Tests/Unit/HttpReaderTest.cpp
+++ b/Tests/Unit/HttpReaderTest.cpp
@@ -38,6 +38,9 @@
   CPPUNIT_TEST(CloseDelimitedAnswerEndsWithConnection);
   CPPUNIT_TEST(TruncatedAnswerIsMalformed);
   CPPUNIT_TEST(InterimAnswersAreSkipped);
+  CPPUNIT_TEST(InterimAnswersWithoutEndAreRejected);
+  CPPUNIT_TEST(InterimAnswerIsPartOfTheAnswer);
+  CPPUNIT_TEST(HeadsWithoutEndAreRejected);
   CPPUNIT_TEST(OnlyCompleteEventsAreReturned);
   CPPUNIT_TEST(ResumedStreamSkipsRepeatedEvents);
   CPPUNIT_TEST(EventsEndWithEachLineEndOfTheFormat);
@@ -152,6 +155,64 @@
     CPPUNIT_ASSERT_EQUAL(200U, reader.Head().mStatus);
   }
 
+  /// Guards against a server that sends interim answers for ever: in one
+  /// buffer, where each of them took a level of the stack, and one at a time.
+  void InterimAnswersWithoutEndAreRejected()
+  {
+    constexpr int kInterimAnswers = 500000;
+    const std::string interim = "HTTP/1.1 100 C\r\n\r\n";
+    std::string bytes;
+    for (int i = 0; i < kInterimAnswers; ++i) {
+      bytes += interim;
+    }
+    http_reader reader(http_role::Answer, http_limits{});
+    CPPUNIT_ASSERT(reader.Read(bytes) == read_state::HeadTooBig);
+
+    http_reader slow(http_role::Answer, http_limits{});
+    const std::size_t allowed = http_limits{}.mHeadBytes / interim.size();
+    for (std::size_t i = 0; i < allowed; ++i) {
+      CPPUNIT_ASSERT(ReadOne(slow, interim) == read_state::Head);
+    }
+    CPPUNIT_ASSERT(ReadOne(slow, interim) == read_state::HeadTooBig);
+  }
+
+  /// Guards against taking a connection that ends after an interim answer for
+  /// one on which nothing came, so that the request is sent there again.
+  void InterimAnswerIsPartOfTheAnswer()
+  {
+    http_reader reader(http_role::Answer, http_limits{});
+    CPPUNIT_ASSERT(ReadOne(reader, "HTTP/1.1 100 C\r\n\r\n") ==
+                   read_state::Head);
+    CPPUNIT_ASSERT(reader.Started());
+    CPPUNIT_ASSERT(reader.Finish() == read_state::Malformed);
+  }
+
+  /// Guards against a peer that never ends a head, a chunk's extensions or the
+  /// trailers, in pieces that are small by themselves.
+  void HeadsWithoutEndAreRejected()
+  {
+    constexpr std::size_t kPieces = 100;
+    const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string piece(1000, 'x');
+    for (const std::string& start : { std::string("HTTP/1.1 200 OK\r\nX-"),
+                                      std::string("HTTP/1.1 200 OK\r\nX: "),
+                                      std::string("HTTP/1.1 200 "),
+                                      chunked + "1;",
+                                      chunked + "1\r\na\r\n0\r\nX: " }) {
+      http_reader reader(http_role::Answer, http_limits{});
+      read_state state = ReadOne(reader, start);
+      std::size_t pieces = 0;
+      while ((state == read_state::Head || state == read_state::Body) &&
+             pieces < kPieces) {
+        state = ReadOne(reader, piece);
+        ++pieces;
+      }
+      CPPUNIT_ASSERT_MESSAGE(start, state == read_state::HeadTooBig);
+      CPPUNIT_ASSERT_MESSAGE(start, reader.Body().size() <= 1);
+    }
+  }
+
   void OnlyCompleteEventsAreReturned()
   {
     event_cursor cursor;
