--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -7,6 +7,7 @@
 /// no threads.
 
 #include "LibFleet/AllowedRegions.h"
+#include "LibFleet/AnswerMemory.h"
 #include "LibFleet/AwaitedReturns.h"
 #include "LibFleet/CallerWait.h"
 #include "LibFleet/ConnectionAdmission.h"
--- a/Libraries/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/Attempt.h
@@ -67,6 +67,11 @@
   const answer_info& Info() const { return mAnswerInfo; }
   std::string& Body() { return mReader.Body(); }
   const std::string& Body() const { return mReader.Body(); }
+  /// The length of the body, if the head declares it.
+  std::optional<std::size_t> DeclaredLength() const
+  {
+    return mReader.DeclaredLength();
+  }
   body_framing Framing() const { return mReader.Framing(); }
   bool WasSent() const { return mSent; }
   /// Time from the choice of the endpoint until the request was written to a
--- a/Libraries/LibGateway/CallerConnection.cpp
+++ b/Libraries/LibGateway/CallerConnection.cpp
@@ -38,6 +38,10 @@
   , mChannel(std::make_shared<tcp_channel>(aContext.mLoop,
                                            aSocket,
                                            kCallerChannelLimits))
+  , mHeldAnswer(
+      std::make_shared<held_answer>(aContext.mAnswerLimiter,
+                                    mChannel,
+                                    [this]() { OnAnswerMemoryExhausted(); }))
   , mReader(http_role::Request, LimitsOf(aContext.mBoard.mManifest))
 {
   mChannel->SetOwner(this);
@@ -141,6 +145,24 @@
 caller_connection::Write(std::string_view aBytes)
 {
   mChannel->Write(aBytes);
+  mHeldAnswer->Update();
+}
+
+void
+caller_connection::SetUnwritten(std::size_t aBytes)
+{
+  mHeldAnswer->SetUnwritten(aBytes);
+}
+
+void
+caller_connection::OnAnswerMemoryExhausted()
+{
+  if (mExchange == nullptr) {
+    Close(false);
+    return;
+  }
+  const std::shared_ptr<exchange> ended = mExchange;
+  ended->OnAnswerMemoryExhausted();
 }
 
 std::size_t
@@ -184,6 +206,7 @@
 void
 caller_connection::OnDrained(tcp_channel&)
 {
+  mHeldAnswer->Update();
   if (mExchange != nullptr) {
     mExchange->OnResponseDrained();
   }
@@ -213,7 +236,11 @@
       constexpr duration kDrainTime = std::chrono::seconds(5);
       std::shared_ptr<tcp_channel> draining = mChannel;
       event_loop& loop = mContext.mLoop;
-      (void)loop.After(kDrainTime, [draining]() { draining->Close(); });
+      mHeldAnswer->SetOnEnd([draining]() { draining->Close(); });
+      (void)loop.After(kDrainTime, [draining, held = mHeldAnswer]() {
+        draining->Close();
+        held->Update();
+      });
     }
   } else {
     mChannel->Close();
--- a/Libraries/LibGateway/CallerConnection.h
+++ b/Libraries/LibGateway/CallerConnection.h
@@ -31,6 +31,7 @@
 
   void Write(std::string_view aBytes) override;
   std::size_t Pending() const override;
+  void SetUnwritten(std::size_t aBytes) override;
   void Finish(bool aKeepAlive) override;
   void Abort() override;
 
@@ -40,10 +41,12 @@
   void Reject(error_kind aKind, const std::string& aWhy);
   void StartIdleTimer();
   void Close(bool aDrain);
+  void OnAnswerMemoryExhausted();
 
   gateway_context mContext;
   closed_callback mOnClosed;
   std::shared_ptr<tcp_channel> mChannel;
+  std::shared_ptr<held_answer> mHeldAnswer;
   http_reader mReader;
   std::shared_ptr<exchange> mExchange;
   timer_id mTimer = 0;
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -395,6 +395,19 @@
   End("caller_left", "");
 }
 
+void
+exchange::OnAnswerMemoryExhausted()
+{
+  const std::shared_ptr<exchange> self = shared_from_this();
+  if (mAttempt != nullptr) {
+    mMayHaveRun = mMayHaveRun || mAttempt->WasSent();
+    ReportUnfinishedAttempt(*mAttempt, false);
+  }
+  ReleaseAttempt();
+  GiveUp(mHeadWritten ? error_kind::StreamBroken : error_kind::EndpointFailed,
+         "answer_memory");
+}
+
 void
 exchange::End(std::string_view aOutcome, const std::string& aWhy)
 {
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -4,6 +4,7 @@
 /// answer: admission, choice of an endpoint, retries, and forwarding of the
 /// answer.
 
+#include "LibGateway/AnswerLimiter.h"
 #include "LibGateway/Attempt.h"
 #include "LibGateway/CrashDetector.h"
 #include "LibGateway/MemoryReservation.h"
@@ -25,6 +26,7 @@
   gossip_sender& mGossipSender;
   crash_detector& mCrashDetector;
   startup_gate& mStartupGate;
+  std::weak_ptr<answer_limiter> mAnswerLimiter;
 };
 
 /// Writes the answer to the caller's connection.
@@ -34,6 +36,8 @@
   virtual ~response_writer() = default;
   virtual void Write(std::string_view aBytes) = 0;
   virtual std::size_t Pending() const = 0;
+  /// States how many bytes of the answer are held that were not written yet.
+  virtual void SetUnwritten(std::size_t aBytes) = 0;
   /// Ends a complete answer. With `aKeepAlive`, the connection accepts another
   /// request.
   virtual void Finish(bool aKeepAlive) = 0;
@@ -60,6 +64,8 @@
   /// Cancels all work for this request, because the caller closed its
   /// connection.
   void OnCallerDisconnected();
+  /// Ends the answer, because the answers of all requests take too much memory.
+  void OnAnswerMemoryExhausted();
   /// Resumes reading from the endpoint once the response buffer is empty.
   void OnResponseDrained();
 
@@ -178,6 +184,18 @@
   void Answer(const failure& aFailure);
   void ForwardCompleteAnswer(attempt& aAttempt);
   void ForwardEvents(attempt& aAttempt);
+  /// Forwards an answer that is too large to be kept until it is complete, as
+  /// it arrives.
+  void ForwardLargeAnswer(attempt& aAttempt);
+  /// Begins to forward a large answer; false if the request was ended, or is
+  /// retried, instead.
+  bool BeginLargeAnswer(attempt& aAttempt);
+  void EndLargeAnswer(attempt& aAttempt);
+  /// Ends an answer of the endpoint that was forwarded whole.
+  void EndForwarded(unsigned aStatus);
+  /// Stops reading from the endpoint while the caller reads too slowly; true if
+  /// so.
+  bool PauseForSlowCaller(attempt& aAttempt);
   void WriteHead(const http_head& aHead, std::optional<std::size_t> aLength);
   /// Ends the current attempt, its memory reservation and its placement.
   void ReleaseAttempt();
@@ -272,6 +290,8 @@
   bool mStreaming = false;
   bool mAttemptHasEvents = false; ///< The current attempt has sent an event.
   bool mHeadWritten = false;
+  /// A large answer is being forwarded as it arrives, so it can't be replaced.
+  bool mForwardingLargeAnswer = false;
   bool mReadingPaused = false;
   body_framing mAnswerFraming = body_framing::None; ///< Of the last answer.
   /// Bytes after the last whole event of the stream, at its end.
--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -11,6 +11,10 @@
 /// Unsent bytes of a stream above which the gateway stops reading from the
 /// endpoint, because the caller reads too slowly.
 constexpr std::size_t kMaxPendingBytes = std::size_t{ 256 } * 1024;
+/// Size above which an answer is forwarded as it arrives. Up to it, an answer
+/// is kept until it is complete, so that one that breaks off can be replaced by
+/// that of another endpoint.
+constexpr std::size_t kMaxWholeAnswerBytes = std::size_t{ 1024 } * 1024;
 /// Failed connections to endpoints after which a request is refused.
 constexpr std::size_t kMaxConnectFailures = 4;
 /// Refusals by helpers after which a request is refused. With a third of the
@@ -269,9 +273,71 @@
 void
 exchange::OnAnswerBody(attempt& aAttempt)
 {
+  const std::shared_ptr<exchange> self = shared_from_this();
   if (mStreaming) {
     ForwardEvents(aAttempt);
+  } else if (mForwardingLargeAnswer ||
+             aAttempt.Body().size() > kMaxWholeAnswerBytes) {
+    ForwardLargeAnswer(aAttempt);
+  }
+  if (mAttempt.get() == &aAttempt) {
+    mResponse->SetUnwritten(aAttempt.Body().size());
+  }
+}
+
+bool
+exchange::BeginLargeAnswer(attempt& aAttempt)
+{
+  const unsigned status = aAttempt.Head().mStatus;
+  if (mHeadWritten) {
+    // The endpoint that should have resumed the stream refused.
+    ReleaseAttempt();
+    GiveUp(error_kind::StreamBroken, "resume_failed");
+    return false;
+  }
+  if (status >= kFirstServerError && CanRetryElsewhere() &&
+      ConsumeRetryBudget()) {
+    UpdateEndpointHealth(aAttempt, endpoint_health_event::Failed);
+    mMayHaveRun = true;
+    ReleaseAttempt();
+    Retry("status_" + std::to_string(status));
+    return false;
+  }
+  mForwardingLargeAnswer = true;
+  mContext.mLoop.Cancel(mResponseTimer);
+  mFirstEventAt = mContext.mLoop.Now();
+  mContext.mBoard.mMetrics.Count("gateway_large_answers_total");
+  WriteHead(aAttempt.Head(), aAttempt.DeclaredLength());
+  return true;
+}
+
+void
+exchange::ForwardLargeAnswer(attempt& aAttempt)
+{
+  if (!mForwardingLargeAnswer && !BeginLargeAnswer(aAttempt)) {
+    return;
+  }
+  if (aAttempt.Framing() == body_framing::Length) {
+    mResponse->Write(aAttempt.Body());
+  } else {
+    std::string chunk;
+    AppendChunk(chunk, aAttempt.Body());
+    mResponse->Write(chunk);
   }
+  aAttempt.Body().clear();
+  (void)PauseForSlowCaller(aAttempt);
+}
+
+bool
+exchange::PauseForSlowCaller(attempt& aAttempt)
+{
+  if (mResponse->Pending() <= kMaxPendingBytes) {
+    return false;
+  }
+  mReadingPaused = true;
+  aAttempt.PauseReading(true);
+  mContext.mLoop.Cancel(mResponseTimer);
+  return true;
 }
 
 void
@@ -296,11 +362,8 @@
   std::string chunk;
   AppendChunk(chunk, events);
   mResponse->Write(chunk);
-  if (mResponse->Pending() > kMaxPendingBytes) {
-    mReadingPaused = true;
+  if (PauseForSlowCaller(aAttempt)) {
     mEvents = {};
-    aAttempt.PauseReading(true);
-    mContext.mLoop.Cancel(mResponseTimer);
     return;
   }
   StartStallTimer(aAttempt);
@@ -353,6 +416,10 @@
   } else {
     UpdateEndpointHealth(aAttempt, endpoint_health_event::Answered);
   }
+  if (mForwardingLargeAnswer) {
+    EndLargeAnswer(aAttempt);
+    return;
+  }
   if (!mStreaming) {
     if (mHeadWritten) {
       // The endpoint that should have resumed the stream refused.
@@ -383,11 +450,25 @@
   mFirstEventAt = mContext.mLoop.Now();
   WriteHead(aAttempt.Head(), body.size());
   mResponse->Write(body);
-  const bool success = aAttempt.Head().mStatus < kFirstError;
-  const std::string why =
-    success ? "" : "status_" + std::to_string(aAttempt.Head().mStatus);
+  EndForwarded(aAttempt.Head().mStatus);
+}
+
+void
+exchange::EndLargeAnswer(attempt& aAttempt)
+{
+  if (aAttempt.Framing() != body_framing::Length) {
+    mResponse->Write(kLastChunk);
+  }
+  EndForwarded(aAttempt.Head().mStatus);
+}
+
+void
+exchange::EndForwarded(unsigned aStatus)
+{
+  const bool success = aStatus < kFirstError;
   ReleaseAttempt();
-  End(success ? "answered" : "endpoint_failed", why);
+  End(success ? "answered" : "endpoint_failed",
+      success ? "" : "status_" + std::to_string(aStatus));
 }
 
 void
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -558,7 +558,8 @@
 bool
 exchange::CanRetryElsewhere() const
 {
-  if (!IsRetryable() || mAttemptedEndpoints.size() >= mRoute->mMaxAttempts) {
+  if (!IsRetryable() || mForwardingLargeAnswer ||
+      mAttemptedEndpoints.size() >= mRoute->mMaxAttempts) {
     return false;
   }
   const endpoint_scope scope = Scope();
@@ -614,6 +615,9 @@
     mAttempt->Cancel();
     mContext.mLoop.DeleteLater(std::move(mAttempt));
     mAttempt = nullptr;
+    if (mResponse != nullptr) {
+      mResponse->SetUnwritten(0);
+    }
   }
   if (mMemory != nullptr) {
     mMemory->Release();
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -126,10 +126,13 @@
       [this](const std::string& aHost) { OnDatagramFromPeerAhead(aHost); })
   , mSnapshotExchange(aLoop, mSettings)
   , mStartupGate(aLoop)
-  , mContext{ mLoop,        mSettings,     mAdapter,       mBoard,
-              mConnections, mGossipSender, mCrashDetector, mStartupGate }
+  , mAnswerLimiter(std::make_shared<answer_limiter>(aLoop, mBoard))
+  , mContext{ mLoop,          mSettings,    mAdapter,
+              mBoard,         mConnections, mGossipSender,
+              mCrashDetector, mStartupGate, mAnswerLimiter }
 {
   mBoard.mGatewayIncarnation = FreshSeed();
+  mBoard.mAnswerMemory.mLimit = mSettings.mAnswerMemoryBytes;
   SetOrganisationWeights(mBoard.mUsage, mSettings.mOrganisationShares);
   mBoard.mRandom.seed(mBoard.mGatewayIncarnation);
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -86,6 +86,7 @@
   peer_gossip mPeerGossip;
   snapshot_exchange mSnapshotExchange;
   startup_gate mStartupGate;
+  std::shared_ptr<answer_limiter> mAnswerLimiter;
   gateway_context mContext;
   /// Rows as read from the platform, served to peers that cannot reach it.
   std::optional<row_change<std::string>> mManifestRow;
--- a/Libraries/LibGossip/GatewayMetrics.cpp
+++ b/Libraries/LibGossip/GatewayMetrics.cpp
@@ -206,6 +206,8 @@
     out.Set(Labelled("gateway_behind_seconds", "belief", table),
             since.has_value() ? Seconds(aNow - *since) : 0);
   }
+  out.Set("gateway_answer_bytes_held",
+          static_cast<double>(aState.mAnswerMemory.mBytes));
   SetEngineGauges(aState, aNow);
   SetOrganisationGauges(aState, aNow);
   SetRestrictionGauges(aState, aNow);
--- a/Libraries/LibGossip/GatewayState.h
+++ b/Libraries/LibGossip/GatewayState.h
@@ -25,6 +25,8 @@
   std::vector<std::string> mSeeds; ///< Hosts of the first peers to contact.
   /// Callers' connections that may be open at once.
   std::size_t mMaxCallerConnections = 1024;
+  /// Bytes of answers that may be held for callers, over all requests.
+  std::size_t mAnswerMemoryBytes = std::size_t{ 32 } * 1024 * 1024;
   duration mGrace{}; ///< From the termination signal to the forced end.
   /// Time within which a change of the platform's tables has to be in force.
   duration mChangeBound = std::chrono::seconds(5);
@@ -123,6 +125,7 @@
   std::uint64_t mGatewayIncarnation = 0;
   std::uint32_t mLastPlacementNumber = 0;
   std::size_t mOpenRequests = 0;
+  answer_memory mAnswerMemory;
   connection_load mConnectionLoad;
   bool mDraining = false;
   time_point mDrainStarted{};
--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -76,6 +76,7 @@
   mNoBody = aNoBody;
   mValueSeen = false;
   mFraming = body_framing::None;
+  mDeclaredLength.reset();
   mState = read_state::Head;
 }
 
@@ -191,6 +192,9 @@
     return -1;
   }
   reader.mFraming = reader.FramingOfHead();
+  if (reader.mFraming == body_framing::Length) {
+    reader.mDeclaredLength = aParser->content_length;
+  }
   reader.mState = read_state::Body;
   return reader.mNoBody ? kSkipBody : 0;
 }
--- a/Libraries/LibNet/HttpReader.h
+++ b/Libraries/LibNet/HttpReader.h
@@ -72,6 +72,8 @@
   std::string& Body() { return mBody; }
   const std::string& Body() const { return mBody; }
   body_framing Framing() const { return mFraming; }
+  /// The length of the body, if the head declares it.
+  std::optional<std::size_t> DeclaredLength() const { return mDeclaredLength; }
 
 private:
   static int OnUrl(http_parser* aParser, const char* aAt, size_t aSize);
@@ -98,6 +100,7 @@
   bool mNoBody = false;
   bool mValueSeen = false;
   body_framing mFraming = body_framing::None;
+  std::optional<std::size_t> mDeclaredLength;
   read_state mState = read_state::Head;
 };
 
