--- a/Libraries/LibGateway/AnswerLimiter.cpp
+++ b/Libraries/LibGateway/AnswerLimiter.cpp
@@ -88,7 +88,7 @@
 std::size_t
 held_answer::HeldAnswerBytes() const
 {
-  return mUnwritten + (mChannel->Open() ? mChannel->Pending() : 0);
+  return mUnwritten + (mChannel->Open() ? mChannel->BufferedOutput() : 0);
 }
 
 void
--- a/Libraries/LibNet/HttpClientCall.cpp
+++ b/Libraries/LibNet/HttpClientCall.cpp
@@ -128,6 +128,7 @@
   http_answer none;
   none.mSentAt = mSentAt;
   none.mReceivedBytes = mReceived;
+  mReader.Restart();
   FinishCall(none);
 }
 
--- a/Libraries/LibNet/HttpReader.cpp
+++ b/Libraries/LibNet/HttpReader.cpp
@@ -70,7 +70,8 @@
                    mRole == http_role::Request ? HTTP_REQUEST : HTTP_RESPONSE);
   mParser.data = this;
   mHead = http_head{};
-  mBody.clear();
+  // Clearing it would keep the memory of a large body.
+  std::string().swap(mBody);
   mHeadBytes = 0;
   mBodyBytes = 0;
   mNoBody = aNoBody;
--- a/Libraries/LibNet/TcpChannel.cpp
+++ b/Libraries/LibNet/TcpChannel.cpp
@@ -125,6 +125,7 @@
   }
   // A failed send is reported again through readiness, where the channel can
   // be ended without re-entering the code that called `Write`.
+  RemoveSentBytes();
   mOutput.append(aBytes);
   mWantWrite = true;
   UpdateWatchedEvents();
@@ -240,6 +241,15 @@
   }
 }
 
+void
+tcp_channel::RemoveSentBytes()
+{
+  if (mSentBytes > Pending()) {
+    mOutput.erase(0, mSentBytes);
+    mSentBytes = 0;
+  }
+}
+
 void
 tcp_channel::Flush()
 {
@@ -248,6 +258,7 @@
       send(mSocket, mOutput.data() + mSentBytes, Pending(), MSG_NOSIGNAL);
     if (sent < 0) {
       if (errno == EAGAIN || errno == EINTR) {
+        RemoveSentBytes();
         return;
       }
       NotifyEnd(channel_end::Reset);
@@ -255,7 +266,8 @@
     }
     mSentBytes += static_cast<std::size_t>(sent);
   }
-  mOutput.clear();
+  // A connection that stays open must not keep the memory of a large answer.
+  std::string().swap(mOutput);
   mSentBytes = 0;
   mWantWrite = false;
   if (mCloseWhenDrained) {
--- a/Libraries/LibNet/TcpChannel.h
+++ b/Libraries/LibNet/TcpChannel.h
@@ -63,6 +63,9 @@
   void Write(std::string_view aBytes);
   /// Written bytes that the kernel has not accepted yet.
   std::size_t Pending() const { return mOutput.size() - mSentBytes; }
+  /// Bytes that the channel keeps for that; at most twice as many, besides one
+  /// write.
+  std::size_t BufferedOutput() const { return mOutput.size(); }
   /// Pauses or resumes reading, so that a slow consumer applies back-pressure
   /// to the sender.
   void PauseReading(bool aPaused);
@@ -80,6 +83,8 @@
   void UpdateWatchedEvents();
   void Read();
   void Flush();
+  /// Removes sent bytes once they are more than the others.
+  void RemoveSentBytes();
   void NotifyEnd(channel_end aEnd);
 
   event_loop& mLoop;
--- a/Tests/Gateway/EndlessAnswerTest.cpp
+++ b/Tests/Gateway/EndlessAnswerTest.cpp
@@ -141,6 +141,7 @@
   CPPUNIT_TEST(HeadsWithoutEndCloseTheConnection);
   CPPUNIT_TEST(BytesAfterAnAnswerCloseTheConnection);
   CPPUNIT_TEST(StoreAnswerWithoutEndFailsTheCall);
+  CPPUNIT_TEST(ChannelThatIsNeverDrainedFreesWhatWasSent);
   CPPUNIT_TEST(LimitFollowsFromTheMemoryOfTheProcess);
   CPPUNIT_TEST_SUITE_END();
 
@@ -546,6 +547,49 @@
     }
   }
 
+  /// Guards against a channel to a slow reader that keeps all bytes that it has
+  /// sent since it was empty last.
+  void ChannelThatIsNeverDrainedFreesWhatWasSent()
+  {
+    struct reader final : channel_owner
+    {
+      void OnInput(tcp_channel& aChannel) override
+      {
+        mReceived += aChannel.Input().size();
+        aChannel.Input().clear();
+      }
+      void OnEnd(tcp_channel&, channel_end) override {}
+      std::size_t mReceived = 0;
+    };
+    constexpr std::size_t kRead = 32 * kMegabyte;
+    event_loop loop;
+    std::shared_ptr<tcp_channel> writer;
+    const outcome<std::unique_ptr<tcp_listener>> listener =
+      Capture<std::unique_ptr<tcp_listener>>([&loop, &writer]() {
+        return tcp_listener::Open(
+          loop, { "127.0.0.1", 0 }, [&loop, &writer](int aSocket) {
+            writer =
+              std::make_shared<tcp_channel>(loop, aSocket, channel_limits{});
+          });
+      });
+    CPPUNIT_ASSERT(listener);
+    reader slow;
+    tcp_channel channel(
+      loop, { "127.0.0.1", (*listener.mValue)->Port() }, channel_limits{});
+    channel.SetOwner(&slow);
+    while (writer == nullptr) {
+      loop.Turn();
+    }
+    while (slow.mReceived < kRead) {
+      while (writer->Pending() < 4 * kMegabyte) {
+        writer->Write(kPiece);
+      }
+      loop.Turn();
+      CPPUNIT_ASSERT(writer->BufferedOutput() <=
+                     2 * writer->Pending() + kPiece.size());
+    }
+  }
+
   /// Guards against a limit that is larger than the process may be.
   void LimitFollowsFromTheMemoryOfTheProcess()
   {
--- a/Tests/Unit/HttpReaderTest.cpp
+++ b/Tests/Unit/HttpReaderTest.cpp
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(InterimAnswersWithoutEndAreRejected);
   CPPUNIT_TEST(InterimAnswerIsPartOfTheAnswer);
   CPPUNIT_TEST(HeadsWithoutEndAreRejected);
+  CPPUNIT_TEST(RestartFreesTheBody);
   CPPUNIT_TEST(OnlyCompleteEventsAreReturned);
   CPPUNIT_TEST(ResumedStreamSkipsRepeatedEvents);
   CPPUNIT_TEST(EventsEndWithEachLineEndOfTheFormat);
@@ -213,6 +214,19 @@
     }
   }
 
+  /// Guards against a connection that keeps the memory of the largest body that
+  /// it ever read.
+  void RestartFreesTheBody()
+  {
+    constexpr std::size_t kBytes = std::size_t{ 1024 } * 1024;
+    http_reader reader(http_role::Answer, http_limits{});
+    CPPUNIT_ASSERT(
+      ReadOne(reader, "HTTP/1.1 200 OK\r\n\r\n" + std::string(kBytes, 'x')) ==
+      read_state::Body);
+    reader.Restart();
+    CPPUNIT_ASSERT(reader.Body().capacity() < kBytes);
+  }
+
   void OnlyCompleteEventsAreReturned()
   {
     event_cursor cursor;
