--- a/Tests/Gateway/EndlessAnswerTest.cpp
+++ b/Tests/Gateway/EndlessAnswerTest.cpp
@@ -141,6 +141,7 @@
   CPPUNIT_TEST(HeadsWithoutEndCloseTheConnection);
   CPPUNIT_TEST(BytesAfterAnAnswerCloseTheConnection);
   CPPUNIT_TEST(StoreAnswerWithoutEndFailsTheCall);
+  CPPUNIT_TEST(DecompressedBytesAreBounded);
   CPPUNIT_TEST(ChannelThatIsNeverDrainedFreesWhatWasSent);
   CPPUNIT_TEST(LimitFollowsFromTheMemoryOfTheProcess);
   CPPUNIT_TEST_SUITE_END();
@@ -547,6 +548,18 @@
     }
   }
 
+  /// Guards against a small message of a peer that decompresses to more than
+  /// the process may hold.
+  void DecompressedBytesAreBounded()
+  {
+    const std::string small = Compress(std::string(64 * kMegabyte, 'x'));
+    CPPUNIT_ASSERT(small.size() < kMegabyte);
+    CPPUNIT_ASSERT(!Capture<std::string>(
+      [&small]() { return Decompress(small, kMegabyte); }));
+    CPPUNIT_ASSERT(
+      !Capture<table_snapshot>([&small]() { return DecodeSnapshot(small); }));
+  }
+
   /// Guards against a channel to a slow reader that keeps all bytes that it has
   /// sent since it was empty last.
   void ChannelThatIsNeverDrainedFreesWhatWasSent()
