--- a/Tests/Gateway/EndlessAnswerTest.cpp
+++ b/Tests/Gateway/EndlessAnswerTest.cpp
@@ -236,12 +236,13 @@
           channel.Write(SuccessHead(aHead, "") + body);
           channel.CloseWhenDrained();
         } else if (framing.starts_with("Transfer")) {
-          channel.Write(SuccessHead(aHead, framing) + ChunkOf(body) +
-                        std::string(kLastChunk));
+          channel.Write(SuccessHead(aHead, framing));
+          channel.Write(ChunkOf(body));
+          channel.Write(kLastChunk);
         } else {
-          channel.Write(
-            SuccessHead(aHead, framing + std::to_string(body.size()) + "\r\n") +
-            body);
+          const std::string length = std::to_string(body.size());
+          channel.Write(SuccessHead(aHead, framing + length + "\r\n"));
+          channel.Write(body);
         }
       };
       w.Start();
