--- a/Libraries/LibGateway/ExchangeRetry.cpp
+++ b/Libraries/LibGateway/ExchangeRetry.cpp
@@ -24,7 +24,8 @@
 bool
 exchange::HasBegunAndMayResume() const
 {
-  return mHeadWritten && IsRetryable();
+  return mHeadWritten && mStreamHead.has_value() && IsRetryable() &&
+         !mForwardingLargeAnswer;
 }
 
 bool
@@ -95,7 +96,7 @@
 bool
 exchange::CanRetryElsewhere()
 {
-  if (!IsRetryable()) {
+  if (!IsRetryable() || mForwardingLargeAnswer) {
     LogRetryDenied("not_repeatable");
     return false;
   }
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -584,6 +584,9 @@
     mAttempt->Cancel();
     mContext.mLoop.DeleteLater(std::move(mAttempt));
     mAttempt = nullptr;
+    if (mResponse != nullptr) {
+      mResponse->SetUnwritten(0);
+    }
   }
   if (mMemory != nullptr) {
     mMemory->Release();
