--- a/Libraries/LibFleet/EngineLedger.cpp
+++ b/Libraries/LibFleet/EngineLedger.cpp
@@ -50,6 +50,22 @@
   aLoad.mRecentPrefillAt = aNow;
 }
 
+/// The longest part is remembered for about as long as the longest prompts are
+/// prefilled.
+constexpr duration kLongestPartLifetime = std::chrono::seconds(4);
+
+void
+RecordPart(engine_load& aLoad, double aMs, time_point aNow)
+{
+  const placed_part part = { aMs, aNow };
+  aLoad.mLastPart = part;
+  if (!aLoad.mLongestPart.has_value() ||
+      aMs >= aLoad.mLongestPart->mPrefillMs ||
+      aNow - aLoad.mLongestPart->mPlacedAt > kLongestPartLifetime) {
+    aLoad.mLongestPart = part;
+  }
+}
+
 /// Adds a placement to those that the engine prefills, and delays the end of
 /// all of them to the end of its backlog: an engine prefills parts for other
 /// engines in last-in-first-out order, and all queued parts in one pass while
@@ -87,16 +103,49 @@
 }
 
 void
-CountEnded(engine_load& aLoad, placement_end aEnd)
+CountEnded(engine_load& aLoad, placement_removal aWhy)
 {
-  if (aLoad.mReportedRequestCount > 0 && aEnd == placement_end::Read) {
+  if (aLoad.mReportedRequestCount > 0 && aWhy != placement_removal::Unread) {
     --aLoad.mReportedRequestCount;
   }
 }
 
+void
+RemoveFromEngines(engine_ledger& aLedger,
+                  placement_key aKey,
+                  placement_removal aWhy,
+                  time_point aNow)
+{
+  const auto found = aLedger.mPlacements.find(aKey);
+  if (found == aLedger.mPlacements.end()) {
+    return;
+  }
+  const placement& ended = found->second;
+  if (aWhy == placement_removal::Unread) {
+    for (const engine_key engine : ended.mEngines) {
+      AddPrefillTime(aLedger.mEngines[engine], -ended.mPartPrefillMs, aNow);
+    }
+  }
+  for (const engine_key engine : ended.mEngines) {
+    engine_load& load = aLedger.mEngines[engine];
+    std::erase(load.mPrefilling, aKey);
+    load.mLastRemoved = { aWhy, aNow };
+  }
+  engine_load& load = aLedger.mEngines[ended.mEngines.front()];
+  load.mTokens = std::max(0.0, load.mTokens - ended.mTokens);
+  std::erase(load.mDecoding, aKey);
+  CountEnded(load, aWhy);
+  for (const engine_key holder : ended.mHolders) {
+    double& tokens = aLedger.mEngines[holder].mTokens;
+    tokens = std::max(0.0, tokens - ended.mHolderTokens);
+  }
+  aLedger.mPlacements.erase(found);
+}
+
 template<typename Condition>
 void
 RemovePlacementsIf(engine_ledger& aLedger,
+                   placement_removal aWhy,
                    time_point aNow,
                    Condition&& aCondition)
 {
@@ -107,12 +156,28 @@
     }
   }
   for (const placement_key key : removed) {
-    RemovePlacement(aLedger, key, placement_end::Read, aNow);
+    RemoveFromEngines(aLedger, key, aWhy, aNow);
   }
 }
 
 } // namespace
 
+std::string_view
+RemovalText(placement_removal aWhy)
+{
+  switch (aWhy) {
+    case placement_removal::Read:
+      return "read";
+    case placement_removal::Unread:
+      return "unread";
+    case placement_removal::Expired:
+      return "expired";
+    case placement_removal::OwnerGone:
+      return "owner_gone";
+  }
+  return "";
+}
+
 engine_key
 EngineKey(std::string_view aEndpointId)
 {
@@ -207,6 +272,7 @@
     AddPrefillTime(load, aPlaced.mPartPrefillMs, aNow);
     MarkExceededPauses(aLedger, load);
     AddPrefill(aLedger, load, aPlaced.mKey, aNow);
+    RecordPart(load, aPlaced.mPartPrefillMs, aNow);
   }
   engine_load& decodeLoad = aLedger.mEngines[aPlaced.mEngines.front()];
   decodeLoad.mDecoding.push_back(aPlaced.mKey);
@@ -223,36 +289,21 @@
                 placement_end aEnd,
                 time_point aNow)
 {
-  const auto found = aLedger.mPlacements.find(aKey);
-  if (found == aLedger.mPlacements.end()) {
-    return;
-  }
-  const placement& ended = found->second;
-  if (aEnd == placement_end::Unread) {
-    for (const engine_key engine : ended.mEngines) {
-      AddPrefillTime(aLedger.mEngines[engine], -ended.mPartPrefillMs, aNow);
-    }
-  }
-  for (const engine_key engine : ended.mEngines) {
-    std::erase(aLedger.mEngines[engine].mPrefilling, aKey);
-  }
-  engine_load& load = aLedger.mEngines[ended.mEngines.front()];
-  load.mTokens = std::max(0.0, load.mTokens - ended.mTokens);
-  std::erase(load.mDecoding, aKey);
-  CountEnded(load, aEnd);
-  for (const engine_key holder : ended.mHolders) {
-    double& tokens = aLedger.mEngines[holder].mTokens;
-    tokens = std::max(0.0, tokens - ended.mHolderTokens);
-  }
-  aLedger.mPlacements.erase(found);
+  RemoveFromEngines(aLedger,
+                    aKey,
+                    aEnd == placement_end::Read ? placement_removal::Read
+                                                : placement_removal::Unread,
+                    aNow);
 }
 
 void
 RemoveExpiredPlacements(engine_ledger& aLedger, time_point aNow)
 {
-  RemovePlacementsIf(aLedger, aNow, [aNow](const placement& aPlaced) {
-    return aPlaced.mExpires <= aNow;
-  });
+  RemovePlacementsIf(
+    aLedger,
+    placement_removal::Expired,
+    aNow,
+    [aNow](const placement& aPlaced) { return aPlaced.mExpires <= aNow; });
 }
 
 void
@@ -260,9 +311,11 @@
                         std::uint64_t aOwner,
                         time_point aNow)
 {
-  RemovePlacementsIf(aLedger, aNow, [aOwner](const placement& aPlaced) {
-    return aPlaced.mOwner == aOwner;
-  });
+  RemovePlacementsIf(
+    aLedger,
+    placement_removal::OwnerGone,
+    aNow,
+    [aOwner](const placement& aPlaced) { return aPlaced.mOwner == aOwner; });
 }
 
 } // namespace primrose
--- a/Libraries/LibFleet/EngineLedger.h
+++ b/Libraries/LibFleet/EngineLedger.h
@@ -58,6 +58,43 @@
   bool operator==(const placement&) const = default;
 };
 
+/// How a placement ended; determines whether its prefill is still counted.
+enum class placement_end : std::uint8_t
+{
+  Read,   ///< Its prompt was prefilled.
+  Unread, ///< It was refused or cancelled before its first event.
+};
+
+/// Why a placement was removed from the ledger.
+enum class placement_removal : std::uint8_t
+{
+  Read,      ///< See `placement_end`.
+  Unread,    ///< See `placement_end`.
+  Expired,   ///< Its deadline passed without an announced end.
+  OwnerGone, ///< The gateway that placed it is gone.
+};
+
+std::string_view
+RemovalText(placement_removal aWhy);
+
+/// A part that an engine was given, for logs.
+struct placed_part
+{
+  double mPrefillMs = 0; ///< When it was placed.
+  time_point mPlacedAt{};
+
+  bool operator==(const placed_part&) const = default;
+};
+
+/// The removal of a placement from an engine, for logs.
+struct removed_placement
+{
+  placement_removal mWhy = placement_removal::Read;
+  time_point mAt{};
+
+  bool operator==(const removed_placement&) const = default;
+};
+
 struct engine_load
 {
   /// Remaining prefill as of `mBacklogAt`, in declared time.
@@ -78,6 +115,10 @@
   engine_speed mSpeed;
   double mPace =
     1; ///< In force since `mBacklogAt` or longer; see `UpdatePace`.
+  std::optional<placed_part> mLastPart;
+  /// The longest of the last seconds.
+  std::optional<placed_part> mLongestPart;
+  std::optional<removed_placement> mLastRemoved;
 
   bool operator==(const engine_load&) const = default;
 };
@@ -88,13 +129,6 @@
   std::unordered_map<placement_key, placement> mPlacements;
 };
 
-/// How a placement ended; determines whether its prefill is still counted.
-enum class placement_end : std::uint8_t
-{
-  Read,   ///< Its prompt was prefilled.
-  Unread, ///< It was refused or cancelled before its first event.
-};
-
 /// The load of an engine; that of an idle one if it is not in the ledger.
 const engine_load&
 LoadOf(const engine_ledger& aLedger, engine_key aEngine);
--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -17,6 +17,7 @@
 #include "LibFleet/EnginePlacement.h"
 #include "LibFleet/EngineSpeed.h"
 #include "LibFleet/EngineSubset.h"
+#include "LibFleet/EngineSummary.h"
 #include "LibFleet/EngineTiming.h"
 #include "LibFleet/Evacuations.h"
 #include "LibFleet/FairShares.h"
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -525,24 +525,47 @@
 exchange::LogResponseTimeout() const
 {
   const time_point now = mContext.mLoop.Now();
+  const engine_ledger& ledger = mContext.mBoard.mLedger;
   const known_endpoint* const known = FindEndpoint(*mAttempt);
-  const engine_load* const load = FindEngineLoad(*mAttempt);
+  const engine_summary engine =
+    SummariseEngine(ledger, EngineKey(mAttempt->Endpoint().mId), now);
+  const busiest_engine busiest =
+    mPlacement.has_value()
+      ? BusiestEngine(ledger, *mPlacement, now).value_or(busiest_engine{})
+      : busiest_engine{};
+  const known_endpoint* const busiestKnown =
+    FindByKey(mContext.mBoard.mEndpoints, busiest.mEngine);
   const bool hasBeenHeard =
     known != nullptr && known->mLastReceivedAt != time_point{};
-  Log(log_level::Info,
-      "endpoint_silent",
-      { { "request", mRequestInfo.mId },
-        { "endpoint", mAttempt->Endpoint().mId },
-        { "expected_ms", mExpectedFirstEventMs },
-        { "waited_ms", Milliseconds(now - mAttempt->SentAt()) },
-        { "events", mCursor.Count() },
-        { "helpers", mHelperCount },
-        { "reading_left_ms", load == nullptr ? 0 : BacklogMs(*load, now) },
-        { "writing", load == nullptr ? 0 : load->mDecoding.size() },
-        { "pace", load == nullptr ? 1 : load->mPace },
-        { "own_attempts", known == nullptr ? 0 : known->mOutstanding },
-        { "heard_ms",
-          hasBeenHeard ? Milliseconds(now - known->mLastReceivedAt) : -1 } });
+  Log(
+    log_level::Info,
+    "endpoint_silent",
+    { { "request", mRequestInfo.mId },
+      { "endpoint", mAttempt->Endpoint().mId },
+      { "expected_ms", mExpectedFirstEventMs },
+      { "waited_ms", Milliseconds(now - mAttempt->SentAt()) },
+      { "events", mCursor.Count() },
+      { "helpers", mHelperCount },
+      { "reading_left_ms", engine.mBacklogMs },
+      { "writing", engine.mDecoding },
+      { "pace", engine.mPace },
+      { "own_attempts", known == nullptr ? 0 : known->mOutstanding },
+      { "heard_ms",
+        hasBeenHeard ? Milliseconds(now - known->mLastReceivedAt) : -1 },
+      { "preferred", static_cast<int>(known == nullptr || known->mPreferred) },
+      { "reading", engine.mPrefilling },
+      { "tokens", engine.mTokens },
+      { "memory_tokens",
+        mService->mEngine.has_value() ? mService->mEngine->mMemoryTokens : 0 },
+      { "last_part_ms", engine.mLastPartMs },
+      { "last_part_age_ms", Milliseconds(engine.mLastPartAge) },
+      { "longest_part_ms", engine.mLongestPartMs },
+      { "longest_part_age_ms", Milliseconds(engine.mLongestPartAge) },
+      { "removed_why", engine.mRemovalText },
+      { "removed_age_ms", Milliseconds(engine.mRemovalAge) },
+      { "busiest_reader",
+        busiestKnown == nullptr ? "" : busiestKnown->mListed.mId },
+      { "busiest_left_ms", Milliseconds(busiest.mRemaining) } });
 }
 
 duration
--- a/Libraries/LibGossip/GossipSender.cpp
+++ b/Libraries/LibGossip/GossipSender.cpp
@@ -315,6 +315,8 @@
     TakeRecipientCount(mBudget, aHosts.size(), aBytes, mLoop.Now());
   mBoard.mMetrics.Count(Labelled(
     "gateway_news_total", "told", chosen == aHosts.size() ? "all" : "some"));
+  mBoard.mMetrics.Count("gateway_news_peers_skipped_total",
+                        static_cast<double>(aHosts.size() - chosen));
   CountPeerBytes(mBoard.mMetrics, peer_traffic::UpdatesSent, chosen * aBytes);
   if (chosen == aHosts.size()) {
     return aHosts;
--- a/Libraries/LibGossip/PeerGossip.cpp
+++ b/Libraries/LibGossip/PeerGossip.cpp
@@ -30,18 +30,6 @@
                static_cast<int>((aPeers + recipients - 1) / recipients);
 }
 
-/// The endpoint that peers identify by this key; null if it is not listed here.
-known_endpoint*
-FindByKey(endpoint_registry& aBoard, engine_key aKey)
-{
-  for (auto& [id, known] : aBoard.mEndpoints) {
-    if (EngineKey(id) == aKey) {
-      return &known;
-    }
-  }
-  return nullptr;
-}
-
 } // namespace
 
 peer_gossip::peer_gossip(event_loop& aLoop,
@@ -326,6 +314,7 @@
     }
     AddPlacement(mBoard.mLedger, placed, now);
   }
+  CountUnknownEnds(aUpdates);
   for (const placement_key key : aUpdates.mEndedPlacements) {
     RemovePlacement(mBoard.mLedger, key, placement_end::Read, now);
   }
@@ -363,6 +352,24 @@
   }
 }
 
+void
+peer_gossip::CountUnknownEnds(const peer_updates& aUpdates)
+{
+  const engine_ledger& ledger = mBoard.mLedger;
+  const auto unknown = [&ledger](placement_key aKey) {
+    return !ledger.mPlacements.contains(aKey);
+  };
+  const std::ptrdiff_t count =
+    std::count_if(aUpdates.mEndedPlacements.begin(),
+                  aUpdates.mEndedPlacements.end(),
+                  unknown) +
+    std::count_if(aUpdates.mEndedBeforePrefill.begin(),
+                  aUpdates.mEndedBeforePrefill.end(),
+                  unknown);
+  mBoard.mMetrics.Count("gateway_placements_missed_total",
+                        static_cast<double>(count));
+}
+
 void
 peer_gossip::ApplyPeerSizes(const std::vector<size_report>& aReports,
                             const std::string& aHost)
--- a/Libraries/LibGossip/PeerGossip.h
+++ b/Libraries/LibGossip/PeerGossip.h
@@ -79,6 +79,9 @@
   /// Applies what the peer says of its copies of the tables, and passes it on.
   void ApplyVersions(const peer_message& aMessage, const std::string& aHost);
   void ApplyUpdates(const peer_updates& aUpdates, const std::string& aHost);
+  /// Counts the ends of placements that were not announced to this gateway,
+  /// or whose announcement was lost or has expired.
+  void CountUnknownEnds(const peer_updates& aUpdates);
   void ApplyPeerSizes(const std::vector<size_report>& aReports,
                       const std::string& aHost);
   void ApplyCrashUpdates(const peer_message& aMessage,
