--- a/Libraries/LibNet/EventLoop.cpp
+++ b/Libraries/LibNet/EventLoop.cpp
@@ -198,7 +198,8 @@
   std::array<epoll_event, kEventsPerTurn> events{};
   const time_point began = Now();
   const int count = epoll_wait(mEpoll, events.data(), kEventsPerTurn, aTimeout);
-  mWaited += Now() - began;
+  mPolledAt = Now();
+  mWaited += mPolledAt - began;
   gint forGlib = 0;
   for (int i = 0; i < count; ++i) {
     const epoll_event& event = events[static_cast<std::size_t>(i)];
@@ -240,7 +241,7 @@
   event_loop* const loop = reinterpret_cast<loop_source*>(aSource)->mLoop;
   return !loop->mReady.empty() ||
              (!loop->mTimers.empty() &&
-              loop->mTimers.begin()->first.first <= loop->Now())
+              loop->mTimers.begin()->first.first <= loop->mPolledAt)
            ? TRUE
            : FALSE;
 }
@@ -277,8 +278,9 @@
 void
 event_loop::RunTimers()
 {
-  const time_point now = Now();
-  while (!mTimers.empty() && mTimers.begin()->first.first <= now) {
+  // Timers that became due since then wait for the next poll. The handlers that
+  // ran meanwhile may have taken long.
+  while (!mTimers.empty() && mTimers.begin()->first.first <= mPolledAt) {
     const std::function<void()> action = std::move(mTimers.begin()->second);
     mTimerTimes.erase(mTimers.begin()->first.second);
     mTimers.erase(mTimers.begin());
--- a/Libraries/LibNet/EventLoop.h
+++ b/Libraries/LibNet/EventLoop.h
@@ -44,7 +44,9 @@
   void ChangeEvents(int aDescriptor, std::uint32_t aEvents);
   void Unwatch(int aDescriptor);
 
-  /// Calls `aAction` once, `aDelay` from now.
+  /// Calls `aAction` once, `aDelay` from now. Descriptors that are ready by
+  /// then are handled first, also if the loop was busy at that time: a timeout
+  /// does not expire while the data that it waits for has arrived.
   timer_id After(duration aDelay, std::function<void()> aAction);
   /// Cancels a timer and sets `aTimer` to 0.
   void Cancel(timer_id& aTimer);
@@ -91,6 +93,8 @@
   int mEpoll = -1;
   time_point mStarted;
   duration mWaited{};
+  /// When the ready descriptors were last asked for.
+  time_point mPolledAt{};
   std::uint32_t mGeneration = 0;
   timer_id mLastTimer = 0;
   std::unordered_map<int, watch_entry> mWatched;
