--- a/Libraries/LibFleet/EngineLedger.cpp
+++ b/Libraries/LibFleet/EngineLedger.cpp
@@ -110,6 +110,17 @@
   }
 }
 
+/// The share of a placement's part that the engine has yet to prefill, in
+/// declared time. It may have prefilled the rest, or been given up before.
+double
+RemainingPartMs(const engine_load& aLoad,
+                const placement& aPlaced,
+                time_point aNow)
+{
+  return std::min(aPlaced.mPartPrefillMs,
+                  ElapsedMs(aNow, aPlaced.mPrefillEndsAt) / aLoad.mPace);
+}
+
 void
 RemoveFromEngines(engine_ledger& aLedger,
                   placement_key aKey,
@@ -123,7 +134,8 @@
   const placement& ended = found->second;
   if (aWhy == placement_removal::Unread) {
     for (const engine_key engine : ended.mEngines) {
-      AddPrefillTime(aLedger.mEngines[engine], -ended.mPartPrefillMs, aNow);
+      engine_load& load = aLedger.mEngines[engine];
+      AddPrefillTime(load, -RemainingPartMs(load, ended, aNow), aNow);
     }
   }
   for (const engine_key engine : ended.mEngines) {
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -468,6 +468,7 @@
   CPPUNIT_TEST_SUITE(placement_test);
   CPPUNIT_TEST(PrefillTimeMatchesEngineTiming);
   CPPUNIT_TEST(RefusedPromptLeavesNoBacklog);
+  CPPUNIT_TEST(CancelledPromptLeavesPrefillOfOthers);
   CPPUNIT_TEST(ShortStreamsArePackedOnFewEngines);
   CPPUNIT_TEST(LongPromptAvoidsStreamsWithShortPauses);
   CPPUNIT_TEST(LongPromptConcentratesHarmOnFewEngines);
@@ -526,6 +527,30 @@
     }
   }
 
+  /// Guards against subtracting prefill that is done already. When a prompt was
+  /// given up after its parts had been prefilled, the ledger lost the part of
+  /// another prompt on the same engine, and the streams there were given up as
+  /// silent while it was prefilled.
+  void CancelledPromptLeavesPrefillOfOthers()
+  {
+    engine_ledger ledger;
+    placement first;
+    first.mKey = 1;
+    first.mEngines = { 10, 11 };
+    first.mPartPrefillMs = 600;
+    first.mExpires = kStart + std::chrono::seconds(15);
+    AddPlacement(ledger, first, kStart);
+    placement second = first;
+    second.mKey = 2;
+    second.mEngines = { 12, 11 };
+    second.mPartPrefillMs = 650;
+    const time_point later = kStart + std::chrono::seconds(5);
+    AddPlacement(ledger, second, later);
+    RemovePlacement(ledger, 1, placement_end::Unread, later);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+      650, BacklogMs(LoadOf(ledger, 11), later), 0.001);
+  }
+
   void ShortStreamsArePackedOnFewEngines()
   {
     test_fleet f;
