--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -162,7 +162,8 @@
   /// recently sent data for any request of this gateway.
   bool IsFullButResponsive(const attempt& aAttempt) const;
   /// Estimated time that the endpoint needs to finish its queued prefill before
-  /// it decodes again.
+  /// it decodes again. Before the first event of a divided prompt: the longest
+  /// such time of its engines.
   duration PrefillBacklog(const attempt& aAttempt) const;
   void OnDeadline();
   /// Takes one retry from the retry budget of the service; false if it is
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -571,11 +571,19 @@
 duration
 exchange::PrefillBacklog(const attempt& aAttempt) const
 {
+  const time_point now = mContext.mLoop.Now();
+  // The first event of a divided prompt follows its last part.
+  if (!mAttemptHasEvents && mPlacement.has_value()) {
+    const std::optional<busiest_engine> busiest =
+      BusiestEngine(mContext.mBoard.mLedger, *mPlacement, now);
+    if (busiest.has_value()) {
+      return busiest->mRemaining;
+    }
+  }
   const engine_load* const load = FindEngineLoad(aAttempt);
   return load == nullptr
            ? duration::zero()
-           : FromSeconds(load->mPace * BacklogMs(*load, mContext.mLoop.Now()) /
-                         kMsPerSecond);
+           : FromSeconds(load->mPace * BacklogMs(*load, now) / kMsPerSecond);
 }
 
 bool
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -469,6 +469,7 @@
   CPPUNIT_TEST(PrefillTimeMatchesEngineTiming);
   CPPUNIT_TEST(RefusedPromptLeavesNoBacklog);
   CPPUNIT_TEST(CancelledPromptLeavesPrefillOfOthers);
+  CPPUNIT_TEST(DividedPromptWaitsForItsBusiestEngine);
   CPPUNIT_TEST(ShortStreamsArePackedOnFewEngines);
   CPPUNIT_TEST(LongPromptAvoidsStreamsWithShortPauses);
   CPPUNIT_TEST(LongPromptConcentratesHarmOnFewEngines);
@@ -551,6 +552,32 @@
       650, BacklogMs(LoadOf(ledger, 11), later), 0.001);
   }
 
+  /// Guards against giving up a divided prompt while one of its helpers, unlike
+  /// the engine that decodes, has prefill of other prompts to do first.
+  void DividedPromptWaitsForItsBusiestEngine()
+  {
+    engine_ledger ledger;
+    placement divided;
+    divided.mKey = 1;
+    divided.mEngines = { 10, 11 };
+    divided.mPartPrefillMs = 30;
+    divided.mExpires = kStart + std::chrono::seconds(15);
+    AddPlacement(ledger, divided, kStart);
+    placement other = divided;
+    other.mKey = 2;
+    other.mEngines = { 11 };
+    other.mPartPrefillMs = 900;
+    AddPlacement(ledger, other, kStart + milliseconds(100));
+    const std::optional<busiest_engine> busiest =
+      BusiestEngine(ledger, 1, kStart + milliseconds(100));
+    CPPUNIT_ASSERT(busiest.has_value());
+    CPPUNIT_ASSERT_EQUAL(engine_key{ 11 }, busiest->mEngine);
+    CPPUNIT_ASSERT(busiest->mRemaining >= milliseconds(900));
+    CPPUNIT_ASSERT(BacklogMs(LoadOf(ledger, 10), kStart + milliseconds(100)) <
+                   1);
+    CPPUNIT_ASSERT(!BusiestEngine(ledger, 3, kStart).has_value());
+  }
+
   void ShortStreamsArePackedOnFewEngines()
   {
     test_fleet f;
