--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -468,6 +468,8 @@
   CPPUNIT_TEST_SUITE(placement_test);
   CPPUNIT_TEST(PrefillTimeMatchesEngineTiming);
   CPPUNIT_TEST(RefusedPromptLeavesNoBacklog);
+  CPPUNIT_TEST(CancelledPromptLeavesPrefillOfOthers);
+  CPPUNIT_TEST(DividedPromptWaitsForItsBusiestEngine);
   CPPUNIT_TEST(ShortStreamsArePackedOnFewEngines);
   CPPUNIT_TEST(LongPromptAvoidsStreamsWithShortPauses);
   CPPUNIT_TEST(LongPromptConcentratesHarmOnFewEngines);
@@ -526,6 +528,56 @@
     }
   }
 
+  /// Guards against subtracting prefill that is done already. When a prompt was
+  /// given up after its parts had been prefilled, the ledger lost the part of
+  /// another prompt on the same engine, and the streams there were given up as
+  /// silent while it was prefilled.
+  void CancelledPromptLeavesPrefillOfOthers()
+  {
+    engine_ledger ledger;
+    placement first;
+    first.mKey = 1;
+    first.mEngines = { 10, 11 };
+    first.mPartPrefillMs = 600;
+    first.mExpires = kStart + std::chrono::seconds(15);
+    AddPlacement(ledger, first, kStart);
+    placement second = first;
+    second.mKey = 2;
+    second.mEngines = { 12, 11 };
+    second.mPartPrefillMs = 650;
+    const time_point later = kStart + std::chrono::seconds(5);
+    AddPlacement(ledger, second, later);
+    RemovePlacement(ledger, 1, placement_end::Unread, later);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+      650, BacklogMs(LoadOf(ledger, 11), later), 0.001);
+  }
+
+  /// Guards against giving up a divided prompt while one of its helpers, unlike
+  /// the engine that decodes, has prefill of other prompts to do first.
+  void DividedPromptWaitsForItsBusiestEngine()
+  {
+    engine_ledger ledger;
+    placement divided;
+    divided.mKey = 1;
+    divided.mEngines = { 10, 11 };
+    divided.mPartPrefillMs = 30;
+    divided.mExpires = kStart + std::chrono::seconds(15);
+    AddPlacement(ledger, divided, kStart);
+    placement other = divided;
+    other.mKey = 2;
+    other.mEngines = { 11 };
+    other.mPartPrefillMs = 900;
+    AddPlacement(ledger, other, kStart + milliseconds(100));
+    const std::optional<busiest_engine> busiest =
+      BusiestEngine(ledger, 1, kStart + milliseconds(100));
+    CPPUNIT_ASSERT(busiest.has_value());
+    CPPUNIT_ASSERT_EQUAL(engine_key{ 11 }, busiest->mEngine);
+    CPPUNIT_ASSERT(busiest->mRemaining >= milliseconds(900));
+    CPPUNIT_ASSERT(BacklogMs(LoadOf(ledger, 10), kStart + milliseconds(100)) <
+                   1);
+    CPPUNIT_ASSERT(!BusiestEngine(ledger, 3, kStart).has_value());
+  }
+
   void ShortStreamsArePackedOnFewEngines()
   {
     test_fleet f;
