--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -531,10 +531,12 @@
   const std::vector<row_change<endpoint>> rows =
     DecodeEndpointRows(aResult.mRows);
   for (const row_change<endpoint>& row : rows) {
-    OnListingChange(row.mKey, ApplyRow(mBoard.mEndpoints, row));
+    const membership_change change = ApplyRow(mBoard.mEndpoints, row);
+    OnListingChange(row.mKey, change);
     const auto known = mBoard.mEndpoints.mEndpoints.find(row.mKey);
+    // The cold time counts from the first reading of a row.
     if (known != mBoard.mEndpoints.mEndpoints.end() &&
-        known->second.mRevision == row.mRevision) {
+        change != membership_change::Unchanged) {
       BeginWarmUp(mBoard,
                   mSettings.mPeers.mHost,
                   known->second,
--- a/Tests/Gateway/DataCentreTest.cpp
+++ b/Tests/Gateway/DataCentreTest.cpp
@@ -108,6 +108,7 @@
   CPPUNIT_TEST(RestartUnderTheSameIdForgetsTheEarlierRun);
   CPPUNIT_TEST(ColdEndpointGetsItsShareOnly);
   CPPUNIT_TEST(ColdEndpointIsAvoidedBeforeAnEvacuationEnds);
+  CPPUNIT_TEST(WarmEndpointStaysWarmWhenItsRowIsReadAgain);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -534,6 +535,37 @@
     CPPUNIT_ASSERT(static_cast<double>(w.mDeskEndpoint.mHeads.size() -
                                        before) <= kColdPerSecond);
   }
+
+  /// Guards against the limit of a cold endpoint for one that has become warm,
+  /// as soon as the whole list is read again.
+  void WarmEndpointStaysWarmWhenItsRowIsReadAgain()
+  {
+    two_data_centres w;
+    constexpr std::int64_t kColdMs = 2000;
+    WriteManifest(w.mStore, 4, "", 0, { {}, {}, 10, 3 });
+    ListEndpoint(w.mStore,
+                 "i-desk",
+                 "desk",
+                 w.mDeskEndpoint.mServer.Address(),
+                 "ready",
+                 { "a", kColdMs });
+    w.StartFollowing();
+    const auto isCold = [&w]() {
+      return IsCold(
+        w.mGateway->Board().mEndpoints.mEndpoints.at("i-desk").mWarmUp,
+        w.mLoop.Now());
+    };
+    CPPUNIT_ASSERT(isCold());
+    w.Until([&isCold]() { return !isCold(); }, "the end of the cold time");
+    const std::uint64_t before = w.mGateway->Board().mEndpointListRevision;
+    w.mStore.LoseHistory();
+    w.Until(
+      [&w, before]() {
+        return w.mGateway->Board().mEndpointListRevision > before;
+      },
+      "the list that is read again");
+    CPPUNIT_ASSERT(!isCold());
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(data_centre_test, "data-centres");
