--- a/Tests/Gateway/Standin.cpp
+++ b/Tests/Gateway/Standin.cpp
@@ -398,7 +398,11 @@
     Answer(aConnection, 410, "{}");
     return;
   }
-  mLongPolls.push_back({ FindConnection(aConnection), table, after });
+  const duration wait = std::chrono::milliseconds(
+    std::stoll(QueryParameter(aHead.mTarget, "wait_ms")));
+  mLongPolls.push_back(
+    { FindConnection(aConnection), table, after, mLoop.Now() + wait });
+  (void)mLoop.After(wait, [this]() { AnswerLongPolls(); });
   AnswerLongPolls();
 }
 
@@ -438,10 +442,14 @@
       continue;
     }
     const std::string changes = ReadChanges(one.mTable, one.mAfter);
-    if (changes.empty()) {
+    if (!changes.empty()) {
+      Answer(*one.mConnection, 200, changes);
+    } else if (mLoop.Now() < one.mUntil) {
       mLongPolls.push_back(one);
     } else {
-      Answer(*one.mConnection, 200, changes);
+      Answer(*one.mConnection,
+             200,
+             MakeRowsAnswer(json::array(), one.mAfter, false, mLoop.Now()));
     }
   }
 }
--- a/Tests/Gateway/Standin.h
+++ b/Tests/Gateway/Standin.h
@@ -111,6 +111,7 @@
     std::shared_ptr<standin_server::connection> mConnection;
     std::string mTable;
     std::uint64_t mAfter = 0;
+    time_point mUntil{}; ///< Answered without changes then.
   };
   void Handle(standin_server::connection& aConnection,
               const http_head& aHead,
