--- a/Tests/Gateway/Standin.cpp
+++ b/Tests/Gateway/Standin.cpp
@@ -398,7 +398,11 @@
     Answer(aConnection, 410, "{}");
     return;
   }
-  mLongPolls.push_back({ FindConnection(aConnection), table, after });
+  const duration wait = std::chrono::milliseconds(
+    std::stoll(QueryParameter(aHead.mTarget, "wait_ms")));
+  mLongPolls.push_back(
+    { FindConnection(aConnection), table, after, mLoop.Now() + wait });
+  (void)mLoop.After(wait, [this]() { AnswerLongPolls(); });
   AnswerLongPolls();
 }
 
@@ -438,10 +442,14 @@
       continue;
     }
     const std::string changes = ReadChanges(one.mTable, one.mAfter);
-    if (changes.empty()) {
+    if (!changes.empty()) {
+      Answer(*one.mConnection, 200, changes);
+    } else if (mLoop.Now() < one.mUntil) {
       mLongPolls.push_back(one);
     } else {
-      Answer(*one.mConnection, 200, changes);
+      Answer(*one.mConnection,
+             200,
+             MakeRowsAnswer(json::array(), one.mAfter, false, mLoop.Now()));
     }
   }
 }
@@ -650,13 +658,13 @@
     one["cold_start_s"] = aRestrictions.mColdSeconds;
   }
   const json engine = { { "slots", 16 },
-                        { "kv_cache_tokens", 315000 },
+                        { "kv_cache_tokens", kDeclaredMemoryTokens },
                         { "stride", 51 },
                         { "step_ms", 0.85 },
                         { "per_seq_ms", 0.00425 },
                         { "context_per_k", 0.00285 },
-                        { "read_per_s", 177000.0 },
-                        { "pairs_per_m", 0.184 },
+                        { "read_per_s", kDeclaredPrefillTokensPerSecond },
+                        { "pairs_per_m", kDeclaredPrefillMsPerMillionPairs },
                         { "usual", { { "answer", 1600 } } } };
   services.back()["engine"] = engine;
   const json whole = { { "version", aVersion },
