--- a/Libraries/LibFleet/ConnectionAdmission.cpp
+++ b/Libraries/LibFleet/ConnectionAdmission.cpp
@@ -35,6 +35,15 @@
            0 };
 }
 
+bool
+IsSurge(const connection_load& aLoad,
+        const std::optional<double>& aPeersPerSecond)
+{
+  return aPeersPerSecond.has_value() &&
+         aLoad.mPerSecond >
+           std::max(kMinSurgePerSecond, kSurgeFactor * *aPeersPerSecond);
+}
+
 connection_verdict
 ConnectionVerdict(const connection_load& aLoad,
                   std::size_t aOpen,
@@ -44,11 +53,7 @@
   if (aOpen >= aMaxOpen) {
     return connection_verdict::TooMany;
   }
-  const bool isSurge =
-    aPeersPerSecond.has_value() &&
-    aLoad.mPerSecond >
-      std::max(kMinSurgePerSecond, kSurgeFactor * *aPeersPerSecond);
-  return isSurge && aLoad.mBusyShare > kMaxBusyShare
+  return IsSurge(aLoad, aPeersPerSecond) && aLoad.mBusyShare > kMaxBusyShare
            ? connection_verdict::Surge
            : connection_verdict::Accept;
 }
--- a/Libraries/LibFleet/ConnectionAdmission.h
+++ b/Libraries/LibFleet/ConnectionAdmission.h
@@ -38,8 +38,12 @@
   Surge,   ///< Close: the gateway has no time left, and its peers have.
 };
 
-/// `aPeersPerSecond` is the mean of new connections at the peers, if there are
-/// any.
+/// True if the balancer sends many more connections here than to the peers.
+/// `aPeersPerSecond` is the mean of new connections at these, if there are any.
+bool
+IsSurge(const connection_load& aLoad,
+        const std::optional<double>& aPeersPerSecond);
+
 connection_verdict
 ConnectionVerdict(const connection_load& aLoad,
                   std::size_t aOpen,
--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -48,8 +48,9 @@
   double bestFirst = 0;
   for (const engine_candidate& one : aCandidates) {
     const double prefillMs = one.mPace * aPrefillMs;
-    const double first =
-      one.mBacklogMs + prefillMs + kPassesToFirstEvent * one.mDecodePassMs;
+    const double first = one.mBacklogMs + prefillMs +
+                         kPassesToFirstEvent * one.mDecodePassMs +
+                         DelayMs(aRequest.mOwnDelay, 1);
     const double cost =
       LatenessCost(first, aRequest) + PauseHarm(one, prefillMs, aRequest) +
       PackingCost(one, aTiming, aRequest) + SlowEngineCost(one, aRequest) +
@@ -111,7 +112,8 @@
   choice.mPartPrefillMs = chosen.mPartPrefillMs;
   choice.mFirstEventMs =
     chosen.mPrefillEndsMs +
-    kPassesToFirstEvent * chosen.mDecodeEngine->mDecodePassMs;
+    kPassesToFirstEvent * chosen.mDecodeEngine->mDecodePassMs +
+    DelayMs(aInputs.mRequest.mOwnDelay, chosen.mPrefillHelpers.size() + 1);
   choice.mHarm = aInputs.mRequest.mFloorRank.has_value()
                    ? HarmAtFloor(aInputs, chosen)
                    : chosen.mHarm;
--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -15,6 +15,7 @@
 #include "LibFleet/Endpoints.h"
 #include "LibFleet/EngineLedger.h"
 #include "LibFleet/EngineTiming.h"
+#include "LibFleet/GatewayLoad.h"
 #include "LibFleet/SizeShares.h"
 
 namespace primrose {
@@ -59,7 +60,8 @@
   /// An engine whose slots are all in use has rejected it. It is only placed
   /// on a slot that is free.
   bool mRejectedByFullEngine = false;
-  size_preference mSize; ///< See `SizePreference`.
+  size_preference mSize;   ///< See `SizePreference`.
+  gateway_delay mOwnDelay; ///< Of the gateway that places it.
 
   bool operator==(const placement_request&) const = default;
 };
--- a/Libraries/LibFleet/LibFleet.h
+++ b/Libraries/LibFleet/LibFleet.h
@@ -20,6 +20,7 @@
 #include "LibFleet/EngineTiming.h"
 #include "LibFleet/Evacuations.h"
 #include "LibFleet/FairShares.h"
+#include "LibFleet/GatewayLoad.h"
 #include "LibFleet/Manifest.h"
 #include "LibFleet/OrganisationUsage.h"
 #include "LibFleet/OverloadFeatures.h"
--- a/Libraries/LibFleet/OverloadFeatures.cpp
+++ b/Libraries/LibFleet/OverloadFeatures.cpp
@@ -13,13 +13,14 @@
   bool overload_features::*mFlag;
 };
 
-constexpr std::array<named_feature, 6> kFeatures{ {
+constexpr std::array<named_feature, 7> kFeatures{ {
   { "ranks", &overload_features::mRanks },
   { "shares", &overload_features::mShares },
   { "slots", &overload_features::mSlots },
   { "speeds", &overload_features::mSpeeds },
   { "sizes", &overload_features::mSizes },
   { "room", &overload_features::mRoom },
+  { "late", &overload_features::mLate },
 } };
 
 } // namespace
--- a/Libraries/LibFleet/OverloadFeatures.h
+++ b/Libraries/LibFleet/OverloadFeatures.h
@@ -18,12 +18,13 @@
   bool mSpeeds = true; ///< Placement uses the measured pace of engines.
   bool mSizes = true;  ///< The largest prompts of a kind are not starved.
   bool mRoom = true;   ///< Engines are kept for streams with short pauses.
+  bool mLate = true;   ///< Late gateways take fewer callers.
 
   bool operator==(const overload_features&) const = default;
 };
 
 /// Disables the features with these names: ranks, shares, slots, speeds, sizes,
-/// room. Fails if a name is unknown.
+/// room, late. Fails if a name is unknown.
 result<overload_features>
 Without(overload_features aFeatures, const std::vector<std::string>& aNames);
 
--- a/Libraries/LibFleet/PlacementDivision.cpp
+++ b/Libraries/LibFleet/PlacementDivision.cpp
@@ -189,7 +189,8 @@
   AddHolders(result, request);
   const double first =
     result.mPrefillEndsMs +
-    kPassesToFirstEvent * PassMsForFirstEvent(result, *aEngines.front());
+    kPassesToFirstEvent * PassMsForFirstEvent(result, *aEngines.front()) +
+    DelayMs(request.mOwnDelay, aEngines.size());
   result.mCost =
     TotalHarm(result.mHarm) + SlowEngineCost(*result.mDecodeEngine, request) +
     LatenessCost(ToMs(request.mElapsed) + first, request) +
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -79,7 +79,8 @@
 bool
 exchange::KeepAlive() const
 {
-  return mHead.mKeepAlive && !mContext.mBoard.mDraining;
+  return mHead.mKeepAlive && !mContext.mBoard.mDraining &&
+         !mContext.mBoard.mRotation.mResting;
 }
 
 duration
--- a/Libraries/LibGateway/ExchangeAdmission.cpp
+++ b/Libraries/LibGateway/ExchangeAdmission.cpp
@@ -29,6 +29,10 @@
   work.mAwaitedReturns = CountReturns(
     mContext.mBoard.mAwaitedReturns[mService->mName], mContext.mLoop.Now());
   work.mRejectedByFullEngine = mRejectedByFullEngine && !mMayHaveRun;
+  if (mContext.mSettings.mOverload.mLate) {
+    work.mOwnDelay =
+      OwnDelay(mContext.mBoard.mLateness, mContext.mSettings.mCoreShare);
+  }
   // A gateway that drains sends what should wait, so nothing may be told to
   // wait for memory.
   if (IsDecidedBySize() && !mContext.mBoard.mDraining) {
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -178,6 +178,8 @@
                               [this]() { mStartupGate.Open(); } });
   mBoard.mStarted = mLoop.Now();
   mLoadUpdatedAt = mBoard.mStarted;
+  mTickDue = mBoard.mStarted;
+  mBoard.mRotation.mSince = mBoard.mStarted;
   mBusyAtUpdate = mLoop.BusyTime();
   mStartupGate.Close();
   mStatusLoggedAt = mBoard.mStarted;
@@ -271,6 +273,41 @@
   }
 }
 
+void
+gateway::UpdateRotation()
+{
+  const time_point now = mLoop.Now();
+  mBoard.mLateness =
+    UpdatedLateness(mBoard.mLateness, now - mTickDue, kTickInterval);
+  if (!mSettings.mOverload.mLate ||
+      !MayChangeRotation(mBoard.mRotation, mBoard.mLateness)) {
+    return;
+  }
+  const std::string& dataCentre = mSettings.mDataCentre;
+  const rotation_inputs inputs{ mSettings.mPeers.mHost,
+                                mBoard.mLateness,
+                                PeersLateness(mBoard, dataCentre),
+                                IsSurge(mBoard.mConnectionLoad,
+                                        PeersConnectionsPerSecond(
+                                          mBoard, dataCentre)) };
+  const gateway_rotation next = NextRotation(mBoard.mRotation, inputs, now);
+  if (next.mResting == mBoard.mRotation.mResting) {
+    return;
+  }
+  Log(log_level::Warning,
+      next.mResting ? "left_rotation" : "joined_rotation",
+      { { "late_ms", Milliseconds(inputs.mLateness) },
+        { "peers_late_ms", Milliseconds(MedianLateness(inputs.mPeers)) },
+        { "peers", inputs.mPeers.size() },
+        { "after_ms", Milliseconds(now - mBoard.mRotation.mSince) },
+        { "core_share", mSettings.mCoreShare },
+        { "open", mCallerConnections.size() } });
+  if (next.mResting) {
+    mBoard.mMetrics.Count("gateway_rests_total");
+  }
+  mBoard.mRotation = next;
+}
+
 std::uint16_t
 gateway::CallersPort() const
 {
@@ -292,8 +329,8 @@
 bool
 gateway::Ready() const
 {
-  return !mBoard.mDraining && mBoard.mManifest != nullptr &&
-         mBoard.mEndpointsKnown;
+  return !mBoard.mDraining && !mBoard.mRotation.mResting &&
+         mBoard.mManifest != nullptr && mBoard.mEndpointsKnown;
 }
 
 void
@@ -704,6 +741,7 @@
 {
   FlushLog();
   UpdateConnectionLoad();
+  UpdateRotation();
   mConnections.CloseExpired();
   RemoveExpiredPlacements(mBoard.mLedger, mLoop.Now());
   mBoard.mUsage.mInFlight =
@@ -740,6 +778,7 @@
     mPeerFetchesLeft = 1;
     FetchRowsFromPeer();
   }
+  mTickDue = mLoop.Now() + kTickInterval;
   mTimer = mLoop.After(kTickInterval, [this]() {
     mTimer = 0;
     Tick();
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -71,6 +71,9 @@
   /// Serves a caller's new connection, or closes it unread.
   void OnCallerConnection(int aSocket);
   void UpdateConnectionLoad();
+  /// Measures how late this tick is, and decides whether the gateway is in
+  /// rotation.
+  void UpdateRotation();
   void Tick();
   void CheckDrained();
   /// Answers a readiness probe or, with `aMetrics`, a scrape of the metrics.
@@ -95,6 +98,7 @@
   time_point mStatusLoggedAt{};
   /// Manifest that the capacities of the engines were computed from.
   manifest_pointer mCapacityManifest;
+  time_point mTickDue{};
   time_point mLoadUpdatedAt{};
   duration mBusyAtUpdate{};      ///< The loop's busy time then.
   std::size_t mClosedUnread = 0; ///< Connections, since the last line on them.
--- a/Libraries/LibGossip/GatewayMetrics.cpp
+++ b/Libraries/LibGossip/GatewayMetrics.cpp
@@ -161,6 +161,8 @@
 {
   metrics& out = aState.mMetrics;
   out.Set("gateway_open_requests", static_cast<double>(aState.mOpenRequests));
+  out.Set("gateway_lateness_seconds", Seconds(aState.mLateness));
+  out.Set("gateway_resting", aState.mRotation.mResting ? 1 : 0);
   out.Set("gateway_endpoints",
           static_cast<double>(aState.mEndpoints.mEndpoints.size()));
   out.Set(
--- a/Libraries/LibGossip/GatewayState.cpp
+++ b/Libraries/LibGossip/GatewayState.cpp
@@ -154,6 +154,35 @@
   return sum / static_cast<double>(aBoard.mPeers.size());
 }
 
+std::optional<double>
+PeersConnectionsPerSecond(const gateway_state& aBoard,
+                          std::string_view aDataCentre)
+{
+  const std::uint32_t dataCentre = DataCentreId(aDataCentre);
+  double sum = 0;
+  double peers = 0;
+  for (const auto& [host, peer] : aBoard.mPeers) {
+    if (peer.mLateness.mDataCentre == dataCentre) {
+      sum += peer.mConnectionsPerSecond;
+      ++peers;
+    }
+  }
+  return peers > 0 ? std::optional(sum / peers) : std::nullopt;
+}
+
+std::vector<peer_lateness>
+PeersLateness(const gateway_state& aBoard, std::string_view aDataCentre)
+{
+  const std::uint32_t dataCentre = DataCentreId(aDataCentre);
+  std::vector<peer_lateness> peers;
+  for (const auto& [host, peer] : aBoard.mPeers) {
+    if (peer.mLateness.mDataCentre == dataCentre) {
+      peers.push_back({ host, peer.mLateness.mLateness });
+    }
+  }
+  return peers;
+}
+
 std::vector<std::string>
 PeerHosts(const gateway_state& aBoard)
 {
--- a/Libraries/LibGossip/GatewayState.h
+++ b/Libraries/LibGossip/GatewayState.h
@@ -32,6 +32,8 @@
   overload_features mOverload;
   /// Weights of organisations in fair shares, by name; 1 if not stated.
   std::map<std::string, double> mOrganisationShares;
+  /// Of the CPU time that the process may use; 1 is a full core.
+  double mCoreShare = 1;
 
   bool operator==(const gateway_settings&) const = default;
 };
@@ -68,6 +70,7 @@
   /// Last reported revision of the operators' table; 0 if not reported.
   std::uint64_t mOperatorRevision = 0;
   unsigned mConnectionsPerSecond = 0; ///< Last reported.
+  lateness_report mLateness;          ///< Last reported.
 
   bool operator==(const peer_state&) const = default;
 };
@@ -124,6 +127,8 @@
   std::uint32_t mLastPlacementNumber = 0;
   std::size_t mOpenRequests = 0;
   connection_load mConnectionLoad;
+  duration mLateness{}; ///< Of the event loop; see `UpdatedLateness`.
+  gateway_rotation mRotation;
   bool mDraining = false;
   time_point mDrainStarted{};
   random_engine mRandom;
@@ -201,6 +206,15 @@
 std::optional<double>
 PeersConnectionsPerSecond(const gateway_state& aState);
 
+/// The same for the peers that report their lateness in this data centre.
+std::optional<double>
+PeersConnectionsPerSecond(const gateway_state& aState,
+                          std::string_view aDataCentre);
+
+/// The peers that report their lateness in this data centre.
+std::vector<peer_lateness>
+PeersLateness(const gateway_state& aState, std::string_view aDataCentre);
+
 std::vector<std::string>
 PeerHosts(const gateway_state& aState);
 
--- a/Libraries/LibGossip/GossipSender.cpp
+++ b/Libraries/LibGossip/GossipSender.cpp
@@ -267,6 +267,11 @@
     message.mUpdates.mSizes = OwnSizes();
   }
   message.mQuarantineHash = QuarantineChecksum(mBoard.mQuarantine);
+  if (mSettings.mOverload.mLate) {
+    message.mLateness = { DataCentreId(mSettings.mDataCentre),
+                          ReportedLateness(mBoard.mRotation,
+                                           mBoard.mLateness) };
+  }
   if (!aListsHosts) {
     return EncodePeerMessage(message, mLoop.Now());
   }
--- a/Libraries/LibGossip/PeerGossip.cpp
+++ b/Libraries/LibGossip/PeerGossip.cpp
@@ -273,11 +273,16 @@
     RemovePlacementsOfOwner(
       mBoard.mLedger, known->second.mGatewayIncarnation, now);
   }
-  mBoard.mPeers[aHost] = {
-    aMessage.mGatewayIncarnation, now,
-    aMessage.mManifest,           aMessage.mList,
-    aMessage.mOperatorRevision,   aMessage.mConnectionsPerSecond
-  };
+  const bool statesLateness = isNew || aMessage.mLateness.mDataCentre != 0;
+  const lateness_report lateness =
+    statesLateness ? aMessage.mLateness : known->second.mLateness;
+  mBoard.mPeers[aHost] = { aMessage.mGatewayIncarnation,
+                           now,
+                           aMessage.mManifest,
+                           aMessage.mList,
+                           aMessage.mOperatorRevision,
+                           aMessage.mConnectionsPerSecond,
+                           lateness };
   if (isNew) {
     mBoard.mSubsetRingStale = true;
     mNewPeers.push_back(aHost);
--- a/Libraries/LibGossip/PeerMessage.cpp
+++ b/Libraries/LibGossip/PeerMessage.cpp
@@ -369,6 +369,9 @@
   message.mListStoreTime = DecodeStoreTime(aEncoded.getListStoreTimeMs());
   message.mQuarantineHash = aEncoded.getHeldState();
   message.mConnectionsPerSecond = aEncoded.getConnectionsPerSecond();
+  message.mLateness = { aEncoded.getOwnDataCentreId(),
+                        std::chrono::milliseconds(
+                          aEncoded.getEventLoopLatenessMs()) };
   for (const wire::PlacedWork::Reader work : aEncoded.getPlaced()) {
     message.mUpdates.mNewPlacements.push_back(
       ReadPlacement(work, message.mGatewayIncarnation, aNow));
@@ -405,6 +408,9 @@
   encoded.setListStoreTimeMs(EncodeStoreTime(aMessage.mListStoreTime));
   encoded.setHeldState(aMessage.mQuarantineHash);
   encoded.setConnectionsPerSecond(aMessage.mConnectionsPerSecond);
+  encoded.setOwnDataCentreId(aMessage.mLateness.mDataCentre);
+  encoded.setEventLoopLatenessMs(
+    RoundToMilliseconds(aMessage.mLateness.mLateness));
   WriteNews(encoded, aMessage.mUpdates, aNow);
   if (!aMessage.mHosts.empty()) {
     capnp::List<capnp::Text>::Builder hosts =
--- a/Libraries/LibGossip/PeerMessage.h
+++ b/Libraries/LibGossip/PeerMessage.h
@@ -62,6 +62,7 @@
   std::optional<store_time> mListStoreTime;
   std::uint64_t mQuarantineHash = 0;  ///< Of its quarantine; 0: not stated.
   unsigned mConnectionsPerSecond = 0; ///< New ones from callers.
+  lateness_report mLateness;          ///< Stated in heartbeats.
   peer_updates mUpdates;
   std::vector<std::string> mHosts; ///< Of gateways known to the sender.
 
--- a/Libraries/LibGossip/PeerNews.capnp
+++ b/Libraries/LibGossip/PeerNews.capnp
@@ -99,8 +99,9 @@
   speeds @21 :List(EnginePace);  # Measured by the entry that tells.
   sizes @22 :List(SizeReport);   # All of the entry that tells; beats have them.
   operatorRow @15 :UInt64;       # Newest revision of the operators' rows there.
-  unusedOperatorAgeMs @16 :UInt32; # Earlier builds stated ages.
-  unusedListAgeMs @17 :UInt32;
+  eventLoopLatenessMs @16 :UInt32; # Of the entry that tells (LibFleet/GatewayLoad).
+  ownDataCentreId @17 :UInt32;   # A hash; 0: lateness is not stated. Earlier builds
+                                 # stated ages here, which match no data centre.
   operatorStoreTimeMs @19 :UInt64; # The store's clock as of which these rows were
                                  # current, plus one; 0: not stated.
   listStoreTimeMs @20 :UInt64;   # The same for the list of endpoints.
--- a/Libraries/LibGossip/PeerNews.capnp.h
+++ b/Libraries/LibGossip/PeerNews.capnp.h
@@ -1052,9 +1052,9 @@
 
   inline  ::uint64_t getOperatorRow() const;
 
-  inline  ::uint32_t getUnusedOperatorAgeMs() const;
+  inline  ::uint32_t getEventLoopLatenessMs() const;
 
-  inline  ::uint32_t getUnusedListAgeMs() const;
+  inline  ::uint32_t getOwnDataCentreId() const;
 
   inline  ::uint32_t getConnectionsPerSecond() const;
 
@@ -1190,11 +1190,11 @@
   inline  ::uint64_t getOperatorRow();
   inline void setOperatorRow( ::uint64_t value);
 
-  inline  ::uint32_t getUnusedOperatorAgeMs();
-  inline void setUnusedOperatorAgeMs( ::uint32_t value);
+  inline  ::uint32_t getEventLoopLatenessMs();
+  inline void setEventLoopLatenessMs( ::uint32_t value);
 
-  inline  ::uint32_t getUnusedListAgeMs();
-  inline void setUnusedListAgeMs( ::uint32_t value);
+  inline  ::uint32_t getOwnDataCentreId();
+  inline void setOwnDataCentreId( ::uint32_t value);
 
   inline  ::uint32_t getConnectionsPerSecond();
   inline void setConnectionsPerSecond( ::uint32_t value);
@@ -2480,30 +2480,30 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PeerNews::Reader::getUnusedOperatorAgeMs() const {
+inline  ::uint32_t PeerNews::Reader::getEventLoopLatenessMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PeerNews::Builder::getUnusedOperatorAgeMs() {
+inline  ::uint32_t PeerNews::Builder::getEventLoopLatenessMs() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void PeerNews::Builder::setUnusedOperatorAgeMs( ::uint32_t value) {
+inline void PeerNews::Builder::setEventLoopLatenessMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t PeerNews::Reader::getUnusedListAgeMs() const {
+inline  ::uint32_t PeerNews::Reader::getOwnDataCentreId() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t PeerNews::Builder::getUnusedListAgeMs() {
+inline  ::uint32_t PeerNews::Builder::getOwnDataCentreId() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
-inline void PeerNews::Builder::setUnusedListAgeMs( ::uint32_t value) {
+inline void PeerNews::Builder::setOwnDataCentreId( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
--- a/Tests/Gateway/OrganisationTest.cpp
+++ b/Tests/Gateway/OrganisationTest.cpp
@@ -35,12 +35,23 @@
   CPPUNIT_TEST_SUITE(organisation_test);
   CPPUNIT_TEST(WeightsAreReadFromSettings);
   CPPUNIT_TEST(WeightsThatAreNotAboveZeroAreErrors);
+  CPPUNIT_TEST(CoreShareIsReadFromSettings);
   CPPUNIT_TEST(UseIsCountedFromPlacementsOfPeers);
   CPPUNIT_TEST(DisabledSharesCountNothing);
   CPPUNIT_TEST(OrganisationAddsFewBytesToPlacement);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  void CoreShareIsReadFromSettings()
+  {
+    CPPUNIT_ASSERT_EQUAL(1.0, SettingsWith("").mValue->mCoreShare);
+    CPPUNIT_ASSERT_EQUAL(
+      0.5,
+      SettingsWith(R"(,"limits":{"cpu_share":0.25,"cores":2})")
+        .mValue->mCoreShare);
+    CPPUNIT_ASSERT(!SettingsWith(R"(,"limits":{"cpu_share":"x"})"));
+  }
+
   void WeightsAreReadFromSettings()
   {
     const outcome<gateway_settings> read =
--- a/Tests/Unit/PeerMessageTest.cpp
+++ b/Tests/Unit/PeerMessageTest.cpp
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(CrashReportsStayWithinByteBudget);
   CPPUNIT_TEST(ShortPlacementFitsByteLimit);
   CPPUNIT_TEST(MessageEncodingRoundTrips);
+  CPPUNIT_TEST(LatenessOfOtherDataCentresIsNotUsed);
   CPPUNIT_TEST(MalformedBytesAreRejected);
   CPPUNIT_TEST_SUITE_END();
 
@@ -494,6 +495,8 @@
       };
       message.mUpdates.mCleared = { aBoot, 9 };
       message.mQuarantineHash = *rc::gen::arbitrary<std::uint64_t>();
+      message.mLateness = { DataCentreId(aHost),
+                            std::chrono::milliseconds(4100) };
       message.mHosts = { "10.1.0.9", "10.2.0.4" };
       const std::string bytes = EncodePeerMessage(message, kStart);
       const outcome<peer_message> read = Capture<peer_message>(
@@ -503,6 +506,26 @@
     });
   }
 
+  /// Guards against datagrams without a statement on lateness, and those of
+  /// builds that stated ages in its place, that count as peers in time.
+  void LatenessOfOtherDataCentresIsNotUsed()
+  {
+    gateway_state state;
+    state.mPeers["10.1.0.1"].mLateness = { DataCentreId("a"),
+                                           std::chrono::milliseconds(70) };
+    state.mPeers["10.1.0.2"].mLateness = { DataCentreId("b"), {} };
+    state.mPeers["10.1.0.3"].mLateness = { 250,
+                                           std::chrono::milliseconds(250) };
+    state.mPeers["10.1.0.4"].mLateness =
+      (*Capture<peer_message>([]() {
+          return DecodePeerMessage(EncodePeerMessage({}, kStart), kStart);
+        }).mValue)
+        .mLateness;
+    CPPUNIT_ASSERT(PeersLateness(state, "a") ==
+                   std::vector<peer_lateness>(
+                     { { "10.1.0.1", std::chrono::milliseconds(70) } }));
+  }
+
   /// Guards against a crash, or a message much larger than its datagram, when
   /// another program sends bytes to the port or a message states wrong sizes.
   void MalformedBytesAreRejected()
