--- a/Libraries/LibFleet/GatewayLoad.cpp
+++ b/Libraries/LibFleet/GatewayLoad.cpp
@@ -13,7 +13,6 @@
 constexpr double kAveragingSeconds = 1;
 /// The longest pause between events that callers of short prompts allow.
 constexpr duration kLateFrom = milliseconds(60);
-constexpr duration kInTimeBelow = milliseconds(30);
 /// The balancer sends new connections for up to 2.6 s after the first "not
 /// ready", and resumes within a second.
 constexpr duration kMinRest = seconds(4);
@@ -54,7 +53,7 @@
 {
   const std::size_t most = (aInputs.mPeers.size() + 2) / kGatewaysPerResting;
   return !aInputs.mSurge && !aInputs.mPeers.empty() &&
-         MedianLateness(aInputs.mPeers) < kInTimeBelow &&
+         MedianLateness(aInputs.mPeers) < kNotableLateness &&
          LatePeersBefore(aInputs) < most;
 }
 
@@ -74,7 +73,8 @@
 std::uint32_t
 DataCentreId(std::string_view aDataCentre)
 {
-  const std::uint32_t id = static_cast<std::uint32_t>(Hash(aDataCentre));
+  // Two bytes on the wire.
+  const std::uint32_t id = static_cast<std::uint16_t>(Hash(aDataCentre));
   return id == 0 ? 1 : id;
 }
 
@@ -114,15 +114,17 @@
     return begins ? gateway_rotation{ true, aNow, lateness } : aRotation;
   }
   const bool ends = since >= kMaxRest || !MayRest(aInputs) ||
-                    (since >= kMinRest && lateness < kInTimeBelow);
+                    (since >= kMinRest && lateness < kNotableLateness);
   return ends ? gateway_rotation{ false, aNow, {} } : aRotation;
 }
 
 duration
 ReportedLateness(const gateway_rotation& aRotation, duration aLateness)
 {
-  return Bounded(aRotation.mResting ? std::max(aLateness, aRotation.mRestedAt)
-                                    : aLateness);
+  return std::clamp(
+    aRotation.mResting ? std::max(aLateness, aRotation.mRestedAt) : aLateness,
+    duration::zero(),
+    kMaxReportedLateness);
 }
 
 gateway_delay
--- a/Libraries/LibFleet/GatewayLoad.h
+++ b/Libraries/LibFleet/GatewayLoad.h
@@ -27,6 +27,10 @@
 
 /// Larger values, also those of peers, count as this.
 inline constexpr duration kMaxLateness = std::chrono::seconds(10);
+/// Shorter ones are in time.
+inline constexpr duration kNotableLateness = std::chrono::milliseconds(30);
+/// Bound of what is reported: one byte on the wire.
+inline constexpr duration kMaxReportedLateness = std::chrono::milliseconds(255);
 
 /// The moving lateness of an event loop, after a timer that was due every
 /// `aInterval` has fired `aLate` after its time.
--- a/Libraries/LibGossip/GossipSender.cpp
+++ b/Libraries/LibGossip/GossipSender.cpp
@@ -267,10 +267,12 @@
     message.mUpdates.mSizes = OwnSizes();
   }
   message.mQuarantineHash = QuarantineChecksum(mBoard.mQuarantine);
-  if (mSettings.mOverload.mLate) {
-    message.mLateness = { DataCentreId(mSettings.mDataCentre),
-                          ReportedLateness(mBoard.mRotation,
-                                           mBoard.mLateness) };
+  // One that is in time is stated rarely, to save bytes.
+  const duration lateness =
+    ReportedLateness(mBoard.mRotation, mBoard.mLateness);
+  if (mSettings.mOverload.mLate &&
+      (aListsHosts || lateness >= kNotableLateness)) {
+    message.mLateness = { DataCentreId(mSettings.mDataCentre), lateness };
   }
   if (!aListsHosts) {
     return EncodePeerMessage(message, mLoop.Now());
--- a/Tests/Unit/GatewayLoadTest.cpp
+++ b/Tests/Unit/GatewayLoadTest.cpp
@@ -199,6 +199,7 @@
 Peers(const std::vector<duration>& aValues)
 {
   std::vector<peer_lateness> peers;
+  peers.reserve(aValues.size());
   for (const duration value : aValues) {
     peers.push_back({ "10.0.0." + std::to_string(peers.size()), value });
   }
@@ -301,7 +302,7 @@
     rotation_inputs inputs{ "10.0.0.9", seconds(5), Peers({ {}, {}, {} }) };
     gateway_rotation rotation = NextRotation(InRotation(), inputs, kStart);
     CPPUNIT_ASSERT(rotation.mResting);
-    CPPUNIT_ASSERT(ReportedLateness(rotation, {}) == seconds(5));
+    CPPUNIT_ASSERT(ReportedLateness(rotation, {}) == kMaxReportedLateness);
     // Also one that remains late.
     rotation = NextRotation(rotation, inputs, kStart + seconds(9));
     CPPUNIT_ASSERT(rotation.mResting);
--- a/Tests/Unit/PeerMessageTest.cpp
+++ b/Tests/Unit/PeerMessageTest.cpp
@@ -216,6 +216,8 @@
     heartbeat.mQuarantineHash = kBoot;
     const std::size_t withoutHosts =
       EncodePeerMessage(heartbeat, kStart).size();
+    // A gateway that is in time states it with its hosts.
+    heartbeat.mLateness = { DataCentreId("a"), kNotableLateness };
     heartbeat.mHosts.assign(kHostsPerHeartbeat, "10.255.255.255");
     const std::size_t withHosts = EncodePeerMessage(heartbeat, kStart).size();
     const std::size_t heartbeats = PeersPerHeartbeat(aGateways - 1) * kSeconds;
