--- a/Libraries/LibFleet/EnginePlacement.h
+++ b/Libraries/LibFleet/EnginePlacement.h
@@ -15,6 +15,7 @@
 #include "LibFleet/Endpoints.h"
 #include "LibFleet/EngineLedger.h"
 #include "LibFleet/EngineTiming.h"
+#include "LibFleet/GatewayLoad.h"
 #include "LibFleet/SizeShares.h"
 
 namespace primrose {
@@ -65,6 +66,7 @@
   bool mAwaitsRoom = false;
   /// Ids of the engines that may decode the answer; empty: all candidates.
   std::vector<std::string> mDecodeAmong;
+  gateway_delay mOwnDelay; ///< Of the gateway that places it.
 
   bool operator==(const placement_request&) const = default;
 };
--- a/Libraries/LibGateway/ExchangeAdmission.cpp
+++ b/Libraries/LibGateway/ExchangeAdmission.cpp
@@ -31,6 +31,10 @@
   work.mAwaitsRoom = MayWaitForRoom();
   work.mDecodeAmong = mAskAgain;
   work.mRejectedByFullEngine = mRejectedByFullEngine && !mMayHaveRun;
+  if (mContext.mSettings.mOverload.mLate) {
+    work.mOwnDelay =
+      OwnDelay(mContext.mBoard.mLateness, mContext.mSettings.mCoreShare);
+  }
   // A gateway that drains sends what should wait, so nothing may be told to
   // wait for memory.
   if (IsDecidedBySize() && !mContext.mBoard.mDraining) {
