--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -115,6 +115,8 @@
   duration LatencyTarget() const;
   /// Evaluates the placement again after `kReevaluationInterval`.
   void PostponePlacement(const engine_choice& aChoice);
+  /// Calls `Dispatch` after `kReevaluationInterval`.
+  void DispatchLater();
   void RefuseOverloaded(const engine_choice& aChoice,
                         const placement_request& aWork);
   void RefuseWithoutSlot(const slot_refusal& aRefusal);
@@ -187,8 +189,7 @@
   /// True while a stream that is to be resumed waits for an engine with room.
   bool MayWaitForRoom() const;
   /// Resumes the stream as soon as the retry budget and the endpoints allow it.
-  /// Gives up if the request has not begun a stream that may be resumed, or if
-  /// no endpoint is left.
+  /// Gives up if the request has not begun a stream that may be resumed.
   void ResumeOrGiveUp(error_kind aKind, const std::string& aWhy);
   /// The same after an attempt that has ended without the rest of the stream.
   void ResumeAfterFailure(const std::string& aWhy);
--- a/Libraries/LibGateway/ExchangeAnswer.cpp
+++ b/Libraries/LibGateway/ExchangeAnswer.cpp
@@ -109,10 +109,14 @@
   mAttemptedEndpoints.pop_back();
   mExcludedEndpoints.pop_back();
   mExcludedEndpoints.push_back(aHelper.mListed.mId);
+  if (HasBegunAndMayResume()) {
+    ResumeOrGiveUp(error_kind::Overloaded, aWhy);
+    return;
+  }
   if (++mHelperRefusals <= kMaxHelperRefusals && ConsumeRetryBudget()) {
     Retry(aWhy);
   } else {
-    ResumeOrGiveUp(error_kind::Overloaded, aWhy);
+    GiveUp(error_kind::Overloaded, aWhy);
   }
 }
 
@@ -292,7 +296,7 @@
   if (mHeadWritten) {
     // The endpoint that should have resumed the stream refused.
     ReleaseAttempt();
-    GiveUp(error_kind::StreamBroken, "resume_failed");
+    ResumeAfterFailure("resume_failed");
     return false;
   }
   if (status >= kFirstServerError && CanRetryElsewhere() &&
--- a/Libraries/LibGateway/ExchangeRetry.cpp
+++ b/Libraries/LibGateway/ExchangeRetry.cpp
@@ -25,7 +25,7 @@
 exchange::HasBegunAndMayResume() const
 {
   return mHeadWritten && mStreamHead.has_value() && IsRetryable() &&
-         !mForwardingLargeAnswer;
+         mService->mEngine.has_value() && !mForwardingLargeAnswer;
 }
 
 bool
@@ -45,12 +45,9 @@
   }
   const std::optional<retry_targets> targets = FindTargets();
   if (!targets.has_value()) {
+    // Those that it may be sent to rest, leave or are unreachable.
     LogRetryDenied("no_endpoint");
-    if (RetryAfterOfService().has_value()) {
-      PostponeRetry(aKind, aWhy);
-    } else {
-      GiveUp(aKind, aWhy);
-    }
+    PostponeRetry(aKind, aWhy);
     return;
   }
   mAskAgain = targets->mAgain;
--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -96,6 +96,10 @@
       }
       [[fallthrough]];
     case placement_verdict::NoMemory:
+      if (HasBegunAndMayResume()) {
+        PostponePlacement(*choice);
+        return true;
+      }
       RefuseOverloaded(*choice, work);
       return true;
     case placement_verdict::NoSlot:
@@ -160,6 +164,12 @@
           { "harm", TotalHarm(aChoice.mHarm) },
           { "price", aChoice.mPrice } });
   }
+  DispatchLater();
+}
+
+void
+exchange::DispatchLater()
+{
   mPlacementTimer = mContext.mLoop.After(kReevaluationInterval, [this]() {
     const std::shared_ptr<exchange> self = shared_from_this();
     mPlacementTimer = 0;
@@ -250,8 +260,12 @@
             { "holders", reservedCount },
             { "granted", static_cast<int>(aGranted) } });
       self->ReleaseAttempt();
+      if (self->HasBegunAndMayResume()) {
+        self->DispatchLater();
+        return;
+      }
       if (++self->mMemoryRefusals >= kMaxMemoryRefusals) {
-        self->ResumeOrGiveUp(error_kind::Overloaded, "no_memory");
+        self->GiveUp(error_kind::Overloaded, "no_memory");
         return;
       }
       self->Dispatch();
--- a/Tests/Gateway/StreamTest.cpp
+++ b/Tests/Gateway/StreamTest.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(ResumptionThatIsRefusedIsTriedAgain);
   CPPUNIT_TEST(StreamIsResumedOnNoMoreEnginesThanTheRouteAllows);
   CPPUNIT_TEST(ResumptionWaitsForTheRetryBudget);
+  CPPUNIT_TEST(ResumptionWaitsForEnginesThatRest);
   CPPUNIT_TEST(ResumptionFollowsTheListOfEngines);
   CPPUNIT_TEST(StreamThatCannotResumeIsAborted);
   CPPUNIT_TEST(StreamThatEndsInsideEventIsNotComplete);
@@ -465,6 +466,28 @@
     CPPUNIT_ASSERT(caller.Answered());
   }
 
+  /// Guards against cutting a stream because the engines that it may be sent to
+  /// rest, while its route allows no other.
+  void ResumptionWaitsForEnginesThatRest()
+  {
+    broken_stream_world w;
+    w.mLater = [&w](connection& aConnection, const http_head& aHead) {
+      if (w.mRequests > 3) {
+        AnswerRest(aConnection, aHead);
+        return;
+      }
+      aConnection.mChannel->Write(
+        "HTTP/1.1 503 X\r\nRequest-Id: " +
+        std::string(*FieldValue(aHead.mFields, "request-id")) +
+        "\r\nNot-Executed: 1\r\nRetry-After: 1\r\n"
+        "Content-Length: 0\r\n\r\n");
+      aConnection.Next();
+    };
+    const standin_caller& caller = w.Run();
+    CPPUNIT_ASSERT(caller.Answered());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), w.EnginesAsked());
+  }
+
   /// Guards against keeping to engines that have left the list when a stream is
   /// resumed.
   void ResumptionFollowsTheListOfEngines()
