--- a/Libraries/LibGateway/ExchangeSending.cpp
+++ b/Libraries/LibGateway/ExchangeSending.cpp
@@ -468,7 +468,7 @@
   }
   if (!CanRetryElsewhere() || !ConsumeRetryBudget()) {
     // Keep waiting for the slow endpoint until there is an alternative.
-    StartResponseTimer(kReevaluationInterval);
+    StartResponseTimer(mResponseTimeout);
     return;
   }
   LogResponseTimeout();
