--- a/Libraries/LibFleet/PlacementCandidates.cpp
+++ b/Libraries/LibFleet/PlacementCandidates.cpp
@@ -62,6 +62,13 @@
          std::find(among.begin(), among.end(), aId) != among.end();
 }
 
+/// True if the request was sent to the engine before and may be sent again.
+bool
+IsAskedAgain(const placement_request& aRequest, const std::string& aId)
+{
+  return !aRequest.mDecodeAmong.empty() && MayDecode(aRequest, aId);
+}
+
 double
 FreeTokens(const engine_timing& aTiming, const engine_load& aLoad)
 {
@@ -89,10 +96,8 @@
 {
   const auto usable = [&aRequest, &aTried, aNow](const std::string& aId,
                                                  const known_endpoint& aKnown) {
-    const bool askedAgain =
-      !aRequest.mDecodeAmong.empty() && MayDecode(aRequest, aId);
     return IsAdmissible(aKnown, aRequest.mScope, aNow) &&
-           (askedAgain ||
+           (IsAskedAgain(aRequest, aId) ||
             std::find(aTried.begin(), aTried.end(), aId) == aTried.end());
   };
   const bool anyPreferred = std::any_of(
@@ -103,9 +108,7 @@
     });
   std::vector<engine_candidate> candidates;
   for (auto& [id, known] : aRegistry.mEndpoints) {
-    const bool askedAgain =
-      !aRequest.mDecodeAmong.empty() && MayDecode(aRequest, id);
-    if ((anyPreferred && !known.mPreferred && !askedAgain) ||
+    if ((anyPreferred && !known.mPreferred && !IsAskedAgain(aRequest, id)) ||
         !usable(id, known)) {
       continue;
     }
--- a/Libraries/LibGateway/ExchangeRetry.cpp
+++ b/Libraries/LibGateway/ExchangeRetry.cpp
@@ -4,9 +4,9 @@
 
 namespace {
 
-/// Share of the time after which the caller abandons the stream that a retry
-/// may wait for an engine with room. After that it is placed on the best engine
-/// there is, as the caller gains nothing by waiting longer.
+/// A retry waits for an engine with room for at most the time after which the
+/// caller abandons the stream, divided by this. After that it is placed on the
+/// best engine there is, as the caller gains nothing by waiting longer.
 constexpr int kRoomWaitDivisor = 4;
 
 } // namespace
