--- a/review/common/stage.h
+++ b/review/common/stage.hh
@@ -100,11 +100,8 @@
   const int on = 1;
   setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   if (aReceiveBuffer > 0) {
-    setsockopt(listener,
-               SOL_SOCKET,
-               SO_RCVBUF,
-               &aReceiveBuffer,
-               sizeof(aReceiveBuffer));
+    setsockopt(
+      listener, SOL_SOCKET, SO_RCVBUF, &aReceiveBuffer, sizeof(aReceiveBuffer));
   }
   sockaddr_in address = Address(aHost, aPort);
   if (bind(listener,
@@ -176,8 +173,8 @@
     std::string value;
     for (; at < target.size() && target[at] != '&'; ++at) {
       if (target[at] == '%' && at + 2 < target.size()) {
-        value += static_cast<char>(
-          std::stoi(target.substr(at + 1, 2), nullptr, 16));
+        value +=
+          static_cast<char>(std::stoi(target.substr(at + 1, 2), nullptr, 16));
         at += 2;
       } else {
         value += target[at];
@@ -292,13 +289,12 @@
     std::uint32_t group = 0;
     for (std::size_t j = 0; j < 3; ++j) {
       group <<= 8;
-      group |= i + j < aBytes.size()
-                 ? static_cast<unsigned char>(aBytes[i + j])
-                 : 0U;
+      group |=
+        i + j < aBytes.size() ? static_cast<unsigned char>(aBytes[i + j]) : 0U;
     }
     for (std::size_t j = 0; j < 4; ++j) {
-      text += i + j <= aBytes.size() ? kDigits[(group >> (18 - 6 * j)) & 63]
-                                     : '=';
+      text +=
+        i + j <= aBytes.size() ? kDigits[(group >> (18 - 6 * j)) & 63] : '=';
     }
   }
   return text;
@@ -635,15 +631,15 @@
       descriptors.rlim_cur =
         std::min<rlim_t>(descriptors.rlim_max, rlim_t{ 4200 });
       setrlimit(RLIMIT_NOFILE, &descriptors);
-      const int log =
-        open(mLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      const int log = open(mLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(log, STDOUT_FILENO);
       dup2(log, STDERR_FILENO);
       setenv("PRIMROSEWIND_BOOT", mSettings.c_str(), 1);
       if (chdir(mRoot.c_str()) != 0) {
         _exit(127);
       }
-      execl("target/bin/primrose-gateway", "target/bin/primrose-gateway", nullptr);
+      execl(
+        "target/bin/primrose-gateway", "target/bin/primrose-gateway", nullptr);
       _exit(127);
     }
   }
