--- a/Libraries/LibFleet/SizeShares.cpp
+++ b/Libraries/LibFleet/SizeShares.cpp
@@ -94,32 +94,46 @@
   }
 }
 
-/// The class of a size among those of the last prompts of its kind, of this
-/// gateway and its peers.
-size_class
-ClassOf(const size_shares& aShares,
-        const size_kind& aKind,
-        const kind_shares& aCounted,
-        double aTokens)
+/// How many of the last prompts of a kind are larger than a size.
+struct size_comparison
+{
+  std::size_t mSizes = 0;
+  std::size_t mLarger = 0;
+
+  bool operator==(const size_comparison&) const = default;
+};
+
+/// Compares with the sizes that this gateway and its peers were offered.
+size_comparison
+CompareSize(const size_shares& aShares,
+            const size_kind& aKind,
+            const kind_shares& aCounted,
+            double aTokens)
 {
-  std::size_t sizes = 0;
-  std::ptrdiff_t larger = 0;
-  const auto count = [&sizes, &larger, aTokens](const auto& aSizes) {
-    sizes += aSizes.size();
-    larger +=
+  size_comparison compared;
+  const auto count = [&compared, aTokens](const auto& aSizes) {
+    compared.mSizes += aSizes.size();
+    compared.mLarger += static_cast<std::size_t>(
       std::count_if(aSizes.begin(), aSizes.end(), [aTokens](double aOther) {
         return aOther > aTokens;
-      });
+      }));
   };
   count(aCounted.mSizes);
   ForEachPeerReport(
     aShares, aKind, [&count](const size_report& aReport, time_point) {
       count(aReport.mSizes);
     });
-  if (sizes < kMinSizes) {
+  return compared;
+}
+
+size_class
+ClassOf(const size_comparison& aCompared)
+{
+  if (aCompared.mSizes < kMinSizes) {
     return size_class::Rest;
   }
-  const double share = static_cast<double>(larger) / static_cast<double>(sizes);
+  const double share = static_cast<double>(aCompared.mLarger) /
+                       static_cast<double>(aCompared.mSizes);
   return share < kLargestShare          ? size_class::LargestTenth
          : share < kLargestAndNextShare ? size_class::NextFifth
                                         : size_class::Rest;
@@ -132,8 +146,9 @@
          kind_shares& aCounted,
          double aTokens)
 {
-  return aCounted.mCounts.at(
-    static_cast<std::size_t>(ClassOf(aShares, aKind, aCounted, aTokens)));
+  const size_class ofSize =
+    ClassOf(CompareSize(aShares, aKind, aCounted, aTokens));
+  return aCounted.mCounts.at(static_cast<std::size_t>(ofSize));
 }
 
 double
@@ -350,7 +365,9 @@
   kind_shares kind = found->second;
   Decay(kind, aNow);
   AddPeerCounts(kind, aShares, aKind, aNow);
-  preference.mClass = ClassOf(aShares, aKind, kind, aTokens);
+  const size_comparison compared = CompareSize(aShares, aKind, kind, aTokens);
+  preference.mClass = ClassOf(compared);
+  preference.mSizes = compared.mSizes;
   preference.mKindShare = KindShare(kind);
   preference.mClassShare =
     ClassShare(kind.mCounts.at(static_cast<std::size_t>(preference.mClass)),
--- a/Libraries/LibFleet/SizeShares.h
+++ b/Libraries/LibFleet/SizeShares.h
@@ -100,6 +100,7 @@
 struct size_preference
 {
   size_class mClass = size_class::Rest;
+  std::size_t mSizes = 0; ///< Prompts of its kind that it was compared with.
   double mClassShare = 1; ///< Share of the prompts of its class admitted.
   double mKindShare = 1;  ///< The same of its kind.
   /// It waits for a better moment, also for memory, before it is refused.
