--- a/Libraries/LibFleet/PlacementAdmission.cpp
+++ b/Libraries/LibFleet/PlacementAdmission.cpp
@@ -30,9 +30,10 @@
 /// less harm. The rest is left for its prefill.
 constexpr double kMaxWaitShare = 0.6;
 constexpr duration kMaxWait = std::chrono::milliseconds(2500);
-/// A preferred prompt waits while its first event is expected within this share
-/// of its latency target. With more, most of the largest are late; with less,
-/// too few of them are served where engines are fewest.
+/// A preferred prompt waits instead of being refused while its first event is
+/// expected within this share of its latency target. With more, most of the
+/// largest are late; with less, too few of them are served where engines are
+/// fewest.
 constexpr double kMaxFirstEventShare = 0.7;
 
 constexpr double kMsPerSecond = 1e3;
@@ -95,18 +96,16 @@
                   FromSeconds(kMaxWaitShare * Seconds(aRequest.mObjective)));
 }
 
-/// True if the prompt may be evaluated again later. One that is preferred by
-/// its size may not wait so long that it is likely to be late, since a late
+/// True if a prompt that is preferred by its size may wait instead of being
+/// refused. It may not wait so long that it is likely to be late, since a late
 /// answer would be worth little of what others lose by it.
 bool
-MayWait(const engine_choice& aChoice, const placement_request& aRequest)
+MayWaitForItsSize(const engine_choice& aChoice,
+                  const placement_request& aRequest)
 {
-  if (aRequest.mElapsed >= MaxWait(aRequest)) {
-    return false;
-  }
   const double firstEventMs =
     ToMs(aRequest.mElapsed + kReevaluationInterval) + aChoice.mFirstEventMs;
-  return !aRequest.mSize.mPreferred ||
+  return aRequest.mSize.mPreferred &&
          firstEventMs < kMaxFirstEventShare * ToMs(aRequest.mObjective);
 }
 
@@ -143,8 +142,9 @@
     std::min(aChoice.mPrefillSecondPrice * aPrefillMs / kMsPerSecond,
              aChoice.mPrefillSecondPrice / kWorthOfBusyEngineSecond * maxGain);
   aChoice.mPrice *= aRequest.mPriceFactor;
-  const bool mayWait = MayWait(aChoice, aRequest);
-  const bool mayWaitForItsSize = aRequest.mSize.mPreferred && mayWait;
+  const bool mayWait = aRequest.mElapsed < MaxWait(aRequest);
+  const bool mayWaitForItsSize =
+    mayWait && MayWaitForItsSize(aChoice, aRequest);
   if (aChoice.mVerdict == placement_verdict::NoMemory && mayWaitForItsSize) {
     aChoice.mVerdict = placement_verdict::Wait;
   }
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -475,6 +475,7 @@
   CPPUNIT_TEST(LongPromptConcentratesHarmOnFewEngines);
   CPPUNIT_TEST(BusyFleetRefusesVeryLongPrompt);
   CPPUNIT_TEST(LongPromptMayCauseMoreHarmAfterWaiting);
+  CPPUNIT_TEST(PreferredPromptWaitsForLessHarmAsOthersDo);
   CPPUNIT_TEST(HarmlessPromptIsAcceptedWhileAllEnginesPrefill);
   CPPUNIT_TEST(LongBacklogCausesRefusalOfLongPrompt);
   CPPUNIT_TEST(LongestPromptIsNotRefusedForItsSizeAlone);
@@ -666,6 +667,30 @@
     CPPUNIT_ASSERT(f.Choose(large).mVerdict == placement_verdict::Send);
   }
 
+  /// Guards against a preferred prompt that is sent at once, at the expense of
+  /// others, because it is expected to be late wherever it is placed.
+  void PreferredPromptWaitsForLessHarmAsOthersDo()
+  {
+    test_fleet f;
+    for (std::size_t engine = 0; engine < kEngines; ++engine) {
+      for (int i = 0; i < 10; ++i) {
+        f.AddShortRequest(engine);
+      }
+    }
+    for (std::size_t engine = 0; engine < 4; ++engine) {
+      f.AddLongRequest(engine, 300000);
+    }
+    placement_request large = LongRequest(400000);
+    large.mElapsed = kReevaluationInterval;
+    large.mObjective = milliseconds(1000);
+    const engine_choice choice = f.Choose(large);
+    CPPUNIT_ASSERT(choice.mFirstEventMs > 1000);
+    CPPUNIT_ASSERT(TotalHarm(choice.mHarm) > choice.mGain);
+    CPPUNIT_ASSERT(choice.mVerdict == placement_verdict::Wait);
+    large.mSize.mPreferred = true;
+    CPPUNIT_ASSERT(f.Choose(large).mVerdict == placement_verdict::Wait);
+  }
+
   /// Guards against refusing prompts because of short backlogs. The price of a
   /// second of prefill depended on the number of engines with a backlog, not on
   /// the length of the backlogs. In a burst of long prompts, whose parts took a
