--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -94,7 +94,8 @@
     request,
     aInputs.mPrefillMs,
     aInputs.mSlotUtilisation,
-    UrgentRoom(aInputs.mCandidates, aInputs.mTiming, request)
+    UrgentRoom(aInputs.mCandidates, aInputs.mTiming, request),
+    aInputs.mLatenessWeight
   };
   return HarmOfDivision(urgent, aDivision);
 }
@@ -193,13 +194,15 @@
                Hash(aOther.mEndpoint->mListed.mId, seed);
       });
   }
-  return PlaceDivided({ candidates,
-                        aTiming,
-                        aRequest,
-                        prefillMs,
-                        SlotUtilisation(candidates, aTiming),
-                        UrgentRoom(candidates, aTiming, aRequest) },
-                      aLedger);
+  return PlaceDivided(
+    { candidates,
+      aTiming,
+      aRequest,
+      prefillMs,
+      SlotUtilisation(candidates, aTiming),
+      UrgentRoom(candidates, aTiming, aRequest),
+      aRequest.mSize.mPreferred ? GainScale(aLedger, aRequest) : 1.0 },
+    aLedger);
 }
 
 placement
--- a/Libraries/LibFleet/PlacementAdmission.cpp
+++ b/Libraries/LibFleet/PlacementAdmission.cpp
@@ -57,21 +57,6 @@
                                 : sum / static_cast<double>(count);
 }
 
-/// The gain of a prompt, scaled up if its worth is above the mean of its kind.
-/// Harm grows with the square of the prompt size and has no cap, so without
-/// scaling the largest prompts of a kind would starve in bursts. The factor is
-/// squared for a prompt that has waited, since the largest are those that wait.
-double
-ScaledGain(const engine_choice& aChoice,
-           const engine_ledger& aLedger,
-           const placement_request& aRequest,
-           bool aHasWaited)
-{
-  const double factor = std::clamp(
-    aRequest.mWorth / MeanWorthOfKind(aLedger, aRequest), 1.0, kMaxGainFactor);
-  return aChoice.mGain * (aHasWaited ? factor * factor : factor);
-}
-
 /// The part of the engine's backlog that is of this rank or a more urgent one,
 /// by the share of such parts in all that the engine prefills.
 double
@@ -111,6 +96,15 @@
 
 } // namespace
 
+double
+GainScale(const engine_ledger& aLedger, const placement_request& aRequest)
+{
+  const double byKind = std::clamp(
+    aRequest.mWorth / MeanWorthOfKind(aLedger, aRequest), 1.0, kMaxGainFactor);
+  const bool hasWaited = aRequest.mElapsed >= kReevaluationInterval;
+  return aRequest.mSize.mGainFactor * (hasWaited ? byKind * byKind : byKind);
+}
+
 double
 PrefillSecondPrice(const std::vector<engine_candidate>& aCandidates,
                    unsigned aRank)
@@ -154,10 +148,10 @@
   const bool hasWaited = aRequest.mElapsed >= kReevaluationInterval;
   const double harm = TotalHarm(aChoice.mHarm);
   const double cost = harm + aChoice.mPrice;
-  const bool covered =
-    cost <= aRequest.mSize.mGainFactor *
-              std::max(aChoice.mGain,
-                       ScaledGain(aChoice, aLedger, aRequest, hasWaited));
+  // Only a gain is scaled up, not a loss.
+  const double scale = aChoice.mGain > 0 ? GainScale(aLedger, aRequest)
+                                         : aRequest.mSize.mGainFactor;
+  const bool covered = cost <= scale * aChoice.mGain;
   if (harm > aChoice.mGain * kMaxHarmWithoutWait && (covered || hasWaited) &&
       mayWait) {
     aChoice.mVerdict = placement_verdict::Wait;
--- a/Libraries/LibFleet/PlacementAdmission.h
+++ b/Libraries/LibFleet/PlacementAdmission.h
@@ -7,6 +7,15 @@
 
 namespace primrose {
 
+/// The factor on the gain of a prompt when it is compared with its cost. It is
+/// above 1 for a prompt whose worth is above the mean of its kind in `aLedger`:
+/// harm grows with the square of the prompt size and has no cap, so without
+/// scaling the largest prompts of a kind would starve in bursts. The ratio is
+/// squared for a prompt that has waited, since the largest are those that wait.
+/// It includes the size preference of the request.
+double
+GainScale(const engine_ledger& aLedger, const placement_request& aRequest);
+
 /// Worth that a second of prefill takes from requests that arrive next,
 /// estimated from the mean backlog of requests that are at least as urgent as
 /// `aRank`. Requires at least one candidate.
--- a/Libraries/LibFleet/PlacementDivision.cpp
+++ b/Libraries/LibFleet/PlacementDivision.cpp
@@ -195,7 +195,8 @@
     DelayMs(request.mOwnDelay, aEngines.size());
   result.mCost =
     TotalHarm(result.mHarm) + SlowEngineCost(*result.mDecodeEngine, request) +
-    LatenessCost(ToMs(request.mElapsed) + first, request) +
+    aInputs.mLatenessWeight *
+      LatenessCost(ToMs(request.mElapsed) + first, request) +
     request.mWorth *
       (kTimePenalty * result.mPrefillEndsMs / ToMs(request.mObjective) +
        kPartPenalty * parts);
--- a/Libraries/LibFleet/PlacementDivision.h
+++ b/Libraries/LibFleet/PlacementDivision.h
@@ -33,6 +33,8 @@
   double mPrefillMs = 0;       ///< Of the whole prompt on one engine.
   double mSlotUtilisation = 0; ///< The share of all engines' slots in use.
   urgent_room mUrgentRoom;
+  /// Weight of the prompt's own lateness compared with the harm to others.
+  double mLatenessWeight = 1;
 };
 
 /// The division with the lowest cost over all numbers of parts. Divisions that
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -476,6 +476,7 @@
   CPPUNIT_TEST(BusyFleetRefusesVeryLongPrompt);
   CPPUNIT_TEST(LongPromptMayCauseMoreHarmAfterWaiting);
   CPPUNIT_TEST(PreferredPromptWaitsForLessHarmAsOthersDo);
+  CPPUNIT_TEST(PreferredPromptIsNotDividedSoThatItIsLate);
   CPPUNIT_TEST(HarmlessPromptIsAcceptedWhileAllEnginesPrefill);
   CPPUNIT_TEST(LongBacklogCausesRefusalOfLongPrompt);
   CPPUNIT_TEST(LongestPromptIsNotRefusedForItsSizeAlone);
@@ -691,6 +692,28 @@
     CPPUNIT_ASSERT(f.Choose(large).mVerdict == placement_verdict::Wait);
   }
 
+  /// Guards against refusing a preferred prompt because it would be late where
+  /// it harms others least, although it could be in time elsewhere.
+  void PreferredPromptIsNotDividedSoThatItIsLate()
+  {
+    test_fleet f;
+    for (std::size_t engine = 0; engine < kEngines; ++engine) {
+      for (int i = 0; i < 6; ++i) {
+        f.AddShortRequest(engine);
+      }
+    }
+    for (int i = 0; i < 6; ++i) {
+      f.Place(LongRequest(120000));
+    }
+    placement_request large = LongRequest(400000);
+    const engine_choice choice = f.Choose(large);
+    large.mSize.mPreferred = true;
+    large.mSize.mGainFactor = 1.5;
+    const engine_choice preferred = f.Choose(large);
+    CPPUNIT_ASSERT(preferred.mFirstEventMs < choice.mFirstEventMs);
+    CPPUNIT_ASSERT(preferred.mGain > choice.mGain);
+  }
+
   /// Guards against refusing prompts because of short backlogs. The price of a
   /// second of prefill depended on the number of engines with a backlog, not on
   /// the length of the backlogs. In a burst of long prompts, whose parts took a
