--- a/Libraries/LibFleet/SizeShares.cpp
+++ b/Libraries/LibFleet/SizeShares.cpp
@@ -27,10 +27,10 @@
 
 /// Refusals below this do not count as overload: one refusal counts for 24 s.
 constexpr double kMinRefused = 0.3;
-/// Sizes are preferred only while this share of the kind or less is admitted.
-/// In milder overload, the largest are served often enough without it, and
-/// holding the rest back would lose more worth than it gains.
-constexpr double kMaxKindShare = 0.6;
+/// The rest of a kind is held back only while this share of the kind or less is
+/// admitted. In milder overload engines become free for a preferred prompt
+/// without it, and holding the rest back would lose more worth than it gains.
+constexpr double kMaxKindShareToHoldBack = 0.6;
 /// A class is preferred if it is admitted less often than its kind by this
 /// factor. Callers return after a refusal, which brings the shares of requests
 /// that are served in the end closer together than those of attempts.
@@ -372,14 +372,14 @@
   preference.mClassShare =
     ClassShare(kind.mCounts.at(static_cast<std::size_t>(preference.mClass)),
                preference.mKindShare);
-  if (kind.mRefused < kMinRefused || preference.mKindShare > kMaxKindShare) {
+  if (kind.mRefused < kMinRefused) {
     return preference;
   }
   const double minShare = kMinRelativeShare * preference.mKindShare;
   if (preference.mClassShare < minShare) {
     preference.mPreferred = true;
     preference.mGainFactor = kPreferredFactor;
-  } else if (minShare > 0) {
+  } else if (minShare > 0 && preference.mKindShare <= kMaxKindShareToHoldBack) {
     preference.mGainFactor =
       HeldBackFactor(LowestClassShare(kind, preference.mKindShare), minShare);
   }
--- a/Libraries/LibFleet/SizeShares.h
+++ b/Libraries/LibFleet/SizeShares.h
@@ -3,11 +3,12 @@
 /// How often prompts of each size are admitted, compared with all prompts of
 /// their kind. The harm of a prompt to others grows with the square of its size
 /// and its gain only with its size, so admission by cost alone refuses the
-/// largest prompts of a kind first. In overload, a size class that is admitted
-/// too rarely is therefore preferred, at the expense of the rest of its kind.
-/// Each gateway counts the prompts of its own callers, and adds the counts that
-/// its peers have reported: alone, a gateway among dozens is offered a large
-/// prompt every few seconds. Sizes are compared with those of its own callers.
+/// largest prompts of a kind first. While a kind is refused, a size class that
+/// is admitted too rarely is therefore preferred; in deep overload, the rest of
+/// its kind is held back as well.
+/// Each gateway counts the prompts of its own callers, and adds the counts and
+/// sizes that its peers have reported: alone, a gateway among dozens is offered
+/// a large prompt every few seconds.
 
 #include "LibCore/LibCore.h"
 
--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -189,6 +189,16 @@
   return load;
 }();
 
+/// The same, with sizes that differ more, and engines for nine of ten prompts.
+const burst_load kMildOverload = [] {
+  burst_load load = kBurstOfLongPrompts;
+  load.mLongRequests.mTokens = 220000;
+  load.mLongRequests.mSpread = 0.7;
+  load.mEngines = 70;
+  load.mGateways = 27;
+  return load;
+}();
+
 /// Few short prompts, and long prompts that need the whole prefill capacity.
 const burst_load kMostlyLongPrompts{
   54,
@@ -481,6 +491,7 @@
   CPPUNIT_TEST(LongBacklogCausesRefusalOfLongPrompt);
   CPPUNIT_TEST(LongestPromptIsNotRefusedForItsSizeAlone);
   CPPUNIT_TEST(LargestTenthIsServedAtLeastHalfAsOftenInBursts);
+  CPPUNIT_TEST(LargestPromptsAreServedAtLeastHalfAsOftenInMildOverload);
   CPPUNIT_TEST(LargestPromptsAreServedAtLeastHalfAsOftenInOverload);
   CPPUNIT_TEST(LargestPromptsAreServedAtLeastHalfAsOftenByManyGateways);
   CPPUNIT_TEST(MostRefusedPromptsAreServedOnReturn);
@@ -807,6 +818,23 @@
                            servedOfLargest >= servedOfAll / 2);
   }
 
+  /// Guards against refusals by size where nearly all of a kind are served: the
+  /// largest tenth must be served at least half as often as the kind even then.
+  void LargestPromptsAreServedAtLeastHalfAsOftenInMildOverload()
+  {
+    constexpr std::uint64_t kSeeds = 8;
+    const std::vector<long_request> longRequests =
+      RunBursts(kMildOverload, kSeeds);
+    const double all = ServedShare(longRequests);
+    const double largest = ServedShare(BySize(longRequests, 0, 10));
+    const double next = ServedShare(BySize(longRequests, 10, 30));
+    CPPUNIT_ASSERT_MESSAGE("Served " + std::to_string(largest) +
+                             " of the largest tenth, " + std::to_string(next) +
+                             " of the next fifth, " + std::to_string(all) +
+                             " of all",
+                           std::min(largest, next) >= all / 2);
+  }
+
   /// Guards against refusals by size in overload: however few engines there
   /// are, the largest tenth of a kind and the fifth below it must each be
   /// served at least half as often as the kind as a whole.
--- a/Tests/Unit/SizeShareTest.cpp
+++ b/Tests/Unit/SizeShareTest.cpp
@@ -56,7 +56,8 @@
 {
   CPPUNIT_TEST_SUITE(size_share_test);
   CPPUNIT_TEST(StarvedClassIsPreferredUntilItCatchesUp);
-  CPPUNIT_TEST(MildOverloadPrefersNoSize);
+  CPPUNIT_TEST(StarvedClassIsPreferredWhileMostOfItsKindIsServed);
+  CPPUNIT_TEST(MildOverloadPrefersOnlyTheStarvedClass);
   CPPUNIT_TEST(DecisionsWithoutRefusalsAreUnchanged);
   CPPUNIT_TEST(RestartedGatewayPrefersNoSize);
   CPPUNIT_TEST(AbsentKindIsForgotten);
@@ -173,18 +174,39 @@
       1.0, SizePreference(shares, kKind, kSmall, later).mGainFactor);
   }
 
-  /// Guards against a loss of worth where the largest are served often enough
-  /// without a preference.
-  void MildOverloadPrefersNoSize()
+  /// Guards against starvation of the largest prompts in mild overload, where
+  /// nearly all others of their kind are served.
+  void StarvedClassIsPreferredWhileMostOfItsKindIsServed()
   {
     size_shares shares;
     for (int second = 0; second < 10; ++second) {
-      OfferTen(shares, kStart + std::chrono::seconds(second), 8, false);
+      OfferTen(shares, kStart + std::chrono::seconds(second), 9, false);
+    }
+    const size_preference starved =
+      SizePreference(shares, kKind, kLarge, kStart + std::chrono::seconds(10));
+    CPPUNIT_ASSERT(starved.mKindShare > 0.85);
+    CPPUNIT_ASSERT(starved.mPreferred);
+    CPPUNIT_ASSERT(starved.mGainFactor > 1);
+  }
+
+  /// Guards against a loss of worth in mild overload: the rest of a kind is not
+  /// held back, and no class is preferred that is served often enough.
+  void MildOverloadPrefersOnlyTheStarvedClass()
+  {
+    size_shares starving;
+    size_shares even;
+    for (int second = 0; second < 10; ++second) {
+      const time_point now = kStart + std::chrono::seconds(second);
+      OfferTen(starving, now, 8, false);
+      OfferTen(even, now, 7, true);
     }
     const time_point now = kStart + std::chrono::seconds(10);
+    const size_preference rest = SizePreference(starving, kKind, kSmall, now);
+    CPPUNIT_ASSERT(!rest.mPreferred);
+    CPPUNIT_ASSERT_EQUAL(1.0, rest.mGainFactor);
     for (const double tokens : { kLarge, kSmall }) {
       const size_preference preference =
-        SizePreference(shares, kKind, tokens, now);
+        SizePreference(even, kKind, tokens, now);
       CPPUNIT_ASSERT(!preference.mPreferred);
       CPPUNIT_ASSERT_EQUAL(1.0, preference.mGainFactor);
     }
