--- a/Tests/Unit/PlacementTest.cpp
+++ b/Tests/Unit/PlacementTest.cpp
@@ -94,6 +94,15 @@
     AddPlacement(mLedger, placed, kStart);
   }
 
+  void AddShortRequestsEverywhere(int aCount)
+  {
+    for (std::size_t engine = 0; engine < kEngines; ++engine) {
+      for (int i = 0; i < aCount; ++i) {
+        AddShortRequest(engine);
+      }
+    }
+  }
+
   /// Adds this backlog to every engine, for prompts that lose no worth if they
   /// are delayed further.
   void AddBacklogEverywhere(double aMs)
@@ -624,11 +633,7 @@
   void LongPromptConcentratesHarmOnFewEngines()
   {
     test_fleet f;
-    for (std::size_t engine = 0; engine < kEngines; ++engine) {
-      for (int i = 0; i < 10; ++i) {
-        f.AddShortRequest(engine);
-      }
-    }
+    f.AddShortRequestsEverywhere(10);
     const engine_choice choice = f.Choose(LongRequest(200000));
     const double all =
       0.75 * ShortRequest().mWorth * 10 * static_cast<double>(kEngines);
@@ -647,11 +652,7 @@
   void BusyFleetRefusesVeryLongPrompt()
   {
     test_fleet f;
-    for (std::size_t engine = 0; engine < kEngines; ++engine) {
-      for (int i = 0; i < 10; ++i) {
-        f.AddShortRequest(engine);
-      }
-    }
+    f.AddShortRequestsEverywhere(10);
     CPPUNIT_ASSERT(f.Choose(LongRequest(450000)).mVerdict ==
                    placement_verdict::TurnAway);
     CPPUNIT_ASSERT(f.Choose(LongRequest(60000)).mVerdict !=
@@ -663,11 +664,7 @@
   void LongPromptMayCauseMoreHarmAfterWaiting()
   {
     test_fleet f;
-    for (std::size_t engine = 0; engine < kEngines; ++engine) {
-      for (int i = 0; i < 10; ++i) {
-        f.AddShortRequest(engine);
-      }
-    }
+    f.AddShortRequestsEverywhere(10);
     for (std::size_t engine = 0; engine < 4; ++engine) {
       f.AddLongRequest(engine, 300000);
     }
@@ -684,11 +681,7 @@
   void PreferredPromptWaitsForLessHarmAsOthersDo()
   {
     test_fleet f;
-    for (std::size_t engine = 0; engine < kEngines; ++engine) {
-      for (int i = 0; i < 10; ++i) {
-        f.AddShortRequest(engine);
-      }
-    }
+    f.AddShortRequestsEverywhere(10);
     for (std::size_t engine = 0; engine < 4; ++engine) {
       f.AddLongRequest(engine, 300000);
     }
@@ -708,11 +701,7 @@
   void PreferredPromptIsNotDividedSoThatItIsLate()
   {
     test_fleet f;
-    for (std::size_t engine = 0; engine < kEngines; ++engine) {
-      for (int i = 0; i < 6; ++i) {
-        f.AddShortRequest(engine);
-      }
-    }
+    f.AddShortRequestsEverywhere(6);
     for (int i = 0; i < 6; ++i) {
       f.Place(LongRequest(120000));
     }
@@ -964,11 +953,7 @@
   void OverloadedEnginesAreFilledEvenly()
   {
     test_fleet f;
-    for (std::size_t engine = 0; engine < kEngines; ++engine) {
-      for (int i = 0; i < 15; ++i) {
-        f.AddShortRequest(engine);
-      }
-    }
+    f.AddShortRequestsEverywhere(15);
     for (auto& [key, placed] : f.mLedger.mPlacements) {
       placed.mPauseExceeded = placed.mEngines.front() == EngineKey("engine-3");
     }
