--- a/Libraries/LibFleet/EnginePlacement.cpp
+++ b/Libraries/LibFleet/EnginePlacement.cpp
@@ -95,13 +95,13 @@
     aInputs.mPrefillMs,
     aInputs.mSlotUtilisation,
     UrgentRoom(aInputs.mCandidates, aInputs.mTiming, request),
-    aInputs.mLatenessWeight
+    aInputs.mGainScale
   };
   return HarmOfDivision(urgent, aDivision);
 }
 
 engine_choice
-PlaceDivided(const division_inputs& aInputs, const engine_ledger& aLedger)
+PlaceDivided(const division_inputs& aInputs)
 {
   const prompt_division chosen = CheapestDivision(aInputs);
   engine_choice choice;
@@ -123,7 +123,8 @@
                    : chosen.mHarm;
   choice.mPrefillSecondPrice =
     PrefillSecondPrice(aInputs.mCandidates, aInputs.mRequest.mClass.mRank);
-  DecideAdmission(choice, aLedger, aInputs.mRequest, aInputs.mPrefillMs);
+  DecideAdmission(
+    choice, aInputs.mRequest, aInputs.mPrefillMs, aInputs.mGainScale);
   return choice;
 }
 
@@ -194,15 +195,13 @@
                Hash(aOther.mEndpoint->mListed.mId, seed);
       });
   }
-  return PlaceDivided(
-    { candidates,
-      aTiming,
-      aRequest,
-      prefillMs,
-      SlotUtilisation(candidates, aTiming),
-      UrgentRoom(candidates, aTiming, aRequest),
-      aRequest.mSize.mPreferred ? GainScale(aLedger, aRequest) : 1.0 },
-    aLedger);
+  return PlaceDivided({ candidates,
+                        aTiming,
+                        aRequest,
+                        prefillMs,
+                        SlotUtilisation(candidates, aTiming),
+                        UrgentRoom(candidates, aTiming, aRequest),
+                        GainScale(aLedger, aRequest) });
 }
 
 placement
--- a/Libraries/LibFleet/PlacementAdmission.cpp
+++ b/Libraries/LibFleet/PlacementAdmission.cpp
@@ -119,9 +119,9 @@
 
 void
 DecideAdmission(engine_choice& aChoice,
-                const engine_ledger& aLedger,
                 const placement_request& aRequest,
-                double aPrefillMs)
+                double aPrefillMs,
+                double aGainScale)
 {
   const double maxGain = (1 + kLostWhenRefused) * aRequest.mWorth;
   aChoice.mGain = maxGain - LatenessCost(aChoice.mFirstEventMs, aRequest);
@@ -148,10 +148,7 @@
   const bool hasWaited = aRequest.mElapsed >= kReevaluationInterval;
   const double harm = TotalHarm(aChoice.mHarm);
   const double cost = harm + aChoice.mPrice;
-  // Only a gain is scaled up, not a loss.
-  const double scale = aChoice.mGain > 0 ? GainScale(aLedger, aRequest)
-                                         : aRequest.mSize.mGainFactor;
-  const bool covered = cost <= scale * aChoice.mGain;
+  const bool covered = cost <= aGainScale * aChoice.mGain;
   if (harm > aChoice.mGain * kMaxHarmWithoutWait && (covered || hasWaited) &&
       mayWait) {
     aChoice.mVerdict = placement_verdict::Wait;
--- a/Libraries/LibFleet/PlacementAdmission.h
+++ b/Libraries/LibFleet/PlacementAdmission.h
@@ -25,15 +25,14 @@
 
 /// Compares the gain of serving the prompt to its caller with the cost to other
 /// callers. Sets `mGain` and `mPrice`. Changes `Send` to `TurnAway` if the sum
-/// of harm and price exceeds the gain; for this comparison, the gain is scaled
-/// up for prompts whose worth is above the mean of their kind in `aLedger`.
-/// Changes `Send` to `Wait` if the harm comes close to the gain and the request
-/// has not waited for long. Scales the gain by the size preference of the
-/// request; a preferred one waits before it is refused.
+/// of harm and price exceeds the gain, scaled by `aGainScale` (see
+/// `GainScale`). Changes `Send` to `Wait` if the harm comes close to the gain
+/// and the request has not waited for long. One that is preferred by its size
+/// waits before it is refused.
 void
 DecideAdmission(engine_choice& aChoice,
-                const engine_ledger& aLedger,
                 const placement_request& aRequest,
-                double aPrefillMs);
+                double aPrefillMs,
+                double aGainScale);
 
 } // namespace primrose
--- a/Libraries/LibFleet/PlacementDivision.cpp
+++ b/Libraries/LibFleet/PlacementDivision.cpp
@@ -158,6 +158,16 @@
   return asDeclared ? aCheapest.mDecodePassMs : decodes.mDecodePassMs;
 }
 
+/// Weight of the prompt's own lateness compared with the harm to others. If a
+/// preferred prompt were divided by less than it is admitted by, it would be
+/// placed where it is late and harms little, and then be refused for the little
+/// that it gains there.
+double
+LatenessWeight(const division_inputs& aInputs)
+{
+  return aInputs.mRequest.mSize.mPreferred ? aInputs.mGainScale : 1;
+}
+
 /// Divides the prompt over these engines.
 prompt_division
 DivideOver(const division_inputs& aInputs,
@@ -195,7 +205,7 @@
     DelayMs(request.mOwnDelay, aEngines.size());
   result.mCost =
     TotalHarm(result.mHarm) + SlowEngineCost(*result.mDecodeEngine, request) +
-    aInputs.mLatenessWeight *
+    LatenessWeight(aInputs) *
       LatenessCost(ToMs(request.mElapsed) + first, request) +
     request.mWorth *
       (kTimePenalty * result.mPrefillEndsMs / ToMs(request.mObjective) +
--- a/Libraries/LibFleet/PlacementDivision.h
+++ b/Libraries/LibFleet/PlacementDivision.h
@@ -33,11 +33,7 @@
   double mPrefillMs = 0;       ///< Of the whole prompt on one engine.
   double mSlotUtilisation = 0; ///< The share of all engines' slots in use.
   urgent_room mUrgentRoom;
-  /// Weight of the prompt's own lateness compared with the harm to others. It
-  /// is `GainScale` for a prompt that is preferred by its size. Divided by less
-  /// than it is admitted by, it would be placed where it is late and harms
-  /// little, and then be refused for the little that it gains there.
-  double mLatenessWeight = 1;
+  double mGainScale = 1; ///< See `GainScale`.
 };
 
 /// The division with the lowest cost over all numbers of parts. Divisions that
