--- a/Tests/Unit/SizeShareTest.cpp
+++ b/Tests/Unit/SizeShareTest.cpp
@@ -41,11 +41,12 @@
 }
 
 size_shares
-StarvedLarge(time_point aUntil)
+StarvedLarge(time_point aUntil, std::size_t aSmallAdmitted = 5)
 {
   size_shares shares;
   for (int second = 10; second > 0; --second) {
-    OfferTen(shares, aUntil - std::chrono::seconds(second), 5, false);
+    OfferTen(
+      shares, aUntil - std::chrono::seconds(second), aSmallAdmitted, false);
   }
   return shares;
 }
@@ -178,12 +179,8 @@
   /// nearly all others of their kind are served.
   void StarvedClassIsPreferredWhileMostOfItsKindIsServed()
   {
-    size_shares shares;
-    for (int second = 0; second < 10; ++second) {
-      OfferTen(shares, kStart + std::chrono::seconds(second), 9, false);
-    }
     const size_preference starved =
-      SizePreference(shares, kKind, kLarge, kStart + std::chrono::seconds(10));
+      SizePreference(StarvedLarge(kStart, 9), kKind, kLarge, kStart);
     CPPUNIT_ASSERT(starved.mKindShare > 0.85);
     CPPUNIT_ASSERT(starved.mPreferred);
     CPPUNIT_ASSERT(starved.mGainFactor > 1);
@@ -193,15 +190,13 @@
   /// held back, and no class is preferred that is served often enough.
   void MildOverloadPrefersOnlyTheStarvedClass()
   {
-    size_shares starving;
+    const time_point now = kStart + std::chrono::seconds(10);
     size_shares even;
     for (int second = 0; second < 10; ++second) {
-      const time_point now = kStart + std::chrono::seconds(second);
-      OfferTen(starving, now, 8, false);
-      OfferTen(even, now, 7, true);
+      OfferTen(even, kStart + std::chrono::seconds(second), 7, true);
     }
-    const time_point now = kStart + std::chrono::seconds(10);
-    const size_preference rest = SizePreference(starving, kKind, kSmall, now);
+    const size_preference rest =
+      SizePreference(StarvedLarge(now, 8), kKind, kSmall, now);
     CPPUNIT_ASSERT(!rest.mPreferred);
     CPPUNIT_ASSERT_EQUAL(1.0, rest.mGainFactor);
     for (const double tokens : { kLarge, kSmall }) {
